--- /dev/null
+++ b/sesameroute/__init__.py
@@ -0,0 +1,5 @@
+"""Global traffic steering for institutions with few machines."""
+
+__all__ = ['__version__']
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/sesameroute/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Ports met through HTTP, msgpack streams and sockets."""
--- /dev/null
+++ b/sesameroute/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Library for the institutions' callers."""
--- /dev/null
+++ b/sesameroute/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""A request from admission to its verdict."""
--- /dev/null
+++ b/sesameroute/exceptions.py
@@ -0,0 +1,118 @@
+"""Exceptions with codes; those about a request carry its verdict."""
+
+from enum import IntEnum, unique
+
+from sesameroute.verdict import Verdict
+
+__all__ = [
+    'ConflictError',
+    'ExitCode',
+    'InputError',
+    'PeerError',
+    'RequestError',
+    'SesameError',
+    'StoreDownError',
+    'StoreUnknownError',
+]
+
+
+@unique
+class ExitCode(IntEnum):
+    """Exit codes of the programs."""
+
+    OK = 0
+    INTERNAL = 1
+    INPUT = 2
+    CONFLICT = 3
+    UNREACHABLE = 4
+    REFUSED = 5
+
+
+class SesameError(Exception):
+    """Base of all errors of this package.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for a person.
+    code : str, optional
+        Stable code for a program; the class's own code by default.
+
+    """
+
+    code = 'internal'
+    exit_code = ExitCode.INTERNAL
+
+    def __init__(self, message: str, code: str | None = None) -> None:
+        """Store the message and the code."""
+        super().__init__(message)
+        self.message = message
+        if code:
+            self.code = code  # noqa: WPS601
+
+
+class InputError(SesameError):
+    """A setting, statement or request is outside what is allowed."""
+
+    code = 'bad-input'
+    exit_code = ExitCode.INPUT
+
+
+class ConflictError(SesameError):
+    """A compare-and-swap lost against another writer."""
+
+    code = 'conflict'
+    exit_code = ExitCode.CONFLICT
+
+
+class StoreDownError(SesameError):
+    """The store was not reached; nothing took effect."""
+
+    code = 'store-down'
+    exit_code = ExitCode.UNREACHABLE
+
+
+class StoreUnknownError(SesameError):
+    """The store's answer got lost; a write may have taken effect."""
+
+    code = 'store-unknown'
+    exit_code = ExitCode.UNREACHABLE
+
+
+class PeerError(SesameError):
+    """A peer did not answer a call."""
+
+    code = 'peer-unreachable'
+    exit_code = ExitCode.UNREACHABLE
+
+
+class RequestError(SesameError):
+    """A request ended without an answer of a backend server.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for a person.
+    verdict : Verdict
+        Whether the request may have run.
+    code : str, optional
+        Stable code such as ``no-room`` or ``upstream-lost``.
+    retry_after : float, optional
+        Seconds after which the caller may try again.
+
+    """
+
+    code = 'request-failed'
+    exit_code = ExitCode.REFUSED
+
+    def __init__(
+        self,
+        message: str,
+        verdict: Verdict,
+        code: str | None = None,
+        retry_after: float = 0,
+    ) -> None:
+        """Store the message, the verdict, the code and the delay."""
+        super().__init__(message, code)
+        self.verdict = verdict
+        self.retry_after = retry_after
--- /dev/null
+++ b/sesameroute/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the backend servers."""
--- /dev/null
+++ b/sesameroute/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Slots, links, shift caps and budgets."""
--- /dev/null
+++ b/sesameroute/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peers, configuration and drains."""
--- /dev/null
+++ b/sesameroute/ports/_message.py
@@ -0,0 +1,47 @@
+"""Messages between peers: tagged data classes."""
+
+from collections.abc import Callable
+from dataclasses import asdict
+from typing import Any, TypeVar
+
+from pydantic import TypeAdapter
+
+from sesameroute.exceptions import InputError
+
+__all__ = ['decode_message', 'encode_message', 'register_message']
+
+MessageType = TypeVar('MessageType', bound=type)
+
+_ADAPTERS: dict[str, TypeAdapter[Any]] = {}  # noqa: WPS407
+
+
+def register_message(tag: str) -> Callable[[MessageType], MessageType]:
+    """Return a decorator that gives a frozen data class its wire tag."""
+
+    def decorate(cls: MessageType) -> MessageType:
+        cls.wire_tag = tag
+        _ADAPTERS[tag] = TypeAdapter(cls)
+        return cls
+
+    return decorate
+
+
+def encode_message(message: Any) -> list[Any]:
+    """Return the tag and the fields of a message for msgpack."""
+    return [message.wire_tag, asdict(message)]
+
+
+def decode_message(parts: Any) -> Any:
+    """Return the message that `encode_message` took apart.
+
+    Raises
+    ------
+    InputError
+        The tag is unknown or a field has the wrong type.
+
+    """
+    try:
+        tag, fields = parts
+        return _ADAPTERS[tag].validate_python(fields)
+    except (KeyError, TypeError, ValueError) as error:
+        raise InputError(f'peer message is not valid: {error}') from error
--- /dev/null
+++ b/sesameroute/ports/_upstream.py
@@ -0,0 +1,84 @@
+"""Upstream port: requests to backend servers."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from sesameroute.statement import Kind, Upstream
+
+__all__ = ['Answer', 'Headers', 'Request', 'Upstreams']
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request inside an entry VM.
+
+    Attributes
+    ----------
+    key : str
+        Request key; empty for idempotent requests without one.
+    deadline : float
+        Monotonic time of this machine in seconds.
+    domain : str
+        Failure domain nearest to the caller; empty if unknown.
+
+    """
+
+    kind: Kind
+    method: str
+    path: str
+    headers: Headers = ()
+    body: bytes = b''
+    key: str = ''
+    deadline: float = 0
+    domain: str = ''
+
+
+@dataclass(slots=True)
+class Answer:
+    """An answer on its way to the caller.
+
+    Attributes
+    ----------
+    chunks : iterator of bytes
+        The body; raises RequestError when it is cut.
+    length : int or None
+        Length of the body in bytes, if known.
+
+    """
+
+    status: int
+    headers: Headers = ()
+    chunks: Iterator[bytes] = field(default_factory=lambda: iter(()))
+    length: int | None = None
+
+
+class Upstreams(Protocol):
+    """Sends requests to backend servers."""
+
+    def send(
+        self,
+        upstream: Upstream,
+        request: Request,
+        *,
+        fresh: bool,
+    ) -> Answer:
+        """Send a request and return the answer with its body unread.
+
+        Parameters
+        ----------
+        fresh : bool
+            Open a new connection instead of reusing a kept one.
+
+        Raises
+        ------
+        RequestError
+            `NOT_RUN` only when nothing was written or the server shed it;
+            codes `refused`, `shed`, `draining`, `lost`, `timeout`.
+
+        """
+
+    def cancel(self, upstream: Upstream, key: str) -> None:
+        """Tell a backend server that nobody waits for the answer."""
--- /dev/null
+++ b/sesameroute/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The command line programs."""
--- /dev/null
+++ b/sesameroute/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Look-up and choice of region and backend server."""
--- /dev/null
+++ b/sesameroute/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, spans and logs."""
