Open urllib3 connections through the wire port

Cause: every client needs the same bound local address and a test network in place of TCP. Change: one connection class and one pool builder.

--- /dev/null
+++ b/sesameroute/adapters/_http_pool.py
@@ -0,0 +1,97 @@
+"""HTTP connections of urllib3 opened through the wire port."""
+
+import socket
+
+from urllib3.connection import HTTPConnection
+from urllib3.connectionpool import HTTPConnectionPool
+from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
+
+from sesameroute.ports import Wire
+
+__all__ = ['WireConnection', 'build_pool']
+
+_CONNECT_SECONDS = 1.0
+_POOL_SIZE = 8
+
+
+class WireConnection(HTTPConnection):
+    """An HTTP connection from one local address.
+
+    Parameters
+    ----------
+    host : str
+        IP address of the server.
+    port : int
+        TCP port of the server.
+    wire : Wire
+        Opens the TCP connection.
+    source : str
+        Local IP address to bind.
+    options : dict
+        Further arguments of `urllib3.connection.HTTPConnection`.
+
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int | None = None,
+        *,
+        wire: Wire,
+        source: str,
+        **options: object,
+    ) -> None:
+        """Store the wire and the local address."""
+        super().__init__(host, port, **options)
+        self.wire = wire
+        self.source = source
+
+    def _new_conn(self) -> socket.socket:
+        seconds = self.timeout
+        if not isinstance(seconds, (int, float)):
+            seconds = _CONNECT_SECONDS
+        try:
+            return self.wire.connect(
+                self.source,
+                (self.host, self.port),
+                seconds,
+            )
+        except TimeoutError as error:
+            raise ConnectTimeoutError(self, str(error)) from error
+        except OSError as error:
+            raise NewConnectionError(self, str(error)) from error
+
+
+class _WirePool(HTTPConnectionPool):
+    ConnectionCls = WireConnection
+
+
+def build_pool(
+    wire: Wire,
+    source: str,
+    target: tuple[str, int],
+    size: int = _POOL_SIZE,
+) -> HTTPConnectionPool:
+    """Return a pool of kept connections to one server.
+
+    Parameters
+    ----------
+    wire : Wire
+        Opens the TCP connections.
+    source : str
+        Local IP address to bind.
+    target : tuple of (str, int)
+        IP address and port of the server.
+    size : int
+        Most idle connections that are kept.
+
+    """
+    host, port = target
+    return _WirePool(
+        host,
+        port,
+        maxsize=size,
+        retries=False,
+        wire=wire,
+        source=source,
+    )
