--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -62,10 +62,6 @@
             raise NewConnectionError(self, str(error)) from error
 
 
-class _WirePool(HTTPConnectionPool):
-    ConnectionCls = WireConnection
-
-
 def build_pool(
     wire: Wire,
     source: str,
@@ -87,7 +83,7 @@
 
     """
     host, port = target
-    return _WirePool(
+    pool = HTTPConnectionPool(
         host,
         port,
         maxsize=size,
@@ -95,3 +91,5 @@
         wire=wire,
         source=source,
     )
+    pool.ConnectionCls = WireConnection
+    return pool
