--- /dev/null
+++ b/sesameroute/telemetry/_meter.py
@@ -0,0 +1,170 @@
+"""Metrics with fixed names, rendered for Prometheus."""
+
+import math
+from enum import Enum, unique
+from threading import Lock
+from typing import Any, NamedTuple
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus.collectors import Collector
+
+__all__ = ['Meter', 'Metric']
+
+_SECONDS_BUCKETS = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    2.5,
+    10,
+    math.inf,
+)
+
+
+class _Specification(NamedTuple):
+    collector: type[Collector]
+    name: str
+    text: str
+
+
+@unique
+class Metric(Enum):
+    """All metrics; names carry their unit."""
+
+    REQUESTS = _Specification(
+        Counter,
+        'sesame_requests_total',
+        'Requests of callers by service, kind and verdict.',
+    )
+    REQUEST_SECONDS = _Specification(
+        Histogram,
+        'sesame_request_seconds',
+        'Seconds from a request to the end of its answer, by kind.',
+    )
+    TRIES = _Specification(
+        Counter,
+        'sesame_upstream_tries_total',
+        'Tries at backend servers by service and outcome.',
+    )
+    TRY_SECONDS = _Specification(
+        Histogram,
+        'sesame_upstream_try_seconds',
+        'Seconds from sending to the first byte of an answer, by service.',
+    )
+    RELAYS = _Specification(
+        Counter,
+        'sesame_relays_total',
+        'Requests passed on to their home VM, by outcome.',
+    )
+    LOOKUPS = _Specification(
+        Counter,
+        'sesame_lookups_total',
+        'Look-ups answered, by service.',
+    )
+    SLOTS_HELD = _Specification(
+        Gauge,
+        'sesame_slots_held',
+        'Slots of backend servers held by this VM, by service.',
+    )
+    WAITING = _Specification(
+        Gauge,
+        'sesame_requests_waiting',
+        'Requests that wait for a slot, by service.',
+    )
+    LINK_BYTES = _Specification(
+        Counter,
+        'sesame_link_bytes_total',
+        'Bytes charged to a pair of regions, by source and target.',
+    )
+    RECORDS = _Specification(
+        Gauge,
+        'sesame_request_records',
+        'Request keys kept in the record.',
+    )
+    CONFIGURATION_VERSION = _Specification(
+        Gauge,
+        'sesame_configuration_version',
+        'Version of the statement in force.',
+    )
+    STORE_CALLS = _Specification(
+        Counter,
+        'sesame_store_calls_total',
+        'Calls of the key-value service, by operation and outcome.',
+    )
+    PEERS = _Specification(
+        Gauge,
+        'sesame_peers_connected',
+        'Entry VMs with a live peer stream.',
+    )
+
+
+class Meter:
+    """Counts, gauges and histograms of one node.
+
+    aioprometheus changes a value in two steps, so a lock guards each change.
+
+    Examples
+    --------
+    >>> meter = Meter()
+    >>> meter.add(Metric.LOOKUPS, service='order-desk')
+    >>> meter.read(Metric.LOOKUPS, service='order-desk')
+    1
+    >>> b'sesame_lookups_total{service="order-desk"} 1' in meter.render()
+    True
+
+    """
+
+    def __init__(self) -> None:
+        """Register every metric."""
+        self._lock = Lock()
+        self._registry = Registry()
+        self._collectors: dict[Metric, Any] = {
+            metric: _open_collector(metric.value, self._registry)
+            for metric in Metric
+        }
+
+    def add(self, metric: Metric, amount: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        with self._lock:
+            self._collectors[metric].add(labels, amount)
+
+    def set(self, metric: Metric, amount: float, **labels: str) -> None:
+        """Set a gauge."""
+        with self._lock:
+            self._collectors[metric].set(labels, amount)
+
+    def observe(self, metric: Metric, amount: float, **labels: str) -> None:
+        """Add one observation to a histogram."""
+        with self._lock:
+            self._collectors[metric].observe(labels, float(amount))
+
+    def read(self, metric: Metric, **labels: str) -> Any:
+        """Return a value; 0 for labels never used."""
+        with self._lock:
+            try:
+                return self._collectors[metric].get(labels)
+            except KeyError:
+                return 0
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        with self._lock:
+            content, _headers = render(self._registry, [])
+        return content
+
+
+def _open_collector(spec: _Specification, registry: Registry) -> Collector:
+    if spec.collector is Histogram:
+        return Histogram(
+            spec.name,
+            spec.text,
+            registry=registry,
+            buckets=_SECONDS_BUCKETS,
+        )
+    return spec.collector(spec.name, spec.text, registry=registry)
--- /dev/null
+++ b/sesameroute/telemetry/_tracer.py
@@ -0,0 +1,247 @@
+"""Spans on OpenTelemetry, with W3C trace context between processes."""
+
+import random
+import re
+from collections.abc import Sequence
+from contextlib import AbstractContextManager
+from enum import StrEnum, unique
+from importlib import import_module
+from typing import Any, Protocol, Self
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+
+from sesameroute.exceptions import InputError
+from sesameroute.telemetry._events import EventLog
+
+__all__ = ['Span', 'TraceExport', 'Tracer']
+
+_TRACEPARENT = re.compile(
+    '00-(?!0{32})([0-9a-f]{32})-(?!0{16})([0-9a-f]{16})-([0-9a-f]{2})',
+)
+_TRACE_BITS = 128
+_SPAN_BITS = 64
+_HEXADECIMAL = 16
+_NANOSECONDS = 1e9  # in a second
+_OTLP_MODULE = 'opentelemetry.exporter.otlp.proto.http.trace_exporter'
+
+
+@unique
+class TraceExport(StrEnum):
+    """Where finished spans go."""
+
+    NONE = 'none'
+    LINES = 'lines'
+    OTLP = 'otlp'
+
+
+class Span(Protocol):
+    """An open span of one hop."""
+
+    traceparent: str
+
+    def annotate(self, **fields: Any) -> None:
+        """Add attributes."""
+
+
+class Tracer:
+    """Opens a span for each hop of a request.
+
+    The first hop draws whether a request is sampled; later hops follow the
+    flag in ``traceparent``. A request that is not sampled costs a random
+    number and no OpenTelemetry object.
+
+    Parameters
+    ----------
+    node : str
+        Name of the VM or program.
+    export : TraceExport
+        Where finished spans go.
+    ratio : float
+        Part of the requests that is sampled, from 0 to 1.
+    log : EventLog, optional
+        Where ``lines`` go.
+    endpoint : str, optional
+        URL of the OTLP collector.
+
+    Examples
+    --------
+    >>> tracer = Tracer('entry-1')
+    >>> with tracer.open(
+    ...     'entry', '00-' + 'a' * 32 + '-' + 'b' * 16 + '-00'
+    ... ) as s:
+    ...     s.traceparent[3:7]
+    'aaaa'
+
+    """
+
+    def __init__(
+        self,
+        node: str,
+        export: TraceExport | str = TraceExport.NONE,
+        ratio: float = 0.01,
+        log: EventLog | None = None,
+        endpoint: str | None = None,
+    ) -> None:
+        """Store the parameters and open the provider."""
+        if not 0 <= ratio <= 1:
+            raise InputError(f'trace ratio {ratio!r} must be from 0 to 1')
+        self.node = node
+        self.export = TraceExport(export)
+        self.ratio = 0 if self.export is TraceExport.NONE else ratio
+        self._provider = TracerProvider(
+            resource=Resource({'service.name': node}),
+            shutdown_on_exit=False,
+        )
+        if self.export is TraceExport.LINES:
+            lines = _LineExporter(log or EventLog(node))
+            self._provider.add_span_processor(SimpleSpanProcessor(lines))
+        elif self.export is TraceExport.OTLP:
+            self._provider.add_span_processor(_open_otlp(endpoint))
+        self._tracer = self._provider.get_tracer('sesameroute')
+
+    def open(
+        self,
+        name: str,
+        traceparent: str = '',
+        **fields: Any,
+    ) -> AbstractContextManager[Span]:
+        """Return a context manager that is the span of one hop.
+
+        Parameters
+        ----------
+        name : str
+            The hop: ``caller``, ``lookup``, ``entry``, ``relay``, ``try``
+            or ``witness``.
+        traceparent : str
+            The W3C header of the hop before; empty or invalid starts anew.
+        **fields
+            Attributes of the span.
+
+        """
+        match = _TRACEPARENT.fullmatch(traceparent)
+        if match is None:
+            if random.random() >= self.ratio:
+                return _SilentSpan(_draw_traceparent())
+            return _RecordedSpan(self._tracer, name, None, fields)
+        if self.export is TraceExport.NONE or not _is_sampled(match):
+            return _SilentSpan(traceparent)
+        return _RecordedSpan(self._tracer, name, _restore(match), fields)
+
+    def close(self) -> None:
+        """Send what is left and stop the exporter."""
+        self._provider.shutdown()
+
+
+class _SilentSpan:
+    """Passes the trace context on and records nothing."""
+
+    __slots__ = ('traceparent',)
+
+    def __init__(self, traceparent: str) -> None:
+        self.traceparent = traceparent
+
+    def annotate(self, **_fields: Any) -> None:
+        """Drop the attributes."""
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        """Do nothing."""
+
+
+class _RecordedSpan:
+    """A span that is exported."""
+
+    __slots__ = ('_span', 'traceparent')
+
+    def __init__(
+        self,
+        tracer: trace.Tracer,
+        name: str,
+        parent: Any,
+        fields: dict[str, Any],
+    ) -> None:
+        self._span = tracer.start_span(name, parent, attributes=fields)
+        context = self._span.get_span_context()
+        self.traceparent = (
+            f'00-{context.trace_id:032x}-{context.span_id:016x}-01'
+        )
+
+    def annotate(self, **fields: Any) -> None:
+        """Add attributes to the span."""
+        self._span.set_attributes(fields)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, _type: object, error: object, _trace: object) -> None:
+        if error is not None:
+            code = getattr(error, 'code', type(error).__name__)
+            self._span.set_attributes({'error': str(code)})
+        self._span.end()
+
+
+class _LineExporter(SpanExporter):
+    """Writes each finished span as an event."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write the spans."""
+        for span in spans:
+            self._log.write('span', **_describe_span(span))
+        return SpanExportResult.SUCCESS
+
+
+def _describe_span(span: ReadableSpan) -> dict[str, Any]:
+    parent = f'{span.parent.span_id:016x}' if span.parent else '-'
+    seconds = ((span.end_time or 0) - (span.start_time or 0)) / _NANOSECONDS
+    return {
+        'hop': span.name,
+        'trace': f'{span.context.trace_id:032x}',
+        'span': f'{span.context.span_id:016x}',
+        'parent': parent,
+        'seconds': f'{seconds:.6f}',
+        **(span.attributes or {}),
+    }
+
+
+def _draw_traceparent() -> str:
+    trace_id = random.getrandbits(_TRACE_BITS) | 1
+    span_id = random.getrandbits(_SPAN_BITS) | 1
+    return f'00-{trace_id:032x}-{span_id:016x}-00'
+
+
+def _is_sampled(match: re.Match[str]) -> bool:
+    return bool(int(match.group(3), _HEXADECIMAL) & 1)
+
+
+def _restore(match: re.Match[str]) -> Any:
+    context = trace.SpanContext(
+        int(match.group(1), _HEXADECIMAL),
+        int(match.group(2), _HEXADECIMAL),
+        is_remote=True,
+        trace_flags=trace.TraceFlags(trace.TraceFlags.SAMPLED),
+    )
+    return trace.set_span_in_context(trace.NonRecordingSpan(context))
+
+
+def _open_otlp(endpoint: str | None) -> BatchSpanProcessor:
+    try:
+        module = import_module(_OTLP_MODULE)
+    except ImportError as error:
+        raise InputError(
+            'trace export "otlp" needs the package'
+            ' opentelemetry-exporter-otlp-proto-http',
+        ) from error
+    return BatchSpanProcessor(module.OTLPSpanExporter(endpoint=endpoint))
--- /dev/null
+++ b/sesameroute/telemetry/tests/test_telemetry.py
@@ -0,0 +1,121 @@
+"""Tests of logs, metrics and spans."""
+
+import io
+import json
+from importlib.util import find_spec
+from threading import Thread
+
+import pytest
+
+from sesameroute.exceptions import InputError
+from sesameroute.telemetry import EventLog, Meter, Metric, Tracer
+
+_PARENT = f'00-{"a" * 32}-{"b" * 16}-01'
+
+
+@pytest.mark.parametrize(
+    ('content', 'expected'),
+    [
+        ('plain', 'field=plain'),
+        (12, 'field=12'),
+        ('', 'field=""'),
+        ('two words', 'field="two words"'),
+        ('line\nevent=forged', r'field="line\nevent=forged"'),
+        ('a"b', r'field="a\"b"'),
+        ('a=b', 'field="a=b"'),
+        ('a\u2028b', r'field="a\u2028b"'),
+        ('a\x85b', r'field="a\u0085b"'),
+    ],
+)
+def test_a_value_never_breaks_the_line(content, expected):
+    lines = io.StringIO()
+    EventLog('vm', stream=lines).write('test', field=content)
+    assert lines.getvalue().endswith(f'event=test {expected}\n')
+    assert len(lines.getvalue().splitlines()) == 1
+
+
+def test_json_form_holds_the_same_fields():
+    lines = io.StringIO()
+    EventLog('vm', 'json', lines).warn('test', field='a b')
+    event = json.loads(lines.getvalue())
+    assert event['level'] == 'warning'
+    assert event['node'] == 'vm'
+    assert event['field'] == 'a b'
+
+
+def test_level_filters():
+    lines = io.StringIO()
+    EventLog('vm', stream=lines, level='WARNING').write('test')
+    assert not lines.getvalue()
+
+
+def test_counts_of_many_threads_add_up():
+    meter = Meter()
+
+    def count_many():
+        for _ in range(500):
+            meter.add(Metric.REQUESTS, kind='order')
+            meter.observe(Metric.REQUEST_SECONDS, 0.2, kind='order')
+
+    threads = [Thread(target=count_many) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert meter.read(Metric.REQUESTS, kind='order') == 2000
+    assert b'sesame_request_seconds_count{kind="order"} 2000' in meter.render()
+
+
+@pytest.mark.parametrize('ratio', [-0.1, 1.1])
+def test_ratio_outside_of_range_is_named(ratio):
+    with pytest.raises(InputError, match='from 0 to 1'):
+        Tracer('vm', ratio=ratio)
+
+
+@pytest.mark.parametrize(
+    ('traceparent', 'ratio', 'spans', 'keeps_trace'),
+    [
+        (_PARENT, 0, 1, True),
+        (f'{_PARENT[:-1]}0', 1, 0, True),
+        ('', 0, 0, False),
+        ('', 1, 1, False),
+        ('garbage', 1, 1, False),
+        (f'00-{"0" * 32}-{"b" * 16}-01', 1, 1, False),
+    ],
+)
+def test_sampling_follows_the_parent(traceparent, ratio, spans, keeps_trace):
+    lines = io.StringIO()
+    tracer = Tracer('vm', 'lines', ratio, EventLog('vm', stream=lines))
+    with tracer.open('entry', traceparent) as span:
+        span.annotate(upstream='u1')
+    assert len(lines.getvalue().splitlines()) == spans
+    assert ('a' * 32 in span.traceparent) == keeps_trace
+    assert len(span.traceparent) == len(_PARENT)
+
+
+def test_hops_form_a_chain():
+    lines = io.StringIO()
+    tracer = Tracer('vm', 'lines', 1, EventLog('vm', stream=lines))
+    with tracer.open('entry') as entry, tracer.open('try', entry.traceparent):
+        """Both hops end here."""
+    inner, outer = lines.getvalue().splitlines()
+    assert f'parent={entry.traceparent.split("-")[2]}' in inner
+    assert 'hop=entry' in outer
+    assert 'parent=-' in outer
+
+
+def test_an_error_marks_its_span():
+    lines = io.StringIO()
+    tracer = Tracer('vm', 'lines', 1, EventLog('vm', stream=lines))
+    with pytest.raises(InputError), tracer.open('entry'):
+        raise InputError('no')
+    assert 'error=bad-input' in lines.getvalue()
+
+
+@pytest.mark.skipif(
+    find_spec('opentelemetry.exporter') is not None,
+    reason='the optional OTLP exporter is installed',
+)
+def test_otlp_without_its_package_is_named():
+    with pytest.raises(InputError, match='opentelemetry-exporter-otlp'):
+        Tracer('vm', 'otlp')
