Serve, forward and send HTTP requests with verdicts

Cause: the thin path needs its HTTP sides. Change: server with a grafted hot path, upstream adapter with fresh and kept connections, verdicts on the wire, caller library with look-up cache, failover and request keys. Ruled out: the pool of urllib3 for upstreams, since it hides whether bytes were written.

--- a/sesameroute/adapters/__init__.py
+++ b/sesameroute/adapters/__init__.py
@@ -1,5 +1,32 @@
 """Ports met through HTTP, msgpack streams and sockets."""
 
+from sesameroute.adapters._entry_http import EntryApplication
+from sesameroute.adapters._exchange import exchange, strip_headers
 from sesameroute.adapters._http_pool import WireConnection, build_pool
+from sesameroute.adapters._http_server import HttpServer, ServerLimits
+from sesameroute.adapters._kept_connections import (
+    KeptConnection,
+    KeptConnections,
+)
+from sesameroute.adapters._upstreams import HttpUpstreams
+from sesameroute.adapters._verdict_http import (
+    find_header,
+    read_error,
+    render_error,
+)
 
-__all__ = ['WireConnection', 'build_pool']
+__all__ = [
+    'EntryApplication',
+    'HttpServer',
+    'HttpUpstreams',
+    'ServerLimits',
+    'KeptConnection',
+    'KeptConnections',
+    'WireConnection',
+    'build_pool',
+    'exchange',
+    'find_header',
+    'read_error',
+    'render_error',
+    'strip_headers',
+]
--- /dev/null
+++ b/sesameroute/adapters/_entry_http.py
@@ -0,0 +1,187 @@
+"""The hot path of an entry VM: a WSGI callable around delivery."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+from sesameroute.adapters._exchange import strip_headers
+from sesameroute.adapters._verdict_http import VERDICT_HEADER, render_error
+from sesameroute.exceptions import InputError, RequestError, SesameError
+from sesameroute.ports import Answer, Clock, Headers, Request
+from sesameroute.statement import Kind, Statement
+from sesameroute.verdict import Verdict
+
+__all__ = ['EntryApplication']
+
+_MILLISECONDS = 1000
+_PATH_PARTS = 4  # '', service, kind, rest
+_HEADER_PREFIX = 'HTTP_'
+_DEADLINE_KEY = 'HTTP_SESAME_DEADLINE_MS'
+_REQUEST_KEY = 'HTTP_SESAME_KEY'
+_DOMAIN_KEY = 'HTTP_SESAME_DOMAIN'
+_LONGEST_KEY = 256  # characters
+
+
+@dataclass(slots=True)
+class _Body:
+    """Hands chunks to the server and closes their source."""
+
+    chunks: Iterator[bytes]
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self.chunks
+
+    def close(self) -> None:
+        close = getattr(self.chunks, 'close', None)
+        if close is not None:
+            close()
+
+
+class EntryApplication:
+    """Turns HTTP requests into `Request`, and answers into HTTP.
+
+    Parameters
+    ----------
+    deliver : callable
+        Takes a `Request`, returns an `Answer`, raises `SesameError`.
+    find_statement : callable
+        Returns the statement in force or None.
+    clock : Clock
+        Source of time.
+
+    """
+
+    def __init__(
+        self,
+        deliver: Callable[[Request], Answer],
+        find_statement: Callable[[], Statement | None],
+        clock: Clock,
+    ) -> None:
+        """Store the parameters."""
+        self.deliver = deliver
+        self.find_statement = find_statement
+        self.clock = clock
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        """Answer one HTTP request."""
+        try:
+            answer = self.deliver(self._read_request(environ))
+        except SesameError as error:
+            answer = render_error(error, _find_fallback(environ))
+        start_response(_name_status(answer.status), _list_headers(answer))
+        return _Body(answer.chunks)
+
+    def _read_request(self, environ: dict[str, Any]) -> Request:
+        kind = self._find_kind(environ)
+        query = environ.get('QUERY_STRING')
+        path = environ['PATH_INFO']
+        return Request(
+            kind,
+            environ['REQUEST_METHOD'],
+            f'{path}?{query}' if query else path,
+            tuple(_iterate_headers(environ)),
+            _read_body(environ),
+            _read_key(environ),
+            self.clock.read_monotonic() + _read_seconds(environ, kind),
+            environ.get(_DOMAIN_KEY, ''),
+        )
+
+    def _find_kind(self, environ: dict[str, Any]) -> Kind:
+        path = environ['PATH_INFO']
+        statement = self.find_statement()
+        if statement is None:
+            raise RequestError(
+                'no configuration is known yet',
+                _find_fallback(environ),
+                'no-statement',
+                retry_after=1,
+            )
+        parts = path.split('/', _PATH_PARTS - 1)
+        kind = statement.kinds.get(parts[2]) if len(parts) > 2 else None
+        if kind is None or kind.service != parts[1]:
+            raise InputError(
+                f'path {path!r} must start with /SERVICE/KIND of the statement',
+                'unknown-kind',
+            )
+        return kind
+
+
+def _find_fallback(environ: dict[str, Any]) -> Verdict:
+    """Return the verdict of an error before delivery.
+
+    An earlier copy of a request with a key may have run.
+    """
+    if environ.get(_REQUEST_KEY):
+        return Verdict.MAY_HAVE_RUN
+    return Verdict.NOT_RUN
+
+
+def _iterate_headers(environ: dict[str, Any]) -> Iterator[tuple[str, str]]:
+    for name, text in environ.items():
+        if name.startswith(_HEADER_PREFIX):
+            bare = name[len(_HEADER_PREFIX) :]
+            yield bare.replace('_', '-').title(), text
+    if environ.get('CONTENT_TYPE'):
+        yield 'Content-Type', environ['CONTENT_TYPE']
+
+
+def _read_body(environ: dict[str, Any]) -> bytes:
+    stated = environ.get('CONTENT_LENGTH') or ''
+    if not stated and not environ.get('HTTP_TRANSFER_ENCODING'):
+        return b''
+    try:
+        body = environ['wsgi.input'].read()
+    except (OSError, ValueError) as error:
+        raise InputError(f'body was cut: {error}', 'cut-body') from error
+    if stated and len(body) != int(stated):
+        raise InputError(
+            f'body has {len(body)} bytes, {stated} were announced',
+            'cut-body',
+        )
+    return body
+
+
+def _read_key(environ: dict[str, Any]) -> str:
+    key = environ.get(_REQUEST_KEY, '')
+    if len(key) > _LONGEST_KEY or not key.isprintable():
+        raise InputError(
+            f'Sesame-Key has {len(key)} characters, '
+            f'allowed: at most {_LONGEST_KEY}, printable',
+            'bad-key',
+        )
+    return key
+
+
+def _read_seconds(environ: dict[str, Any], kind: Kind) -> float:
+    stated = environ.get(_DEADLINE_KEY)
+    if stated is None:
+        return kind.deadline_ms / _MILLISECONDS
+    if not stated.isdigit():
+        raise InputError(
+            f'Sesame-Deadline-Ms is {stated!r}, allowed: milliseconds > 0',
+            'bad-deadline',
+        )
+    return min(int(stated), kind.deadline_ms) / _MILLISECONDS
+
+
+def _name_status(status: int) -> str:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = 'Unknown'
+    return f'{status} {phrase}'
+
+
+def _list_headers(answer: Answer) -> list[tuple[str, str]]:
+    headers: Headers = strip_headers(answer.headers)
+    listed = list(headers)
+    if VERDICT_HEADER.lower() not in {name.lower() for name, _ in listed}:
+        listed.append((VERDICT_HEADER, Verdict.RAN.value))
+    if answer.length is not None:
+        listed.append(('Content-Length', str(answer.length)))
+    return listed
--- /dev/null
+++ b/sesameroute/caller/_caller.py
@@ -0,0 +1,278 @@
+"""Sends requests of one caller: look-up, request key, failover, verdict."""
+
+import random
+import secrets
+from dataclasses import dataclass, field, replace
+
+from urllib3.exceptions import HTTPError
+
+from sesameroute.adapters import (
+    KeptConnection,
+    KeptConnections,
+    exchange,
+    find_header,
+    read_error,
+)
+from sesameroute.caller._directory import Directory, EntryAddress
+from sesameroute.exceptions import RequestError
+from sesameroute.ports import Answer, Headers, Request
+from sesameroute.statement import Kind
+from sesameroute.verdict import Verdict
+
+__all__ = ['Caller', 'Outcome']
+
+_CONNECT_SECONDS = 0.5
+_FIRST_PAUSE = 0.03  # seconds, doubled with each attempt
+_SHORTEST_CONNECT = 0.01  # seconds
+_NONCE_BYTES = 9
+_MILLISECONDS = 1000
+_MOST_ATTEMPTS = 6
+_BAD_REQUEST = 400
+_NO_VERDICT = 'no-verdict'
+_FRESH_CODES = frozenset(('refused', 'no-room', 'stopping', 'no-statement'))
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The last word on one request.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        `RAN`: `body` is the whole answer. `NOT_RUN`: send it again with
+        `Caller.send`. `MAY_HAVE_RUN`: ask with the same `key`, or look for
+        its effect, before sending it anew.
+    code : str
+        Stable code of a refusal, empty after an answer.
+    key : str
+        Request key of the last attempt.
+    attempts : int
+        Number of attempts that were made.
+    retry_after : float
+        Seconds to wait before sending it again.
+
+    """
+
+    verdict: Verdict
+    status: int = 0
+    body: bytes = b''
+    headers: Headers = ()
+    code: str = ''
+    key: str = ''
+    attempts: int = 0
+    retry_after: float = 0
+
+
+@dataclass(slots=True)
+class _Journey:
+    """State of one request over its attempts."""
+
+    request: Request
+    tried: set[str] = field(default_factory=set)
+    key: str = ''
+    attempts: int = 0
+    ambiguous: bool = False
+    final: bool = False
+
+
+class Caller:
+    """Sends requests through the entry VMs.
+
+    Parameters
+    ----------
+    directory : Directory
+        Finds entry VMs.
+    rng : random.Random, optional
+        Source of choices among entry VMs.
+
+    Notes
+    -----
+    A non-idempotent request keeps its key over all attempts whose fate is
+    open; it gets a new key only after a true `NOT_RUN`.
+
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Store the parameters."""
+        self.directory = directory
+        self.rng = rng or random.Random()
+        self.clock = directory.clock
+        self._connections = KeptConnections(
+            directory.wire,
+            directory.source,
+            directory.clock,
+        )
+
+    def send(
+        self,
+        kind: Kind,
+        rest: str = '',
+        body: bytes = b'',
+        seconds: float | None = None,
+        key: str = '',
+        headers: Headers = (),
+    ) -> Outcome:
+        """Send a request and return the last word on it.
+
+        Parameters
+        ----------
+        kind : Kind
+            Kind of the request.
+        rest : str
+            Path after ``/SERVICE/KIND/``, with its query.
+        body : bytes
+            Body; a request with one is a POST.
+        seconds : float, optional
+            Time until the deadline; the kind's own by default.
+        key : str
+            Key of an earlier request whose fate is open.
+        headers : tuple of (str, str)
+            Further headers, such as ``traceparent``.
+
+        """
+        if seconds is None:
+            seconds = kind.deadline_ms / _MILLISECONDS
+        request = Request(
+            kind,
+            'POST' if body or not kind.idempotent else 'GET',
+            f'/{kind.service}/{kind.name}/{rest}',
+            (*headers, ('Sesame-Domain', self.directory.domain)),
+            body,
+            deadline=self.clock.read_monotonic() + seconds,
+        )
+        journey = _Journey(request, key=key, ambiguous=bool(key))
+        return self._follow(journey)
+
+    def close(self) -> None:
+        """Close kept connections."""
+        self._connections.close()
+
+    def _follow(self, journey: _Journey) -> Outcome:
+        failed = RequestError('no attempt', Verdict.NOT_RUN, 'deadline')
+        while self._may_try(journey):
+            journey.attempts += 1
+            try:
+                return self._attempt(journey)
+            except RequestError as error:
+                failed = error
+            if not self._prepare_next(journey, failed):
+                break
+        return Outcome(
+            failed.verdict,
+            code=failed.code,
+            key=journey.key,
+            attempts=journey.attempts,
+            retry_after=failed.retry_after,
+        )
+
+    def _may_try(self, journey: _Journey) -> bool:
+        left = journey.request.deadline - self.clock.read_monotonic()
+        return left > 0 and journey.attempts < _MOST_ATTEMPTS
+
+    def _attempt(self, journey: _Journey) -> Outcome:
+        entry = self.directory.choose(
+            journey.request.kind.service,
+            self.rng,
+            tuple(journey.tried),
+        )
+        journey.tried.add(entry.vm)
+        if not journey.key and not journey.request.kind.idempotent:
+            nonce = secrets.token_urlsafe(_NONCE_BYTES)
+            journey.key = f'{entry.prefix}.{nonce}'
+        request = replace(journey.request, key=journey.key)
+        try:
+            answer = self._exchange(entry, request)
+            return self._read(journey, answer)
+        except RequestError as error:
+            raise self._judge(journey, error) from error
+
+    def _exchange(self, entry: EntryAddress, request: Request) -> Answer:
+        target = (entry.address, entry.port)
+        kept = None
+        if request.kind.idempotent:
+            kept = self._connections.take(target)
+        if kept is None:
+            left = request.deadline - self.clock.read_monotonic()
+            kept = self._open(target, min(left, _CONNECT_SECONDS))
+        return exchange(self._connections, kept, request)
+
+    def _open(
+        self,
+        target: tuple[str, int],
+        seconds: float,
+    ) -> KeptConnection:
+        try:
+            return self._connections.open(
+                target, max(seconds, _SHORTEST_CONNECT)
+            )
+        except (HTTPError, OSError) as error:
+            raise RequestError(
+                f'entry VM {target} was not reached: {error}',
+                Verdict.NOT_RUN,
+                'refused',
+            ) from error
+
+    def _read(self, journey: _Journey, answer: Answer) -> Outcome:
+        body = b''.join(answer.chunks)
+        verdict = find_header(answer.headers, 'Sesame-Verdict')
+        if verdict != Verdict.RAN:
+            error = read_error(answer.status, answer.headers, body)
+            journey.final = _is_final(journey.request, answer.status, error)
+            raise error
+        return Outcome(
+            Verdict.RAN,
+            answer.status,
+            body,
+            answer.headers,
+            key=journey.key,
+            attempts=journey.attempts,
+        )
+
+    def _judge(self, journey: _Journey, error: RequestError) -> RequestError:
+        """Return the error with the verdict on all attempts together."""
+        if journey.request.kind.idempotent:
+            return error
+        unreached = error.code == 'refused' and error.verdict.allows_retry
+        if unreached and journey.ambiguous:
+            return RequestError(
+                error.message,
+                Verdict.MAY_HAVE_RUN,
+                error.code,
+                error.retry_after,
+            )
+        if not unreached:
+            journey.ambiguous = not error.verdict.allows_retry
+        return error
+
+    def _prepare_next(self, journey: _Journey, error: RequestError) -> bool:
+        """Return whether another attempt makes sense now."""
+        if journey.final:
+            return False
+        if error.verdict.allows_retry and not journey.ambiguous:
+            journey.key = ''
+        if error.code in _FRESH_CODES:
+            self.directory.forget(journey.request.kind.service)
+        if error.retry_after:
+            return self._wait(journey, error.retry_after)
+        pause = _FIRST_PAUSE * 2**journey.attempts
+        return self._wait(journey, pause * self.rng.random())
+
+    def _wait(self, journey: _Journey, seconds: float) -> bool:
+        left = journey.request.deadline - self.clock.read_monotonic()
+        if left <= seconds:
+            return False
+        self.clock.sleep(seconds)
+        return True
+
+
+def _is_final(request: Request, status: int, error: RequestError) -> bool:
+    """Return whether asking again would bring the same word."""
+    if status == _BAD_REQUEST:
+        return True
+    if request.kind.idempotent or error.code == _NO_VERDICT:
+        return False
+    return not error.verdict.allows_retry
