--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/sesameroute/routing/_lookup.py
@@ -0,0 +1,129 @@
+"""Answers to callers: which entry VM to use for a service."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from sesameroute.exceptions import InputError
+from sesameroute.ports import Clock
+from sesameroute.routing._geography import is_drained
+from sesameroute.routing._rendezvous import rank_names
+from sesameroute.routing._view import Members
+from sesameroute.statement import Statement, Vm
+
+__all__ = ['Lookup', 'LookupAnswer', 'LookupEntry']
+
+_MILLISECONDS = 1000  # in a second
+_MAX_ENTRIES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class LookupEntry:
+    """An entry VM and the part of calls that it should get."""
+
+    vm: str
+    address: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class LookupAnswer:
+    """Entry VMs in the order of preference.
+
+    Attributes
+    ----------
+    ttl : float
+        Seconds for which a caller may keep the answer.
+
+    """
+
+    service: str
+    entries: tuple[LookupEntry, ...]
+    ttl: float
+
+
+class Lookup:
+    """Answers look-ups from what this VM knows; never waits for others.
+
+    Parameters
+    ----------
+    statement : callable
+        Returns the statement in force, None before the first one.
+    members : Members
+        The entry VMs as membership sees them.
+    clock : Clock
+        Source of time.
+
+    """
+
+    def __init__(
+        self,
+        statement: Callable[[], Statement | None],
+        members: Members,
+        clock: Clock,
+    ) -> None:
+        """Store the arguments."""
+        self.statement = statement
+        self.members = members
+        self.clock = clock
+
+    def answer(self, service: str, domain: str = '') -> LookupAnswer:
+        """Return the entry VMs for a service, the nearest first.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        domain : str, optional
+            The caller's failure domain.
+
+        Raises
+        ------
+        InputError
+            There is no statement yet, or it has no such service.
+
+        """
+        statement = self.statement()
+        if statement is None or service not in statement.services:
+            raise InputError(f'service {service!r} is not known', 'no-service')
+        ranked = self._rank(statement, service, domain)
+        nearest = ranked[0].domain if ranked else ''
+        entries = tuple(
+            LookupEntry(vm.name, vm.address, float(vm.domain == nearest))
+            for vm in ranked[:_MAX_ENTRIES]
+        )
+        ttl = statement.policy.lookup_ttl_ms / _MILLISECONDS
+        return LookupAnswer(service, entries, ttl)
+
+    def _rank(
+        self,
+        statement: Statement,
+        service: str,
+        domain: str,
+    ) -> list[Vm]:
+        places = statement.places
+        usable = self._list_usable(statement)
+        if domain not in places.domains:
+            return usable
+        order = rank_names(f'{service}/{domain}', statement.vms)
+        return sorted(
+            usable,
+            key=lambda vm: (
+                places.measure_delay(domain, vm.domain),
+                order.index(vm.name),
+            ),
+        )
+
+    def _list_usable(self, statement: Statement) -> list[Vm]:
+        leaving = self.members.list_leaving()
+        staying = [
+            vm
+            for vm in statement.vms.values()
+            if vm.name not in leaving
+            and not is_drained(statement, vm.name, vm.domain)
+        ]
+        live = set(self.members.list_live())
+        return _narrow(staying, live) or staying or list(statement.vms.values())
+
+
+def _narrow(vms: Iterable[Vm], names: set[str]) -> list[Vm]:
+    return [vm for vm in vms if vm.name in names]
