--- a/sesameroute/statement/_model.py
+++ b/sesameroute/statement/_model.py
@@ -217,6 +217,8 @@
         Longest wait for a slot, in milliseconds.
     lookup_ttl_ms : int
         Time for which callers may keep a look-up's answer.
+    peak_rate : float
+        Requests a second of all kinds at the stated peak; 0 if not stated.
 
     """
 
@@ -226,6 +228,7 @@
     hedge_budget: float = 0.05
     queue_ms: int = 300
     lookup_ttl_ms: int = 2000
+    peak_rate: float = 0
 
 
 @dataclass(frozen=True, slots=True)
