Catch malformed answers, and test the HTTP adapters under failure

Cause: an answer that is not HTTP raised http.client.BadStatusLine, which no caller of the adapter expects. Ruled out: urllib3's own errors, which were caught. Change: one tuple of failures for a line. Conclusion: garbage from a backend server is a lost request with the verdict may-have-run.

--- a/sesameroute/adapters/_exchange.py
+++ b/sesameroute/adapters/_exchange.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from http.client import HTTPException
 
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
@@ -19,6 +20,7 @@
 _CHUNK_BYTES = 65_536
 _MILLISECONDS = 1000
 _SHORTEST_WAIT = 0.001  # seconds
+_LINE_FAILURES = (HTTPError, HTTPException, OSError)
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -65,7 +67,7 @@
             raise StopIteration
         try:
             chunk = self._read()
-        except (HTTPError, OSError) as error:
+        except _LINE_FAILURES as error:
             self.close()
             raise RequestError(
                 f'answer was cut: {error}',
@@ -137,7 +139,7 @@
     except TimeoutError as error:
         kept.line.close()
         raise _name_timeout(limit, remaining()) from error
-    except (HTTPError, OSError) as error:
+    except _LINE_FAILURES as error:
         kept.line.close()
         raise RequestError(
             f'connection was lost before the answer: {error}',
--- /dev/null
+++ b/sesameroute/adapters/tests/scripted.py
@@ -0,0 +1,67 @@
+"""A TCP server whose connections follow a script, for these tests."""
+
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+__all__ = ['ScriptedServer', 'answer_whole']
+
+_RECEIVE_BYTES = 65_536
+
+
+def answer_whole(body: bytes = b'ok', extra: str = '') -> bytes:
+    """Return the bytes of a whole HTTP answer."""
+    head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{extra}\r\n'
+    return head.encode() + body
+
+
+@dataclass
+class ScriptedServer:
+    """Calls `script(connection number, request number)` for each request.
+
+    The script returns the bytes to send, None to close the connection, or
+    empty bytes to stay silent.
+    """
+
+    script: Callable[[int, int], bytes | None]
+    address: str = '127.0.0.1'
+    requests: list[tuple[int, int]] = field(default_factory=list)
+
+    def __enter__(self):
+        """Listen on a free port."""
+        self.listener = socket.create_server((self.address, 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+        return self
+
+    def __exit__(self, *_error):
+        """Stop listening."""
+        self.listener.close()
+
+    def _accept(self):
+        number = 0
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            number += 1
+            threading.Thread(
+                target=self._serve,
+                args=(connection, number),
+                daemon=True,
+            ).start()
+
+    def _serve(self, connection, number):
+        count = 0
+        with connection:
+            while connection.recv(_RECEIVE_BYTES):
+                count += 1
+                self.requests.append((number, count))
+                sent = self.script(number, count)
+                if sent is None:
+                    return
+                connection.sendall(sent)
+                if sent and b'cut' in sent:
+                    return
--- /dev/null
+++ b/sesameroute/adapters/tests/test_entry_http.py
@@ -0,0 +1,160 @@
+"""Bad input on the entry's HTTP side gets a clear word, and no more."""
+
+import contextlib
+import socket
+import time
+
+import pytest
+
+from sesameroute.adapters import EntryApplication, HttpServer, ServerLimits
+from sesameroute.exceptions import RequestError
+from sesameroute.ports import Answer, SystemClock
+from sesameroute.statement import (
+    Kind,
+    Places,
+    Policy,
+    Statement,
+)
+from sesameroute.verdict import Verdict
+
+_ADDRESS = ('127.31.0.1', 18_400)
+_KIND = Kind('order', 'desk', idempotent=False, deadline_ms=500)
+_LONG_KEY = 'k' * 300
+_LONG_HEADER = 'y' * 9000
+_STATEMENT = Statement(
+    'kalina',
+    Places({'r': ('d',)}, 'r', 1, 1, 1),
+    Policy(),
+    vms={},
+    services={},
+    kinds={'order': _KIND},
+    upstreams={},
+)
+
+
+def deliver(request):
+    """Echo the body; refuse the body `no`, cut the body `cut`."""
+    if request.body == b'no':
+        raise RequestError('full', Verdict.NOT_RUN, 'no-room', 0.2)
+    if request.body == b'cut':
+        return Answer(200, (), iter_cut(), 100)
+    return Answer(200, (), iter((request.body,)), len(request.body))
+
+
+def iter_cut():
+    """Yield some bytes, then fail as a lost upstream does."""
+    yield b'half'
+    raise RequestError('lost', Verdict.MAY_HAVE_RUN, 'cut-answer')
+
+
+@pytest.fixture(scope='module', autouse=True)
+def server():
+    """Serve the application during this module."""
+    application = EntryApplication(
+        deliver,
+        lambda: _STATEMENT,
+        SystemClock(),
+    )
+    limits = ServerLimits(
+        threads=4,
+        header_bytes=2048,
+        body_bytes=10_000,
+        read_seconds=0.3,
+    )
+    running = HttpServer(_ADDRESS, application, limits=limits)
+    running.start()
+    yield running
+    running.stop()
+
+
+def talk(sent, seconds=2.0):
+    """Send raw bytes and return all that comes back."""
+    with socket.create_connection(_ADDRESS, seconds) as connection:
+        connection.sendall(sent)
+        connection.shutdown(socket.SHUT_WR)
+        return b''.join(iter(lambda: connection.recv(4096), b''))
+
+
+def post(body, path='/desk/order/1', extra='', length=None):
+    """Return the bytes of a POST."""
+    stated = len(body) if length is None else length
+    head = (
+        f'POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n'
+        f'Content-Length: {stated}\r\n{extra}\r\n'
+    )
+    return head.encode() + body
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status', 'needle'),
+    [
+        (post(b'yes'), b' 200 ', b'yes'),
+        (post(b'no'), b' 503 ', b'"verdict": "not-run"'),
+        (post(b'no'), b' 503 ', b'Sesame-Retry-After-Ms: 200'),
+        (post(b'half', length=90), b' 400 ', b'"code": "cut-body"'),
+        (
+            post(b'half', extra='Sesame-Key: k\r\n', length=90),
+            b' 400 ',
+            b'"verdict": "may-have-run"',
+        ),
+        (post(b'a', '/desk/nothing/1'), b' 400 ', b'"code": "unknown-kind"'),
+        (post(b'a', '/other/order/1'), b' 400 ', b'"code": "unknown-kind"'),
+        (post(b'a', '/'), b' 400 ', b'"code": "unknown-kind"'),
+        (
+            post(b'a', extra='Sesame-Deadline-Ms: soon\r\n'),
+            b' 400 ',
+            b'"code": "bad-deadline"',
+        ),
+        (
+            post(b'a', extra=f'Sesame-Key: {_LONG_KEY}\r\n'),
+            b' 400 ',
+            b'"code": "bad-key"',
+        ),
+        (post(b'a', extra=f'X: {_LONG_HEADER}\r\n'), b' 413 ', b''),
+        (post(b'z' * 20_000), b' 413 ', b''),
+        (post(b'a', length=-4), b' 400 ', b''),
+        (b'\x00\xff\x00 garbage\r\n\r\n', b' 400 ', b''),
+    ],
+)
+def test_request_bytes(sent, status, needle):
+    """Each request gets its status, and the server goes on."""
+    seen = talk(sent)
+    assert status in seen.split(b'\r\n', 1)[0]
+    assert needle in seen
+    assert b'yes' in talk(post(b'yes'))
+
+
+def test_cut_answer_stays_cut():
+    """An answer that is lost half-way never looks whole."""
+    seen = talk(post(b'cut'))
+    head, body = seen.split(b'\r\n\r\n', 1)
+    assert b'Content-Length: 100' in head
+    assert body == b'half'
+
+
+def test_slow_sender_frees_thread():
+    """More silent senders than threads don't keep others out."""
+    with contextlib.ExitStack() as stack:
+        for _ in range(8):
+            stalled = socket.create_connection(_ADDRESS)
+            stack.enter_context(stalled)
+            stalled.sendall(b'POST /desk/order/1 HTTP/1.1\r\n')
+        assert b'yes' in talk(post(b'yes'), seconds=5)
+
+
+def test_deadline_is_bounded():
+    """A caller can't ask for more time than its kind has."""
+    seen = []
+
+    def keep(request):
+        seen.append(request.deadline - time.monotonic())
+        return Answer(200)
+
+    application = EntryApplication(keep, lambda: _STATEMENT, SystemClock())
+    environ = {
+        'PATH_INFO': '/desk/order/1',
+        'REQUEST_METHOD': 'GET',
+        'HTTP_SESAME_DEADLINE_MS': '999999',
+    }
+    application(environ, lambda *_ignored: None)
+    assert 0 < seen[0] * 1000 <= _KIND.deadline_ms
