Read the programs' settings from INI

Cause: programs learn addresses, keys and limits from their settings. Change: Settings with frozen data classes, pydantic at the border, all errors at once, secrets kept out of messages.

--- a/sesameroute/ini/_problems.py
+++ b/sesameroute/ini/_problems.py
@@ -14,6 +14,18 @@
 
 _SHOWN_CHARACTERS = 60  # of a wrong value
 
+_SECRET_WORD = 'secret'
+
+# What the types and formats of a JSON schema are called.
+_FORM_WORDS = MappingProxyType(
+    {
+        'ipvanyaddress': 'IP address',
+        'password': _SECRET_WORD,
+        'boolean': 'yes or no',
+        'array': 'comma-separated list',
+    }
+)
+
 # What the limits of a JSON schema say in words.
 _LIMIT_WORDS = MappingProxyType(
     {
@@ -88,10 +100,15 @@
         elif entry['type'] == 'missing':
             yield key, f'key is missing; allowed: {_describe_key(model, key)}'
         else:
-            shown = repr(entry['input'])[:_SHOWN_CHARACTERS]
-            reason = entry['msg']
-            allowed = _describe_key(model, key)
-            yield key, f'{shown}: {reason}; allowed: {allowed}'
+            yield key, _describe_value(entry, _describe_key(model, key))
+
+
+def _describe_value(entry: Mapping[str, Any], allowed: str) -> str:
+    """Return what is wrong with a value; a secret is not shown."""
+    if _SECRET_WORD in allowed:
+        return f'value is not valid; allowed: {allowed}'
+    shown = repr(entry['input'])[:_SHOWN_CHARACTERS]
+    return f'{shown}: {entry["msg"]}; allowed: {allowed}'
 
 
 def _describe_key(model: type[BaseModel], key: str) -> str:
@@ -116,7 +133,8 @@
     if option.get('enum'):
         return ', '.join(map(str, option['enum']))
     kind = option.get('type', 'any value')
-    words = [str(option.get('format', kind))]
+    form = option.get('format', kind)
+    words = [_FORM_WORDS.get(form, form)]
     words.extend(
         f'{word} {option[limit]}'
         for limit, word in _LIMIT_WORDS.items()
--- /dev/null
+++ b/sesameroute/settings/tests/test_settings.py
@@ -0,0 +1,102 @@
+"""Settings: defaults, every wrong value at once, secrets kept out."""
+
+import pytest
+
+from sesameroute.exceptions import ExitCode, InputError
+from sesameroute.settings import (
+    PeerSettings,
+    Settings,
+    StoreSettings,
+    VmSettings,
+    parse_settings,
+    read_settings,
+)
+
+KEY = 'a-shared-key-of-the-fleet'
+WHOLE = f"""
+# Settings of one entry VM.
+[vm]
+name = sofia-a-1
+domain = sofia-a
+address = 127.20.3.11
+
+[store]
+url = http://127.0.0.1:8500/
+key = sesameroute/kalina
+
+[peers]
+key = {KEY}
+addresses = sofia-b-1=127.20.4.11, varna-a-1=127.20.5.11
+"""
+
+
+def catch_error(text, required):
+    """Return the error of reading the text."""
+    with pytest.raises(InputError) as caught:
+        parse_settings(text, 'some.ini', required)
+    return caught.value
+
+
+def test_whole_file(tmp_path):
+    """Sections become data classes; the others keep their defaults."""
+    path = tmp_path / 'entry.ini'
+    path.write_text(WHOLE)
+    assert read_settings(path) == Settings(
+        vm=VmSettings('sofia-a-1', 'sofia-a', '127.20.3.11'),
+        store=StoreSettings('http://127.0.0.1:8500', 'sesameroute/kalina'),
+        peers=PeerSettings(
+            KEY,
+            (('sofia-b-1', '127.20.4.11'), ('varna-a-1', '127.20.5.11')),
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ('text', 'parts'),
+    [
+        ('[log]\nlevel = loud', ('[log] level', 'loud', 'debug, info')),
+        ('[log]\ncolour = red', ('[log] colour: unknown', 'format, level')),
+        ('[weather]', ('[weather]: unknown section', 'vmlist')),
+        ('[trace]\nsample = 2', ('[trace] sample', '2', 'up to 1')),
+        ('[trace]\nsample = nan', ('[trace] sample', 'nan')),
+        ('[ports]\nentry = 0', ('[ports] entry', "'0'", 'from 1 up to 65535')),
+        ('[limits]\nthreads = many', ('[limits] threads', 'many', 'integer')),
+        ('[vm]\nname = A b', ('[vm] name', 'A b', '[vm] domain: key is mis')),
+        ('[vm]\naddress = x', ('[vm] address', "'x'", 'IP address')),
+        ('[store]\nurl = ftp://x', ('[store] url', 'ftp://x', 'http://')),
+        ('[peers]\naddresses = a', ('[peers] addresses', 'a', 'key is mis')),
+        ('[log]\n[log]', ('log', 'already exists')),
+        ('level = info', ('section header',)),
+        ('[log]\nnothing', ('nothing',)),
+    ],
+)
+def test_wrong_value_is_named(text, parts):
+    """The error names file, section, key, value and what is allowed."""
+    error = catch_error(text, required=())
+    wanted = {'some.ini', *parts}
+    assert error.exit_code == ExitCode.INPUT
+    assert {part for part in wanted if part in error.message} == wanted
+
+
+def test_all_errors_at_once():
+    """Wrong values and missing sections are told together."""
+    text = '[log]\nlevel = loud\n[trace]\nsample = 2\n'
+    error = catch_error(text, required=('vm', 'store', 'peers'))
+    assert len(error.message.splitlines()) == 5
+
+
+def test_secrets_stay_out_of_messages():
+    """Neither an error nor a repr shows a key."""
+    error = catch_error('[peers]\nkey = short', required=())
+    assert 'short' not in error.message
+    assert KEY not in repr(parse_settings(WHOLE))
+
+
+@pytest.mark.parametrize('content', [None, b'\xff\xfe'])
+def test_unreadable_file(tmp_path, content):
+    """A missing file and a file of another encoding are bad input."""
+    path = tmp_path / 'entry.ini'
+    if content:
+        path.write_bytes(content)
+    with pytest.raises(InputError, match=r'entry\.ini'):
+        read_settings(path)
