--- a/sesameroute/telemetry/_events.py
+++ b/sesameroute/telemetry/_events.py
@@ -5,26 +5,19 @@
 import re
 import sys
 from datetime import UTC, datetime
-from enum import StrEnum, unique
 from itertools import count
 from typing import Any, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ['EventLog', 'LogForm', 'PairsFormatter']
+from sesameroute.settings import LogFormat
+
+__all__ = ['EventLog', 'PairsFormatter']
 
 _PLAIN = re.compile(r'[^\s="\\\x00-\x1f\x7f-\x9f\u2028\u2029]+')
 _LOGGER_NUMBERS = count()
 
 
-@unique
-class LogForm(StrEnum):
-    """How a line of the log is written."""
-
-    PAIRS = 'pairs'
-    JSON = 'json'
-
-
 class PairsFormatter(JsonFormatter):
     """Writes the JSON formatter's fields as key=value pairs.
 
@@ -50,12 +43,12 @@
     ----------
     node : str
         Name of the VM or program that every line starts with.
-    form : LogForm
+    form : LogFormat
         Pairs or JSON.
     stream : file, optional
         Where to write; standard error by default.
     level : str
-        Least level that is written, such as ``INFO``.
+        Least level that is written, such as ``info``.
 
     Examples
     --------
@@ -70,13 +63,13 @@
     def __init__(
         self,
         node: str,
-        form: LogForm | str = LogForm.PAIRS,
+        form: LogFormat | str = LogFormat.KEYVALUE,
         stream: TextIO | None = None,
-        level: str = 'INFO',
+        level: str = 'info',
     ) -> None:
         """Store the parameters and open the logger."""
         self.node = node
-        self.form = LogForm(form)
+        self.form = LogFormat(form)
         self._logger = _open_logger(self.form, stream or sys.stderr, level)
 
     def write(self, event: str, **fields: Any) -> None:
@@ -102,16 +95,16 @@
             )
 
 
-def _open_logger(form: LogForm, stream: TextIO, level: str) -> logging.Logger:
+def _open_logger(form: LogFormat, stream: TextIO, level: str) -> logging.Logger:
     # A logger outside of the global tree: many nodes share one process in
     # the local harness, and each needs its own stream and level.
     logger = logging.Logger(  # noqa: LOG001
         f'sesameroute.{next(_LOGGER_NUMBERS)}',
-        level,
+        level.upper(),
     )
     handler = logging.StreamHandler(stream)
     handler.setFormatter(
-        JsonFormatter(()) if form is LogForm.JSON else PairsFormatter(()),
+        JsonFormatter(()) if form is LogFormat.JSON else PairsFormatter(()),
     )
     logger.addHandler(handler)
     return logger
--- a/sesameroute/telemetry/_tracer.py
+++ b/sesameroute/telemetry/_tracer.py
@@ -4,7 +4,6 @@
 import re
 from collections.abc import Sequence
 from contextlib import AbstractContextManager
-from enum import StrEnum, unique
 from importlib import import_module
 from typing import Any, Protocol, Self
 
@@ -19,9 +18,10 @@
 )
 
 from sesameroute.exceptions import InputError
+from sesameroute.settings import TraceExport
 from sesameroute.telemetry._events import EventLog
 
-__all__ = ['Span', 'TraceExport', 'Tracer']
+__all__ = ['Span', 'Tracer']
 
 _TRACEPARENT = re.compile(
     '00-(?!0{32})([0-9a-f]{32})-(?!0{16})([0-9a-f]{16})-([0-9a-f]{2})',
@@ -33,15 +33,6 @@
 _OTLP_MODULE = 'opentelemetry.exporter.otlp.proto.http.trace_exporter'
 
 
-@unique
-class TraceExport(StrEnum):
-    """Where finished spans go."""
-
-    NONE = 'none'
-    LINES = 'lines'
-    OTLP = 'otlp'
-
-
 class Span(Protocol):
     """An open span of one hop."""
 
--- a/sesameroute/telemetry/tests/test_telemetry.py
+++ b/sesameroute/telemetry/tests/test_telemetry.py
@@ -45,7 +45,7 @@
 
 def test_level_filters():
     lines = io.StringIO()
-    EventLog('vm', stream=lines, level='WARNING').write('test')
+    EventLog('vm', stream=lines, level='warning').write('test')
     assert not lines.getvalue()
 
 
