--- /dev/null
+++ b/sesameroute/delivery/_attempt.py
@@ -0,0 +1,188 @@
+"""One try at a backend server."""
+
+from dataclasses import replace
+from typing import Final
+
+from sesameroute.delivery._body import CheckedBody, read_whole
+from sesameroute.delivery._quarantine import Quarantine
+from sesameroute.exceptions import RequestError
+from sesameroute.ports import (
+    Answer,
+    Choice,
+    Clock,
+    Outcome,
+    OutcomeCode,
+    Request,
+    Steering,
+    Upstreams,
+)
+from sesameroute.verdict import Verdict
+
+__all__ = ['Attempt']
+
+_RETURN_SECONDS: Final = 0.01  # kept back from the deadline for the way back
+_LOAD_HEADER: Final = 'sesame-load'
+_DRAINING_HEADER: Final = 'sesame-draining'
+_OUTCOMES: Final = {  # noqa: WPS407
+    'shed': OutcomeCode.SHED,
+    'draining': OutcomeCode.DRAINING,
+    'refused': OutcomeCode.REFUSED,
+    'timeout': OutcomeCode.TIMEOUT,
+}
+
+
+class Attempt:
+    """Sends requests to chosen backend servers and learns from each try.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    steering : Steering
+        Told of every outcome; slots are released to it.
+    upstreams : Upstreams
+        Way to the backend servers.
+    quarantine : Quarantine
+        Told of losses and of answers.
+
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        steering: Steering,
+        upstreams: Upstreams,
+        quarantine: Quarantine,
+    ) -> None:
+        """Store the parameters."""
+        self.clock = clock
+        self.steering = steering
+        self.upstreams = upstreams
+        self.quarantine = quarantine
+
+    def send(
+        self,
+        choice: Choice,
+        request: Request,
+        fingerprint: str,
+    ) -> Answer:
+        """Return the answer of a backend server; its slot gets released.
+
+        Light answers are whole on return, heavy ones stream.
+
+        Raises
+        ------
+        RequestError
+            No whole answer; the code tells why.
+
+        """
+        started = self.clock.read_monotonic()
+        try:
+            answer = self._exchange(choice, request, started)
+        except RequestError as error:
+            self._observe_failure(choice, error, fingerprint, started)
+            self.steering.release(choice)
+            raise
+        except BaseException:
+            self.steering.release(choice)
+            raise
+        self.quarantine.observe_answer(fingerprint)
+        return answer
+
+    def _exchange(
+        self,
+        choice: Choice,
+        request: Request,
+        started: float,
+    ) -> Answer:
+        self._check_deadline(request, started)
+        answer = self.upstreams.send(
+            choice.upstream,
+            replace(request, deadline=request.deadline - _RETURN_SECONDS),
+            fresh=not request.kind.idempotent,
+        )
+        seconds = self.clock.read_monotonic() - started
+        outcome = _read_outcome(answer, seconds)
+        if request.kind.heavy and request.kind.idempotent:
+            return self._stream(choice, request, answer, outcome)
+        body = read_whole(answer)
+        self.steering.charge(choice, len(body))
+        self.steering.observe(choice, replace(outcome, body_bytes=len(body)))
+        self.steering.release(choice)
+        return replace(answer, chunks=iter((body,)), length=len(body))
+
+    def _check_deadline(self, request: Request, now: float) -> None:
+        if now >= request.deadline - _RETURN_SECONDS:
+            raise RequestError(
+                'the deadline passed before the request was sent',
+                Verdict.NOT_RUN,
+                'deadline',
+            )
+
+    def _stream(
+        self,
+        choice: Choice,
+        request: Request,
+        answer: Answer,
+        outcome: Outcome,
+    ) -> Answer:
+        """Return an answer that gives its slot back when its body ends."""
+
+        def charge(body_bytes: int) -> None:
+            self.steering.charge(choice, body_bytes)
+
+        def finish(whole: bool) -> None:
+            code = OutcomeCode.ANSWERED if whole else OutcomeCode.CANCELLED
+            if not whole:
+                self.upstreams.cancel(choice.upstream, request.key)
+            self.steering.observe(
+                choice,
+                replace(outcome, code=code, body_bytes=body.received_),
+            )
+            self.steering.release(choice)
+
+        body = CheckedBody(answer, charge, finish)
+        return replace(answer, chunks=body)
+
+    def _observe_failure(
+        self,
+        choice: Choice,
+        error: RequestError,
+        fingerprint: str,
+        started: float,
+    ) -> None:
+        if error.code in {'deadline', 'answer-too-large'}:
+            return
+        code = _OUTCOMES.get(error.code, OutcomeCode.LOST)
+        seconds = self.clock.read_monotonic() - started
+        self.steering.observe(choice, Outcome(code, seconds))
+        if code is OutcomeCode.LOST:
+            name = choice.upstream.name
+            self.quarantine.observe_loss(fingerprint, name)
+
+
+def _read_outcome(answer: Answer, seconds: float) -> Outcome:
+    headers = {name.lower(): text for name, text in answer.headers}
+    return Outcome(
+        OutcomeCode.ANSWERED,
+        seconds,
+        _parse_load(headers.get(_LOAD_HEADER, '')),
+        draining=_DRAINING_HEADER in headers,
+    )
+
+
+def _parse_load(text: str) -> float | None:
+    """Return the part of slots in use that a header reports.
+
+    Examples
+    --------
+    >>> _parse_load('1/4')
+    0.25
+    >>> _parse_load('lies')
+
+    """
+    used, _, slots = text.partition('/')
+    try:
+        return float(used) / float(slots)
+    except (ValueError, ZeroDivisionError):
+        return None
--- /dev/null
+++ b/sesameroute/delivery/_handler.py
@@ -0,0 +1,68 @@
+"""Answers to the messages that other entry VMs send to delivery."""
+
+from functools import singledispatchmethod
+from typing import Any
+
+from sesameroute.delivery._key import RequestKey
+from sesameroute.delivery._message import (
+    Acquittal,
+    FenceAsk,
+    Handover,
+    HandoverReply,
+    LossReport,
+    RecordAsk,
+    WitnessReply,
+)
+from sesameroute.delivery._quarantine import Quarantine
+from sesameroute.delivery._witness import Witness
+
+__all__ = ['PeerHandler']
+
+
+class PeerHandler:
+    """Handles the peer messages of delivery.
+
+    Parameters
+    ----------
+    witness : Witness
+        Answers for the keys of other homes.
+    quarantine : Quarantine
+        Learns of losses elsewhere.
+
+    """
+
+    def __init__(self, witness: Witness, quarantine: Quarantine) -> None:
+        """Store the parameters."""
+        self.witness = witness
+        self.quarantine = quarantine
+
+    def handle(self, sender: str, message: Any) -> Any:
+        """Return the reply to a message, None if there is none."""
+        return self._handle(message, sender)
+
+    @singledispatchmethod
+    def _handle(self, message: Any, sender: str) -> Any:
+        """Ignore messages of other parts."""
+
+    @_handle.register
+    def _handle_record(self, message: RecordAsk, sender: str) -> WitnessReply:
+        key = RequestKey.parse(message.key)
+        return WitnessReply(self.witness.acknowledge(key))
+
+    @_handle.register
+    def _handle_fence(self, message: FenceAsk, sender: str) -> WitnessReply:
+        return self.witness.fence(RequestKey.parse(message.key))
+
+    @_handle.register
+    def _handle_handover(self, message: Handover, sender: str) -> HandoverReply:
+        return HandoverReply(self.witness.keep(message))
+
+    @_handle.register
+    def _handle_loss(self, message: LossReport, sender: str) -> None:
+        if not self.quarantine.merge(message):
+            acquittal = Acquittal(message.fingerprint)
+            self.quarantine.peers.cast(sender, acquittal)
+
+    @_handle.register
+    def _handle_acquittal(self, message: Acquittal, sender: str) -> None:
+        self.quarantine.acquit(message)
--- a/sesameroute/ports/_steering.py
+++ b/sesameroute/ports/_steering.py
@@ -53,6 +53,8 @@
         Reported part of slots in use, if the answer had one.
     body_bytes : int
         Size of the answer's body.
+    draining : bool
+        Whether the answer said that the backend server is leaving.
 
     """
 
@@ -60,6 +62,7 @@
     seconds: float = 0
     load: float | None = None
     body_bytes: int = 0
+    draining: bool = False
 
 
 class Steering(Protocol):
