--- a/sesameroute/delivery/tests/fleet.py
+++ b/sesameroute/delivery/tests/fleet.py
@@ -219,7 +219,8 @@
     def find_incarnation(self, vm):
         if not self.fleet.connects(self.vm, vm):
             return None
-        return self.fleet.nodes[vm].identity.incarnation
+        node = self.fleet.nodes[vm]
+        return node.identity.incarnation
 
     def list_witnesses(self):
         return tuple(
