--- a/sesameroute/adapters/tests/scripted.py
+++ b/sesameroute/adapters/tests/scripted.py
@@ -37,6 +37,8 @@
 
     def __exit__(self, *_error):
         """Stop listening."""
+        # A thread blocked in accept would keep a closed socket listening.
+        self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
     def _accept(self):
