Keep configuration and members, and talk to peers and the store

Cause: no node knew a configuration or another node. Change: keeper that only moves up, digests over sealed msgpack streams, a store watch held by two VMs of each failure domain, HTTP clients of the store and the VM list, and the store's stand-in with faults. Conclusion: programs can be wired on membership.Membership.

--- a/sesameroute/adapters/__init__.py
+++ b/sesameroute/adapters/__init__.py
@@ -8,20 +8,26 @@
     KeptConnection,
     KeptConnections,
 )
+from sesameroute.adapters._peers import PeerNetwork
+from sesameroute.adapters._store import HttpStore
 from sesameroute.adapters._upstreams import HttpUpstreams
 from sesameroute.adapters._verdict_http import (
     find_header,
     read_error,
     render_error,
 )
+from sesameroute.adapters._vmlist import HttpVmList
 
 __all__ = [
     'EntryApplication',
     'HttpServer',
+    'HttpStore',
     'HttpUpstreams',
-    'ServerLimits',
+    'HttpVmList',
     'KeptConnection',
     'KeptConnections',
+    'PeerNetwork',
+    'ServerLimits',
     'WireConnection',
     'build_pool',
     'exchange',
--- /dev/null
+++ b/sesameroute/adapters/_peers.py
@@ -0,0 +1,194 @@
+"""Peer network over TCP: msgpack frames, one thread for each stream."""
+
+import socket
+import threading
+from collections.abc import Mapping
+from typing import Any
+
+from sesameroute.adapters._peer_dialer import PeerDialer
+from sesameroute.adapters._peer_dispatcher import PeerDispatcher
+from sesameroute.adapters._peer_frames import Frame, FrameKind
+from sesameroute.adapters._peer_handshake import MIN_KEY_BYTES, Session
+from sesameroute.adapters._peer_listener import PeerListener
+from sesameroute.adapters._peer_stream import PeerStream
+from sesameroute.adapters._peer_table import CallTable, StreamTable
+from sesameroute.exceptions import InputError, PeerError
+from sesameroute.ports import (
+    Clock,
+    MessageHandler,
+    PeerIdentity,
+    Wire,
+    decode_message,
+    encode_message,
+)
+
+__all__ = ['PeerNetwork']
+
+_TICK_SECONDS = 0.25
+_FLUSH_SECONDS = 0.005
+_ANSWERS = frozenset((FrameKind.REPLY, FrameKind.FAILURE))
+
+
+class PeerNetwork:
+    """Streams to peers; implements `ports.Peers`.
+
+    Parameters
+    ----------
+    identity : PeerIdentity
+        Who this process is.
+    key : bytes
+        The institution's key, at least 16 bytes.
+    wire : Wire
+        Opens the TCP connections.
+    clock : Clock
+        Source of time.
+    listen : tuple of (str, int)
+        IP address and TCP port; port 0 for a process that only dials.
+
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        key: bytes,
+        wire: Wire,
+        clock: Clock,
+        listen: tuple[str, int],
+    ) -> None:
+        """Store the parameters."""
+        self.identity = identity
+        self.key = key
+        self.wire = wire
+        self.clock = clock
+        self.listen = listen
+        self.streams = StreamTable()
+        self._calls = CallTable()
+        self._dialers: dict[str, PeerDialer] = {}
+        self._dispatcher: PeerDispatcher | None = None
+        self._listener: PeerListener | None = None
+        self._is_stopping = threading.Event()
+
+    def start(self, handler: MessageHandler) -> None:
+        """Listen, and give received messages to `handler`.
+
+        Raises
+        ------
+        InputError
+            The key is too short.
+        OSError
+            The address is taken or not of this machine.
+
+        """
+        if len(self.key) < MIN_KEY_BYTES:
+            raise InputError(
+                f'peer key has {len(self.key)} bytes,'
+                f' at least {MIN_KEY_BYTES} are needed',
+            )
+        self._dispatcher = PeerDispatcher(handler)
+        if self.listen[1]:
+            self._listener = PeerListener(self)
+            self._listener.start()
+        threading.Thread(
+            target=self._tick,
+            name='peer-tick',
+            daemon=True,
+        ).start()
+
+    def stop(self) -> None:
+        """Close all streams and stop listening."""
+        self._is_stopping.set()
+        self.set_targets({})
+        if self._listener:
+            self._listener.stop()
+        for stream in self.streams.list_streams():
+            stream.close()
+        if self._dispatcher:
+            self._dispatcher.stop()
+
+    def set_targets(self, targets: Mapping[str, tuple[str, int]]) -> None:
+        """Keep streams to these VMs, by name with IP address and port."""
+        for name, dialer in list(self._dialers.items()):
+            if targets.get(name) != dialer.target:
+                self._dialers.pop(name).stop()
+        for missing in targets.keys() - self._dialers.keys():
+            self._dialers[missing] = PeerDialer(self, missing, targets[missing])
+            self._dialers[missing].start()
+
+    def list_connected(self) -> tuple[str, ...]:
+        """Return the names of the entry VMs with a live stream."""
+        senders = self.streams.list_senders()
+        return tuple(sender for sender in senders if '/' not in sender)
+
+    def list_observers(self) -> tuple[str, ...]:
+        """Return the ids of look-up processes and operators connected."""
+        senders = self.streams.list_senders()
+        return tuple(sender for sender in senders if '/' in sender)
+
+    def cast(self, vm: str, message: Any) -> bool:
+        """Send a message without a reply; return whether it was queued."""
+        stream = self.streams.find(vm)
+        if stream is None:
+            return False
+        return stream.send(Frame(FrameKind.CAST, 0, encode_message(message)))
+
+    def call(self, vm: str, message: Any, timeout: float) -> Any:
+        """Send a message and return the reply.
+
+        Raises
+        ------
+        PeerError
+            ``peer-unreachable``: nothing was sent; ``peer-silent``: no
+            reply in time, the peer may have acted; ``peer-failed``: the
+            peer refused or its handler failed.
+
+        """
+        stream = self.streams.find(vm)
+        if stream is None:
+            raise PeerError(f'{vm} has no stream')
+        with self._calls.open(stream) as call:
+            packed = encode_message(message)
+            if not stream.send(Frame(FrameKind.CALL, call.number, packed)):
+                raise PeerError(f'{vm} takes no frames', 'peer-silent')
+            call.done.wait(timeout)
+            return _read_reply(vm, call.reply)
+
+    def run_stream(self, connection: socket.socket, session: Session) -> None:
+        """Read a stream in the calling thread until it ends."""
+        stream = PeerStream(connection, session, self.clock)
+        self.streams.add(stream)
+        stream.send(Frame(FrameKind.BEAT))
+        for frame in stream.receive():
+            self._take(stream, frame)
+        self.streams.remove(stream)
+        self._calls.fail(stream)
+
+    def _take(self, stream: PeerStream, frame: Frame) -> None:
+        if frame.kind in _ANSWERS:
+            self._calls.settle(stream, frame)
+        elif frame.kind is not FrameKind.BEAT:
+            self._dispatcher.dispatch(stream, frame)
+
+    def _tick(self) -> None:
+        """Send beats, flush, and close doubled streams."""
+        while not self._is_stopping.is_set():
+            streams = self.streams.list_streams()
+            for open_stream in streams:
+                open_stream.tick()
+            for spare in self.streams.list_spare(self.identity.sender):
+                spare.close()
+            has_pending = any(each.has_pending for each in streams)
+            pause = _FLUSH_SECONDS if has_pending else _TICK_SECONDS
+            self._is_stopping.wait(pause)
+
+
+def _read_reply(vm: str, frame: Frame | None) -> Any:
+    if frame is None:
+        raise PeerError(f'{vm} sent no reply in time', 'peer-silent')
+    if frame.kind is FrameKind.FAILURE:
+        raise PeerError(f'{vm} failed: {frame.content}', 'peer-failed')
+    if frame.content is None:
+        return None
+    try:
+        return decode_message(frame.content)
+    except InputError as error:
+        raise PeerError(error.message, 'peer-failed') from error
--- /dev/null
+++ b/sesameroute/adapters/_store.py
@@ -0,0 +1,175 @@
+"""The platform's key-value service over HTTP.
+
+``GET /kv/{key}`` answers 200 with the header ``Store-Revision``, or 404;
+with ``?after=REVISION&wait=SECONDS`` it waits for a newer one and answers
+204 when none came. ``PUT /kv/{key}`` with ``If-Match: REVISION`` swaps (412:
+another revision). ``PUT /lease/{key}?holder=H&seconds=S`` takes or renews a
+lease (409: someone else holds it).
+"""
+
+from urllib.parse import quote, urlencode, urlsplit
+
+from urllib3 import BaseHTTPResponse, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from sesameroute.adapters._http_pool import build_pool
+from sesameroute.exceptions import (
+    ConflictError,
+    StoreDownError,
+    StoreUnknownError,
+)
+from sesameroute.ports import StoredValue, Wire
+
+__all__ = ['HttpStore']
+
+_CONNECT_SECONDS = 1.0
+_OK = 200
+_NO_CONTENT = 204
+_NOT_FOUND = 404
+_CONFLICT = 409
+_PRECONDITION_FAILED = 412
+_UNAVAILABLE = 503
+
+
+class HttpStore:
+    """Client of the key-value service; implements `ports.Store`.
+
+    Parameters
+    ----------
+    url : str
+        ``http://ADDRESS:PORT`` of the service.
+    wire : Wire
+        Opens the TCP connections.
+    source : str
+        Local IP address to bind.
+    timeout : float
+        Seconds to wait for an answer, beside the wait of a watch.
+
+    Examples
+    --------
+    >>> from sesameroute.ports import TcpWire
+    >>> store = HttpStore('http://127.0.0.1:9', TcpWire(), '127.0.0.1')
+    >>> store.read('statement')
+    Traceback (most recent call last):
+    ...
+    sesameroute.exceptions.StoreDownError: store was not reached...
+
+    """
+
+    def __init__(
+        self,
+        url: str,
+        wire: Wire,
+        source: str,
+        timeout: float = 2.0,
+    ) -> None:
+        """Store the parameters and prepare the pool."""
+        self.url = url
+        self.wire = wire
+        self.source = source
+        self.timeout = timeout
+        parts = urlsplit(url)
+        self._pool = build_pool(wire, source, (parts.hostname, parts.port))
+
+    def read(self, key: str) -> StoredValue | None:
+        """Return the value, None if there is none; raise StoreDownError."""
+        return self._get(_format_path('kv', key), self.timeout)
+
+    def swap(self, key: str, content: bytes, revision: int) -> StoredValue:
+        """Replace the value that has `revision` (0: no value yet).
+
+        Raises
+        ------
+        ConflictError
+            The key has another revision; nothing took effect.
+        StoreDownError
+            Nothing took effect.
+        StoreUnknownError
+            The answer got lost; the write may have taken effect.
+
+        """
+        path = _format_path('kv', key)
+        answer = self._put(path, content, {'If-Match': str(revision)})
+        if answer.status == _PRECONDITION_FAILED:
+            raise ConflictError(f'{key} no longer has revision {revision}')
+        if answer.status != _OK:
+            raise StoreUnknownError(f'store answered {answer.status} to {path}')
+        return StoredValue(content, _read_revision(answer))
+
+    def watch(
+        self,
+        key: str,
+        revision: int,
+        timeout: float,
+    ) -> StoredValue | None:
+        """Wait for a revision above `revision`; None after `timeout`."""
+        query = urlencode({'after': revision, 'wait': timeout})
+        path = _format_path('kv', key)
+        return self._get(f'{path}?{query}', self.timeout + timeout)
+
+    def lease(self, key: str, holder: str, seconds: float) -> bool:
+        """Take or renew a lease; return whether `holder` has it."""
+        query = urlencode({'holder': holder, 'seconds': seconds})
+        path = _format_path('lease', key)
+        answer = self._put(f'{path}?{query}', b'', {})
+        if answer.status not in {_OK, _CONFLICT}:
+            raise StoreUnknownError(f'store answered {answer.status} to {path}')
+        return answer.status == _OK
+
+    def _get(self, path: str, timeout: float) -> StoredValue | None:
+        try:
+            answer = self._send('GET', path, timeout=timeout)
+        except StoreUnknownError as error:
+            raise StoreDownError(error.message) from error
+        if answer.status in {_NOT_FOUND, _NO_CONTENT}:
+            return None
+        if answer.status != _OK:
+            raise StoreDownError(f'store answered {answer.status} to {path}')
+        return StoredValue(answer.data, _read_revision(answer))
+
+    def _put(
+        self,
+        path: str,
+        content: bytes,
+        headers: dict[str, str],
+    ) -> BaseHTTPResponse:
+        return self._send(
+            'PUT',
+            path,
+            timeout=self.timeout,
+            body=content,
+            headers=headers,
+        )
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        timeout: float,
+        **options: object,
+    ) -> BaseHTTPResponse:
+        limits = Timeout(connect=_CONNECT_SECONDS, read=timeout)
+        try:
+            answer = self._pool.urlopen(method, path, timeout=limits, **options)
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise StoreDownError(f'store was not reached: {error}') from error
+        except (HTTPError, OSError) as error:
+            raise StoreUnknownError(f'answer got lost: {error}') from error
+        if answer.status == _UNAVAILABLE:
+            raise StoreDownError('store answered that it is unavailable')
+        return answer
+
+
+def _format_path(kind: str, key: str) -> str:
+    return f'/{kind}/{quote(key, safe="")}'
+
+
+def _read_revision(answer: BaseHTTPResponse) -> int:
+    try:
+        return int(answer.headers['Store-Revision'])
+    except (KeyError, ValueError) as error:
+        raise StoreUnknownError('store answered without revision') from error
--- a/sesameroute/fakes/__init__.py
+++ b/sesameroute/fakes/__init__.py
@@ -6,6 +6,12 @@
 from sesameroute.fakes._geography import Geography, Site
 from sesameroute.fakes._journal import Journal, Run
 from sesameroute.fakes._lane import Lane
+from sesameroute.fakes._memory_store import (
+    MemoryStore,
+    StoreFaults,
+    StoreOutage,
+)
+from sesameroute.fakes._store import FakeStoreServer
 from sesameroute.fakes._upstream import FakeUpstream
 from sesameroute.fakes._vmlist import FakeVmList
 from sesameroute.fakes._wire import FakeWire
@@ -13,15 +19,19 @@
 __all__ = [
     'AnswerMark',
     'Behaviour',
+    'FakeStoreServer',
     'FakeUpstream',
     'FakeVmList',
     'FakeWire',
     'Geography',
     'Journal',
     'Lane',
+    'MemoryStore',
     'PausableClock',
     'Run',
     'Site',
+    'StoreFaults',
+    'StoreOutage',
     'WorkKind',
     'build_body',
     'read_mark',
--- /dev/null
+++ b/sesameroute/fakes/tests/test_fleet.py
@@ -0,0 +1,169 @@
+"""Seven nodes on real sockets: a configuration is in force everywhere."""
+
+import random
+import socket
+import time
+from contextlib import suppress
+from types import MappingProxyType
+
+import pytest
+
+from sesameroute.adapters import HttpStore, PeerNetwork
+from sesameroute.fakes import FakeStoreServer, StoreOutage
+from sesameroute.membership import (
+    CONFIGURATION_KEY,
+    Configuration,
+    Membership,
+    Surroundings,
+    VmReport,
+    encode_configuration,
+    make_incarnation,
+)
+from sesameroute.ports import PeerIdentity, PeerRole, SystemClock, TcpWire
+from sesameroute.statement import Places, Policy, Statement, Vm
+
+_KEY = b'key of this test 0123456789'
+_PORT = 18700
+_DOMAINS = ('a1', 'a1', 'a2', 'b1', 'b2', 'c1', 'c2')
+_REGIONS = MappingProxyType(
+    {'a': ('a1', 'a2'), 'b': ('b1', 'b2'), 'c': ('c1', 'c2')},
+)
+_VMS = MappingProxyType(
+    {
+        f'vm{number}': Vm(f'vm{number}', domain, f'127.6.2.{number + 1}')
+        for number, domain in enumerate(_DOMAINS)
+    },
+)
+
+
+def _read_statement(text):
+    places = Places(_REGIONS, 'a', 1, 12, 8)
+    return Statement(text, places, Policy(), _VMS, {}, {}, {}, peer_port=_PORT)
+
+
+def _wait_until(predicate):
+    ends = time.monotonic() + 10
+    while not predicate():
+        assert time.monotonic() < ends
+        time.sleep(0.01)
+
+
+class CutWire(TcpWire):
+    """A wire on which a failure domain can be cut off."""
+
+    def __init__(self):
+        """Start whole; opened sockets are kept to be closed by a cut."""
+        self.cut = set()
+        self.opened = []
+
+    def connect(self, source, target, timeout):
+        """Refuse connections between the cut and the rest."""
+        if (source in self.cut) != (target[0] in self.cut):
+            raise ConnectionRefusedError('cut')
+        connection = super().connect(source, target, timeout)
+        self.opened.append((source, target[0], connection))
+        return connection
+
+    def split(self, addresses):
+        """Cut addresses off, and the connections that cross."""
+        self.cut = set(addresses)
+        for source, target, connection in self.opened:
+            if (source in self.cut) != (target in self.cut):
+                with suppress(OSError):
+                    connection.shutdown(socket.SHUT_RDWR)
+
+
+class Fleet:
+    """Seven nodes, their store and a cuttable wire."""
+
+    def __init__(self):
+        """Start the store; no node runs yet."""
+        self.store = FakeStoreServer('127.6.2.200', 18750)
+        self.store.start()
+        self.wire = CutWire()
+        self.nodes = {}
+
+    def start(self, name, role=PeerRole.ENTRY):
+        """Start or restart one node."""
+        clock, rng = SystemClock(), random.Random(name)
+        vm = _VMS[name]
+        identity = PeerIdentity(name, make_incarnation(clock, rng), role)
+        is_entry = role is PeerRole.ENTRY
+        listen = (vm.address, _PORT if is_entry else 0)
+        network = PeerNetwork(identity, _KEY, self.wire, clock, listen)
+        store = HttpStore(self.store.url, self.wire, vm.address, 1)
+        around = Surroundings(
+            identity,
+            vm.domain,
+            network,
+            clock,
+            store=store if is_entry else None,
+            seeds={seed: (_VMS[seed].address, _PORT) for seed in _VMS},
+            rng=rng,
+        )
+        node = Membership(around, _read_statement, lambda: VmReport(name))
+        network.start(node.handle)
+        node.start()
+        self.nodes[identity.sender] = node
+        return node
+
+    def stop(self, sender):
+        """Stop one node."""
+        node = self.nodes.pop(sender)
+        node.stop()
+        node.around.peers.stop()
+
+    def submit(self, version):
+        """Put a configuration into the store."""
+        packed = encode_configuration(
+            Configuration(version, f's{version}', 't')
+        )
+        memory = self.store.memory
+        found = memory.read(CONFIGURATION_KEY)
+        memory.swap(CONFIGURATION_KEY, packed, found.revision if found else 0)
+
+    def wait(self, version, seconds):
+        """Return seconds until the version is in force everywhere."""
+        started = time.monotonic()
+        while time.monotonic() < started + seconds:
+            if all(node.version == version for node in self.nodes.values()):
+                return time.monotonic() - started
+            time.sleep(0.01)
+        versions = {name: node.version for name, node in self.nodes.items()}
+        pytest.fail(f'version {version} not everywhere: {versions}')
+
+
+@pytest.fixture
+def fleet():
+    """Return a running fleet and stop it at the end."""
+    running = Fleet()
+    for name in _VMS:
+        running.start(name)
+    yield running
+    for sender in list(running.nodes):
+        running.stop(sender)
+    running.store.stop()
+
+
+def test_fleet(fleet):
+    """Submit, cut, heal, outage and restart: versions reach every node."""
+    fleet.start('vm0', PeerRole.LOOKUP)
+    fleet.submit(1)
+    fleet.wait(1, 15)
+    fleet.submit(2)
+    fleet.wait(2, 15)
+    node = fleet.nodes['lookup/vm0']
+    _wait_until(lambda: node.prefix_of('vm0') == 'vm0')
+    fleet.wire.split([_VMS['vm6'].address])
+    fleet.submit(3)
+    time.sleep(1)
+    assert fleet.nodes['vm6'].version == 2
+    fleet.wire.split([])
+    fleet.wait(3, 15)
+    fleet.store.faults.outage = StoreOutage.REFUSE
+    for sender in ('vm1', 'vm2'):
+        fleet.stop(sender)
+        fleet.start(sender)
+    fleet.wait(3, 15)
+    node = fleet.nodes['vm1']
+    _wait_until(lambda: node.list_witnesses() == ('vm0', 'vm2'))
--- a/sesameroute/membership/__init__.py
+++ b/sesameroute/membership/__init__.py
@@ -1,1 +1,42 @@
 """Peers, configuration and drains."""
+
+from sesameroute.membership._configuration import (
+    Configuration,
+    ConfigurationFault,
+    ConfigurationKeeper,
+    decode_configuration,
+    encode_configuration,
+)
+from sesameroute.membership._freshness import Freshness
+from sesameroute.membership._members import Members, make_incarnation
+from sesameroute.membership._membership import Membership
+from sesameroute.membership._messages import (
+    ConfigurationAsk,
+    Digest,
+    ServiceHeadroom,
+    VmReport,
+)
+from sesameroute.membership._ranking import rank_names
+from sesameroute.membership._surroundings import Surroundings
+from sesameroute.membership._targets import FanOut
+from sesameroute.membership._watcher import CONFIGURATION_KEY
+
+__all__ = [
+    'CONFIGURATION_KEY',
+    'Configuration',
+    'ConfigurationAsk',
+    'ConfigurationFault',
+    'ConfigurationKeeper',
+    'Digest',
+    'FanOut',
+    'Freshness',
+    'Members',
+    'Membership',
+    'ServiceHeadroom',
+    'Surroundings',
+    'VmReport',
+    'decode_configuration',
+    'encode_configuration',
+    'make_incarnation',
+    'rank_names',
+]
--- a/sesameroute/ports/__init__.py
+++ b/sesameroute/ports/__init__.py
@@ -6,7 +6,12 @@
     encode_message,
     register_message,
 )
-from sesameroute.ports._peer import MessageHandler, Peers
+from sesameroute.ports._peer import (
+    MessageHandler,
+    PeerIdentity,
+    PeerRole,
+    Peers,
+)
 from sesameroute.ports._steering import (
     Choice,
     Outcome,
@@ -27,6 +32,8 @@
     'MessageHandler',
     'Outcome',
     'OutcomeCode',
+    'PeerIdentity',
+    'PeerRole',
     'Peers',
     'Request',
     'Steering',
--- a/sesameroute/ports/_message.py
+++ b/sesameroute/ports/_message.py
@@ -15,11 +15,24 @@
 _ADAPTERS: dict[str, TypeAdapter[Any]] = {}  # noqa: WPS407
 
 
-def register_message(tag: str) -> Callable[[MessageType], MessageType]:
-    """Return a decorator that gives a frozen data class its wire tag."""
+def register_message(
+    tag: str,
+    *,
+    quick: bool = False,
+) -> Callable[[MessageType], MessageType]:
+    """Return a decorator that gives a frozen data class its wire tag.
+
+    Parameters
+    ----------
+    quick : bool
+        Its handler never blocks, so that calls with it run on the stream's
+        own thread instead of a worker's. Casts always run there.
+
+    """
 
     def decorate(cls: MessageType) -> MessageType:
         cls.wire_tag = tag
+        cls.is_quick = quick
         _ADAPTERS[tag] = TypeAdapter(cls)
         return cls
 
