Lend slots between entry VMs without using one twice

Cause: a home counted its slots alone; callers at another VM could not use them, and a dead home left its backend servers idle. Change: every slot has an owner by the statement (home and standby); owners lend for a term counted by the borrower from its asking, take back after term, lingering work and clock drift; the standby lends its part to the home for as long as it asks; a restarted home leaves its slots until the others have said what they hold.

--- a/sesameroute/routing/_book.py
+++ b/sesameroute/routing/_book.py
@@ -1,12 +1,13 @@
 """The slots of all backend servers as one entry VM counts them."""
 
+import itertools
 from collections.abc import Callable
 
-from sesameroute.limits import Ledger
+from sesameroute.limits import LEASE_SECONDS, STANDING_SECONDS, Ledger, Term
 from sesameroute.ports import Clock
 from sesameroute.routing._geography import Geography
-from sesameroute.routing._view import Headroom
-from sesameroute.statement import Statement
+from sesameroute.routing._view import Headroom, Members
+from sesameroute.statement import Statement, Upstream
 
 __all__ = ['SlotBook']
 
@@ -22,6 +23,8 @@
         Returns the statement in force, None before the first one.
     vm : str
         Name of this VM.
+    members : Members
+        The entry VMs as membership sees them.
     clock : Clock
         Source of time.
 
@@ -31,14 +34,18 @@
         self,
         statement: Callable[[], Statement | None],
         vm: str,
+        members: Members,
         clock: Clock,
     ) -> None:
         """Store the arguments; no slot is taken."""
         self.statement = statement
         self.vm = vm
+        self.members = members
         self.clock = clock
         self.ledgers_: dict[str, Ledger] = {}
+        self.held_: dict[int, str] = {}
         self._geography: Geography | None = None
+        self._tickets = itertools.count(1)
 
     def read_geography(self) -> Geography | None:
         """Return the statement in force as seen from this VM."""
@@ -64,29 +71,75 @@
         now = self.clock.read_monotonic()
         return self.ledgers_[upstream].count_free(now)
 
-    def take(self, upstream: str) -> bool:
-        """Take a slot; return whether there was one."""
-        return self.ledgers_[upstream].take(self.clock.read_monotonic())
-
-    def give_back(self, upstream: str) -> None:
-        """End the use of a slot."""
+    def hold(self, upstream: str) -> int:
+        """Take a slot that is free; return the ticket to release it."""
+        self.ledgers_[upstream].take(self.clock.read_monotonic())
+        ticket = next(self._tickets)
+        self.held_[ticket] = upstream
+        return ticket
+
+    def release(self, ticket: int) -> bool:
+        """End the use of a slot; return whether the ticket was held."""
+        upstream = self.held_.pop(ticket, None)
+        if upstream is None:
+            return False
         self.ledgers_[upstream].give_back()
+        return True
+
+    def count_service(self, service: str) -> tuple[int, int]:
+        """Return the free slots of a service and those in use here."""
+        geography = self.read_geography()
+        if geography is None:
+            return 0, 0
+        barred = self.list_barred()
+        free, used = 0, 0
+        for upstream in geography.list_service(service):
+            used += self.ledgers_[upstream.name].used
+            if upstream.name not in barred:
+                free += max(0, self.count_free(upstream.name))
+        return free, used
 
     def report_headroom(self) -> Headroom:
-        """Return free and total own slots by service."""
+        """Return free and total slots by service of the own upstreams."""
         geography = self.read_geography()
         totals: dict[str, tuple[int, int]] = {}
         if geography is None:
             return totals
+        barred = self.list_barred()
         for upstream in geography.statement.upstreams.values():
+            ledger = self.ledgers_[upstream.name]
+            if not ledger.own or upstream.name in barred:
+                continue
             free, total = totals.get(upstream.service, (0, 0))
             totals[upstream.service] = (
                 free + max(0, self.count_free(upstream.name)),
-                total + self.ledgers_[upstream.name].own,
+                total + self._count_held(upstream),
             )
         return totals
 
+    def build_term(self, service: str, *, standing: bool = False) -> Term:
+        """Return the term of a lease of slots of a service."""
+        seconds = STANDING_SECONDS if standing else LEASE_SECONDS
+        geography = self.read_geography()
+        linger = geography.measure_linger(service) if geography else 0
+        return Term(seconds, linger)
+
+    def list_barred(self) -> frozenset[str]:
+        """Return the backend servers that get no new work."""
+        geography = self.read_geography()
+        drained = geography.drained_ if geography else frozenset()
+        return drained | self.members.list_leaving()
+
+    def _count_held(self, upstream: Upstream) -> int:
+        ledger = self.ledgers_[upstream.name]
+        return ledger.count_usable(self.clock.read_monotonic())
+
     def _update_ledgers(self, geography: Geography) -> None:
-        for name in geography.statement.upstreams:
-            ledger = self.ledgers_.setdefault(name, Ledger(0))
-            ledger.own = geography.split(name).get(self.vm, 0)
+        now = self.clock.read_monotonic()
+        for upstream in geography.statement.upstreams.values():
+            ledger = self.ledgers_.setdefault(upstream.name, Ledger())
+            own = geography.split(upstream.name).get(self.vm, 0)
+            if own > ledger.own:
+                term = self.build_term(upstream.service, standing=True)
+                ledger.settled = now + term.hold
+            ledger.own = own
--- a/sesameroute/routing/_geography.py
+++ b/sesameroute/routing/_geography.py
@@ -3,17 +3,20 @@
 import math
 from functools import cache
 
+from sesameroute.routing._messages import Holding
 from sesameroute.routing._rendezvous import rank_names
 from sesameroute.statement import DrainTarget, Statement, Upstream
 
 __all__ = ['Geography', 'is_drained', 'rank_owners', 'split_slots']
 
 # Part of an upstream's slots that its home owns; the rest is the standby's.
-_HOME_SHARE = 1
+_HOME_SHARE = 0.5
+_OWNERS = 2  # VMs that own slots of one backend server
+_MILLISECONDS = 1000  # in a second
 
 
 def rank_owners(statement: Statement, upstream: Upstream) -> tuple[str, ...]:
-    """Return the VMs that may own slots of a backend server, home first.
+    """Return the VMs that own slots of a backend server, home first.
 
     VMs of its own failure domain come first, then those of its region, then
     all others; within each group the order is by rendezvous hash. Only the
@@ -21,12 +24,15 @@
     the fleet agree.
     """
     places = statement.places
-    delays = {
-        vm.name: places.measure_delay(vm.domain, upstream.domain)
-        for vm in statement.vms.values()
-    }
-    ranked = rank_names(upstream.name, delays)
-    return tuple(sorted(ranked, key=delays.__getitem__))
+    groups: dict[float, list[str]] = {}
+    for vm in statement.vms.values():
+        delay = places.measure_delay(vm.domain, upstream.domain)
+        groups.setdefault(delay, []).append(vm.name)
+    owners: list[str] = []
+    for delay in sorted(groups):
+        if len(owners) < _OWNERS:
+            owners.extend(rank_names(upstream.name, groups[delay]))
+    return tuple(owners[:_OWNERS])
 
 
 def split_slots(statement: Statement, upstream: Upstream) -> dict[str, int]:
@@ -37,14 +43,14 @@
     >>> from sesameroute.routing.tests import samples
     >>> sample = samples.build_statement()
     >>> sorted(split_slots(sample, sample.upstreams['tally-0']).values())
-    [0, 4]
+    [2, 2]
 
     """
-    home, *others = rank_owners(statement, upstream)
-    if not others:
-        return {home: upstream.slots}
+    owners = rank_owners(statement, upstream)
+    if len(owners) < _OWNERS:
+        return dict.fromkeys(owners, upstream.slots)
     kept = math.ceil(upstream.slots * _HOME_SHARE)
-    return {home: kept, others[0]: upstream.slots - kept}
+    return dict(zip(owners, (kept, upstream.slots - kept), strict=True))
 
 
 def is_drained(statement: Statement, name: str, domain: str) -> bool:
@@ -79,7 +85,10 @@
         self.statement = statement
         self.vm = vm
         self.domain = statement.vms[vm].domain
+        self.list_service = cache(statement.list_upstreams)
         self.list_tiers = cache(self._sort_tiers)
+        self.list_lenders = cache(self._sort_lenders)
+        self.list_standing = cache(self._collect_standing)
         self.split = cache(self._split)
         self.drained_ = frozenset(
             upstream.name
@@ -87,27 +96,66 @@
             if is_drained(statement, upstream.name, upstream.domain)
         )
 
-    def measure_delay(self, upstream: Upstream) -> float:
-        """Return the one-way delay to a backend server in seconds."""
-        return self.statement.places.measure_delay(
-            self.domain,
-            upstream.domain,
-        )
+    def measure_delay(self, domain: str) -> float:
+        """Return the one-way delay to a failure domain in seconds."""
+        return self.statement.places.measure_delay(self.domain, domain)
+
+    def measure_vm_delay(self, vm: str) -> float:
+        """Return the one-way delay to a VM in seconds; 0 if unknown."""
+        known = self.statement.vms.get(vm)
+        return self.measure_delay(known.domain) if known else 0
 
-    def is_local(self, upstream: Upstream) -> bool:
-        """Return whether a backend server is in this VM's region."""
+    def is_near(self, domain: str) -> bool:
+        """Return whether a failure domain is in this VM's region."""
         places = self.statement.places
-        return places.find_region(upstream.domain) == places.find_region(
-            self.domain,
-        )
+        return domain in places.regions[places.find_region(self.domain)]
+
+    def is_near_vm(self, vm: str) -> bool:
+        """Return whether a VM is in this VM's region."""
+        known = self.statement.vms.get(vm)
+        return known is not None and self.is_near(known.domain)
+
+    def measure_linger(self, service: str) -> float:
+        """Return the longest time that work of a service goes on, seconds."""
+        deadlines = [
+            kind.deadline_ms
+            for kind in self.statement.kinds.values()
+            if kind.service == service
+        ]
+        return max(deadlines, default=0) / _MILLISECONDS
 
     def _split(self, name: str) -> dict[str, int]:
         return split_slots(self.statement, self.statement.upstreams[name])
 
     def _sort_tiers(self, service: str) -> tuple[tuple[Upstream, ...], ...]:
         by_delay: dict[float, list[Upstream]] = {}
-        for upstream in self.statement.list_upstreams(service):
-            by_delay.setdefault(self.measure_delay(upstream), []).append(
-                upstream,
-            )
+        for upstream in self.list_service(service):
+            delay = self.measure_delay(upstream.domain)
+            by_delay.setdefault(delay, []).append(upstream)
         return tuple(tuple(by_delay[delay]) for delay in sorted(by_delay))
+
+    def _sort_lenders(
+        self,
+        service: str,
+        live: frozenset[str],
+    ) -> tuple[str, ...]:
+        lenders: dict[str, None] = {}
+        for tier in self.list_tiers(service):
+            for upstream in tier:
+                owners = [
+                    one for one in self.split(upstream.name) if one in live
+                ]
+                lenders.update(dict.fromkeys(owners[:1]))
+        lenders.pop(self.vm, None)
+        return tuple(lenders)
+
+    def _collect_standing(self, service: str) -> dict[str, tuple[Holding, ...]]:
+        standing: dict[str, tuple[Holding, ...]] = {}
+        for upstream in self.list_service(service):
+            home, *standbys = self.split(upstream.name).items()
+            if home[0] == self.vm and standbys:
+                standby, slots = standbys[0]
+                known = standing.get(standby, ())
+                holding = Holding(upstream.name, slots)
+                standing[standby] = (*known, holding)
+        return standing
--- a/sesameroute/routing/_picker.py
+++ b/sesameroute/routing/_picker.py
@@ -4,7 +4,6 @@
 
 from sesameroute.ports import Request
 from sesameroute.routing._book import SlotBook
-from sesameroute.routing._view import Members
 from sesameroute.statement import Upstream
 
 __all__ = ['Picker']
@@ -17,8 +16,6 @@
     ----------
     book : SlotBook
         The slots of this VM.
-    members : Members
-        The entry VMs as membership sees them.
     rng : random.Random
         Breaks ties.
 
@@ -27,12 +24,10 @@
     def __init__(
         self,
         book: SlotBook,
-        members: Members,
         rng: random.Random,
     ) -> None:
         """Store the arguments."""
         self.book = book
-        self.members = members
         self.rng = rng
 
     def pick(
@@ -44,8 +39,7 @@
         geography = self.book.read_geography()
         if geography is None:
             return None
-        barred = geography.drained_ | self.members.list_leaving()
-        barred |= frozenset(exclude)
+        barred = self.book.list_barred().union(exclude)
         for tier in geography.list_tiers(request.kind.service):
             best = self._pick_in_tier(
                 [one for one in tier if one.name not in barred],
--- a/sesameroute/routing/_steering.py
+++ b/sesameroute/routing/_steering.py
@@ -1,26 +1,26 @@
 """The steering of an entry VM: which backend server takes a request."""
 
-import itertools
 import random
 import threading
 from collections.abc import Callable
 from typing import Any
 
 from sesameroute.exceptions import RequestError
-from sesameroute.limits import Waiter, WaitQueue, limit_wait
+from sesameroute.limits import Waiter
 from sesameroute.ports import Choice, Clock, Outcome, Peers, Request
+from sesameroute.routing._admission import Admission
 from sesameroute.routing._book import SlotBook
+from sesameroute.routing._exchange import Exchange
 from sesameroute.routing._picker import Picker
+from sesameroute.routing._ticker import Ticker
 from sesameroute.routing._view import Headroom, Members
-from sesameroute.statement import Kind, Statement
+from sesameroute.statement import Statement
 from sesameroute.verdict import Verdict
 
 __all__ = ['SlotSteering']
 
-_MILLISECONDS = 1000  # in a second
-_QUEUE_LIMIT = 256  # requests a service
-_MIN_RETRY_AFTER = 0.05  # seconds
 _PUMP_INTERVAL = 0.02  # seconds between looks at a waiting request
+_TICK_INTERVAL = 0.05  # seconds between balancing with other VMs
 
 
 class SlotSteering:
@@ -53,18 +53,21 @@
         rng: random.Random,
     ) -> None:
         """Store the arguments; no slot is taken."""
-        self.statement = statement
-        self.vm = vm
-        self.members = members
-        self.peers = peers
         self.clock = clock
-        self.rng = rng
-        self.book_ = SlotBook(statement, vm, clock)
-        self.picker_ = Picker(self.book_, members, rng)
-        self.queues_: dict[str, WaitQueue] = {}
-        self.held_: dict[int, str] = {}
-        self._tickets = itertools.count(1)
+        self.book_ = SlotBook(statement, vm, members, clock)
+        self.picker_ = Picker(self.book_, rng)
+        self.exchange_ = Exchange(self.book_, peers, rng)
+        self.admission_ = Admission(self.book_, self.try_choose, rng)
         self._lock = threading.RLock()
+        self._ticker = Ticker(self.tick, _TICK_INTERVAL)
+
+    def start(self) -> None:
+        """Start the thread that balances slots with the other VMs."""
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """End the balancing thread."""
+        self._ticker.stop()
 
     def choose(
         self,
@@ -93,7 +96,8 @@
         """
         waiter = self.submit(request, exclude)
         while not waiter.done.wait(_PUMP_INTERVAL):
-            self.pump(request.kind.service)
+            with self._lock:
+                self.admission_.pump(request.kind.service)
         if waiter.choice is None:
             raise RequestError(
                 f'no slot of {request.kind.service} is free',
@@ -109,34 +113,14 @@
         exclude: tuple[str, ...] = (),
     ) -> Waiter:
         """Take a slot, join the queue or be refused, without blocking."""
-        now = self.clock.read_monotonic()
         with self._lock:
-            longest = self.book_.read_queue_seconds()
-            waiter = Waiter(
-                request,
-                exclude,
-                now,
-                now + limit_wait(request, now, longest),
-            )
-            loser = self._find_queue(request.kind.service).offer(waiter)
-            self.pump(request.kind.service)
-            if loser and not loser.done.is_set():
-                loser.refuse(self._estimate_wait(request.kind))
+            waiter = self.admission_.submit(request, exclude)
+            if not waiter.done.is_set():
+                service = request.kind.service
+                waiting = self.admission_.count_waiting(service)
+                self.exchange_.balance(service, waiting)
         return waiter
 
-    def pump(self, service: str) -> None:
-        """Hand free slots to those who wait and refuse those too late."""
-        with self._lock:
-            queue = self._find_queue(service)
-            for waiter in tuple(queue.waiting_):
-                choice = self.try_choose(waiter.request, waiter.exclude)
-                if choice is None:
-                    break
-                queue.remove(waiter)
-                waiter.settle(choice)
-            for late in queue.pop_late(self.clock.read_monotonic()):
-                late.refuse(self._estimate_wait(late.request.kind))
-
     def try_choose(
         self,
         request: Request,
@@ -147,10 +131,21 @@
             upstream = self.picker_.pick(request, exclude)
             if upstream is None:
                 return None
-            self.book_.take(upstream.name)
-            ticket = next(self._tickets)
-            self.held_[ticket] = upstream.name
-        return Choice(upstream, ticket, 'free slot')
+            return Choice(
+                upstream,
+                self.book_.hold(upstream.name),
+                'free slot',
+            )
+
+    def tick(self) -> None:
+        """Balance slots with the other VMs; call it often."""
+        with self._lock:
+            geography = self.book_.read_geography()
+            services = geography.statement.services if geography else ()
+            for service in services:
+                waiting = self.admission_.count_waiting(service)
+                self.exchange_.balance(service, waiting)
+                self.admission_.pump(service)
 
     def observe(self, choice: Choice, outcome: Outcome) -> None:
         """Learn from a try."""
@@ -158,28 +153,20 @@
     def release(self, choice: Choice) -> None:
         """Give the slot back; a second call does nothing."""
         with self._lock:
-            name = self.held_.pop(choice.ticket, None)
-            if name is None:
-                return
-            self.book_.give_back(name)
-        self.pump(choice.upstream.service)
+            if self.book_.release(choice.ticket):
+                self.admission_.pump(choice.upstream.service)
 
     def charge(self, choice: Choice, body_bytes: int) -> None:
         """Charge bytes to the link as they flow; may block briefly."""
 
     def handle(self, sender: str, message: Any) -> Any:
-        """Take a peer's message about grants; return the reply or None."""
+        """Take a peer's message about grants; all replies are casts."""
+        with self._lock:
+            service = self.exchange_.handle(message, sender)
+            if service:
+                self.admission_.pump(service)
 
     def report_headroom(self) -> Headroom:
         """Return free and total slots by service, for the heartbeat."""
         with self._lock:
             return self.book_.report_headroom()
-
-    def _find_queue(self, service: str) -> WaitQueue:
-        return self.queues_.setdefault(service, WaitQueue(_QUEUE_LIMIT))
-
-    def _estimate_wait(self, kind: Kind) -> float:
-        waiting = len(self._find_queue(kind.service)) + 1
-        work = kind.work_ms / _MILLISECONDS
-        jitter = 1 + self.rng.random()
-        return max(_MIN_RETRY_AFTER, work * waiting) * jitter
