Submit, change and watch configurations with sesamectl

Cause: operators had no way to bring a statement into force. Change: ConfigurationStore repeats the same swap until its effect is certain; a configuration names the submissions before it, so that a lost answer is settled also after others built upon it; Submitter and the commands check, print, submit, show, drain, undrain, shift, unshift, wait, status, explain. A file that doesn't say which version it is based on only goes into an empty store. A store behind the fleet is refused. Checks now weigh drains, stated load, links, connections and shifts.

--- a/sesameroute/membership/_configuration.py
+++ b/sesameroute/membership/_configuration.py
@@ -35,12 +35,16 @@
         Unique id of the submission; it settles lost answers of the store.
     text : str
         The statement in INI form.
+    recent : tuple of str
+        Ids of the submissions before this one, the newest first; they
+        settle a lost answer that others have built upon.
 
     """
 
     version: int
     submission: str
     text: str
+    recent: tuple[str, ...] = ()
 
 
 @unique
--- /dev/null
+++ b/sesameroute/programs/_control_change.py
@@ -0,0 +1,83 @@
+"""Commands of `sesamectl` that change the stored statement."""
+
+from collections.abc import Callable
+from functools import partial
+
+from sesameroute.exceptions import ExitCode, InputError
+from sesameroute.programs._control_context import Context
+from sesameroute.statement import Shift, Statement, print_statement
+from sesameroute.submission import (
+    add_drain,
+    add_shift,
+    describe_difference,
+    remove_drain,
+    remove_shift,
+)
+
+__all__ = ['drain', 'shift', 'undrain', 'unshift']
+
+# Time until all VMs know a shift, before it starts.
+_SHIFT_NOTICE = 4  # seconds
+
+
+def drain(context: Context, subject: str) -> ExitCode:
+    """Give a VM, upstream, failure domain or region no new work."""
+    return _change(context, partial(add_drain, subject=subject))
+
+
+def undrain(context: Context, subject: str) -> ExitCode:
+    """End a drain."""
+    return _change(context, partial(remove_drain, subject=subject))
+
+
+def shift(context: Context, name: str) -> ExitCode:
+    """Move traffic of a service from one region to another, slowly."""
+    options = context.options
+    missing = [
+        flag
+        for flag in ('service', 'source', 'target')
+        if not getattr(options, flag)
+    ]
+    if missing:
+        raise InputError(f'shift needs --{", --".join(missing)}')
+    planned = Shift(
+        name=name,
+        service=options.service,
+        source=options.source,
+        target=options.target,
+        fraction=options.fraction,
+        cap=options.cap,
+        started=int(context.clock.read_wall()) + _SHIFT_NOTICE,
+        seconds=options.seconds,
+    )
+    return _change(context, partial(add_shift, shift=planned))
+
+
+def unshift(context: Context, name: str) -> ExitCode:
+    """Take a shift back."""
+    return _change(context, partial(remove_shift, name=name))
+
+
+def _change(
+    context: Context,
+    change: Callable[[Statement], Statement],
+) -> ExitCode:
+    if context.options.dry_run:
+        return _show_change(context, change)
+    accepted = context.submitter.edit(change, context.find_known_version())
+    print(f'accepted version={accepted.version} id={accepted.submission}')
+    return ExitCode.OK
+
+
+def _show_change(
+    context: Context,
+    change: Callable[[Statement], Statement],
+) -> ExitCode:
+    before, after = context.submitter.plan(change)
+    difference = describe_difference(
+        print_statement(before),
+        print_statement(after),
+        ('stored', 'changed'),
+    )
+    print(difference or 'nothing would change')
+    return ExitCode.OK
