--- /dev/null
+++ b/sesameroute/adapters/_relay.py
@@ -0,0 +1,119 @@
+"""Requests passed on to their home, another entry VM, over HTTP."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from urllib3.exceptions import HTTPError
+
+from sesameroute.adapters._exchange import exchange
+from sesameroute.adapters._kept_connections import (
+    KeptConnection,
+    KeptConnections,
+)
+from sesameroute.adapters._verdict_http import (
+    VERDICT_HEADER,
+    find_header,
+    read_error,
+)
+from sesameroute.exceptions import InputError, PeerError, RequestError
+from sesameroute.ports import Answer, Clock, Request, Wire
+from sesameroute.verdict import Verdict
+
+__all__ = ['HttpRelay']
+
+_CONNECT_SECONDS = 0.3
+_BAD_REQUEST = 400
+
+
+class HttpRelay:
+    """Sends requests to the entry ports of other entry VMs.
+
+    Parameters
+    ----------
+    wire : Wire
+        Opens the TCP connections.
+    source : str
+        Local IP address to bind.
+    clock : Clock
+        Source of time.
+    find_address : callable
+        Takes a VM name; returns its IP address and entry port, or None.
+
+    """
+
+    def __init__(
+        self,
+        wire: Wire,
+        source: str,
+        clock: Clock,
+        find_address: Callable[[str], tuple[str, int] | None],
+    ) -> None:
+        """Store the parameters."""
+        self.wire = wire
+        self.source = source
+        self.clock = clock
+        self.find_address = find_address
+        self._connections = KeptConnections(wire, source, clock)
+
+    def send(self, vm: str, request: Request, timeout: float) -> Answer:
+        """Send a request to its home and return the home's answer.
+
+        Parameters
+        ----------
+        vm : str
+            Name of the home.
+        request : Request
+            The request with its key.
+        timeout : float
+            Seconds to wait for the answer.
+
+        Raises
+        ------
+        RequestError
+            The home's own word.
+        InputError
+            The home's own word that the request is not valid.
+        PeerError
+            The home was not reached, or its answer got lost.
+
+        """
+        until = self.clock.read_monotonic() + timeout
+        bounded = replace(request, deadline=min(request.deadline, until))
+        opened = self._open(vm, timeout)
+        try:
+            answer = exchange(self._connections, opened, bounded)
+        except RequestError as error:
+            raise PeerError(error.message) from error
+        return _read_answer(answer)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._connections.close()
+
+    def _open(self, vm: str, timeout: float) -> KeptConnection:
+        target = self.find_address(vm)
+        if target is None:
+            raise PeerError(f'the address of entry VM {vm!r} is not known')
+        try:
+            return self._connections.open(
+                target,
+                min(timeout, _CONNECT_SECONDS),
+            )
+        except (HTTPError, OSError) as error:
+            raise PeerError(f'entry VM {vm!r} not reached: {error}') from error
+
+
+def _read_answer(answer: Answer) -> Answer:
+    verdict = find_header(answer.headers, VERDICT_HEADER)
+    if verdict == Verdict.RAN:
+        return answer
+    try:
+        body = b''.join(answer.chunks)
+    except RequestError as error:
+        raise PeerError(error.message) from error
+    if not verdict:
+        raise PeerError(f'the home answered {answer.status} with no verdict')
+    word = read_error(answer.status, answer.headers, body)
+    if answer.status == _BAD_REQUEST:
+        raise InputError(word.message, word.code)
+    raise word
