Run entry VMs and look-ups as programs: the thin path is whole

Cause: the parts stood side by side. Change: sesame-entry and sesame-lookup compose membership, steering, delivery and HTTP; operators' pages; planned stop that waits for look-ups to run out; the configuration's key comes from the settings. Seen and left: an entry VM without own backend servers refuses with no-room until slots are lent; the stand-in's kept connections lose 40 ms to Nagle's delay.

--- a/sesameroute/adapters/__init__.py
+++ b/sesameroute/adapters/__init__.py
@@ -8,7 +8,14 @@
     KeptConnection,
     KeptConnections,
 )
+from sesameroute.adapters._lookup_http import LookupApplication
+from sesameroute.adapters._observed import (
+    ObservedDelivery,
+    ObservedRelay,
+    ObservedUpstreams,
+)
 from sesameroute.adapters._peers import PeerNetwork
+from sesameroute.adapters._relay import HttpRelay
 from sesameroute.adapters._store import HttpStore
 from sesameroute.adapters._upstreams import HttpUpstreams
 from sesameroute.adapters._verdict_http import (
@@ -20,10 +27,15 @@
 
 __all__ = [
     'EntryApplication',
+    'HttpRelay',
     'HttpServer',
     'HttpStore',
     'HttpUpstreams',
     'HttpVmList',
+    'LookupApplication',
+    'ObservedDelivery',
+    'ObservedRelay',
+    'ObservedUpstreams',
     'KeptConnection',
     'KeptConnections',
     'PeerNetwork',
--- a/sesameroute/adapters/_entry_http.py
+++ b/sesameroute/adapters/_entry_http.py
@@ -1,5 +1,6 @@
 """The hot path of an entry VM: a WSGI callable around delivery."""
 
+import threading
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -28,6 +29,7 @@
     """Hands chunks to the server and closes their source."""
 
     chunks: Iterator[bytes]
+    finish: Callable[[], None]
 
     def __iter__(self) -> Iterator[bytes]:
         return self.chunks
@@ -36,6 +38,7 @@
         close = getattr(self.chunks, 'close', None)
         if close is not None:
             close()
+        self.finish()
 
 
 class EntryApplication:
@@ -50,6 +53,11 @@
     clock : Clock
         Source of time.
 
+    Attributes
+    ----------
+    running : int
+        Requests whose answers are not yet sent whole.
+
     """
 
     def __init__(
@@ -62,6 +70,8 @@
         self.deliver = deliver
         self.find_statement = find_statement
         self.clock = clock
+        self.running = 0
+        self._lock = threading.Lock()
 
     def __call__(
         self,
@@ -69,12 +79,24 @@
         start_response: Callable[..., Any],
     ) -> Iterable[bytes]:
         """Answer one HTTP request."""
+        self._count(1)
         try:
-            answer = self.deliver(self._read_request(environ))
-        except SesameError as error:
-            answer = render_error(error, _find_fallback(environ))
+            answer = self._answer(environ)
+        except BaseException:
+            self._count(-1)
+            raise
         start_response(_name_status(answer.status), _list_headers(answer))
-        return _Body(answer.chunks)
+        return _Body(answer.chunks, lambda: self._count(-1))
+
+    def _answer(self, environ: dict[str, Any]) -> Answer:
+        try:
+            return self.deliver(self._read_request(environ))
+        except SesameError as error:
+            return render_error(error, _find_fallback(environ))
+
+    def _count(self, change: int) -> None:
+        with self._lock:
+            self.running += change
 
     def _read_request(self, environ: dict[str, Any]) -> Request:
         kind = self._find_kind(environ)
--- a/sesameroute/adapters/_observed.py
+++ b/sesameroute/adapters/_observed.py
@@ -3,9 +3,9 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Protocol
 
 from sesameroute.adapters._verdict_http import find_header
+from sesameroute.delivery import EntryRelay
 from sesameroute.exceptions import SesameError
 from sesameroute.ports import Answer, Headers, Request, Upstreams
 from sesameroute.statement import Upstream
@@ -17,10 +17,6 @@
 _ANSWERED = 'answered'
 
 
-class _Relay(Protocol):
-    def send(self, vm: str, request: Request, timeout: float) -> Answer: ...
-
-
 class ObservedDelivery:
     """Opens the span of the entry hop and counts how requests end.
 
@@ -146,7 +142,7 @@
 class ObservedRelay:
     """Opens the span of a request passed on to its home."""
 
-    def __init__(self, relay: _Relay, tracer: Tracer, meter: Meter) -> None:
+    def __init__(self, relay: EntryRelay, tracer: Tracer, meter: Meter) -> None:
         """Store the parameters."""
         self.relay = relay
         self.tracer = tracer
--- a/sesameroute/membership/__init__.py
+++ b/sesameroute/membership/__init__.py
@@ -17,9 +17,8 @@
     VmReport,
 )
 from sesameroute.membership._ranking import rank_names
-from sesameroute.membership._surroundings import Surroundings
+from sesameroute.membership._surroundings import CONFIGURATION_KEY, Surroundings
 from sesameroute.membership._targets import FanOut
-from sesameroute.membership._watcher import CONFIGURATION_KEY
 
 __all__ = [
     'CONFIGURATION_KEY',
--- a/sesameroute/membership/_membership.py
+++ b/sesameroute/membership/_membership.py
@@ -56,7 +56,7 @@
         self.around = around
         self.keeper = ConfigurationKeeper(read_statement)
         self.members = Members(
-            around.identity.name,
+            around.identity.sender,
             around.clock,
             around.peers.list_connected,
         )
--- a/sesameroute/membership/_surroundings.py
+++ b/sesameroute/membership/_surroundings.py
@@ -7,7 +7,9 @@
 from sesameroute.membership._targets import FanOut
 from sesameroute.ports import Clock, PeerIdentity, Peers, Store, VmList
 
-__all__ = ['Surroundings']
+__all__ = ['CONFIGURATION_KEY', 'Surroundings']
+
+CONFIGURATION_KEY = 'sesameroute/configuration'
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +28,8 @@
         Source of time.
     store : Store or None
         None for processes that learn only from peers.
+    store_key : str
+        Key of the institution's configuration.
     vm_list : VmList or None
         The platform's list.
     seeds : mapping of str to tuple of (str, int)
@@ -43,6 +47,7 @@
     clock: Clock
     store: Store | None = None
     vm_list: VmList | None = None
+    store_key: str = CONFIGURATION_KEY
     seeds: Mapping[str, tuple[str, int]] = field(default_factory=dict)
     fan_out: FanOut = field(default_factory=FanOut)
     rng: random.Random = field(default_factory=random.Random)
--- a/sesameroute/membership/_watcher.py
+++ b/sesameroute/membership/_watcher.py
@@ -13,9 +13,8 @@
 from sesameroute.membership._targets import has_watch_duty
 from sesameroute.ports import StoredValue
 
-__all__ = ['CONFIGURATION_KEY', 'ListPoller', 'Watcher']
+__all__ = ['ListPoller', 'Watcher']
 
-CONFIGURATION_KEY = 'sesameroute/configuration'
 
 _WATCH_SECONDS = 15.0
 _READ_EVERY = 4  # watches: a store from an older backup shows in a read
@@ -101,8 +100,12 @@
         is_read = not has_duty or self._calls % _READ_EVERY == 0
         self._calls += 1
         if is_read or self.freshness.is_stale or not self.revision:
-            return store.read(CONFIGURATION_KEY)
-        return store.watch(CONFIGURATION_KEY, self.revision, _WATCH_SECONDS)
+            return store.read(self.around.store_key)
+        return store.watch(
+            self.around.store_key,
+            self.revision,
+            _WATCH_SECONDS,
+        )
 
     def _take(self, found: StoredValue | None) -> None:
         if found is None:
