--- /dev/null
+++ b/sesameroute/statement/tests/test_check.py
@@ -0,0 +1,154 @@
+"""Statements that can't hold what they promise are found out."""
+
+from dataclasses import replace
+
+import pytest
+
+from sesameroute.exceptions import InputError
+from sesameroute.statement import (
+    Drain,
+    DrainTarget,
+    Severity,
+    StatementBuilder,
+    check_statement,
+    print_statement,
+    read_statement,
+)
+
+
+def build(**changes):
+    """Return a sound statement of two regions with some values changed."""
+    given = {
+        'megabits': 4000,
+        'slots': 4,
+        'connections': 100,
+        'peak_rate': 100,
+        'work_ms': 100,
+        'bytes': 100_000,
+        **changes,
+    }
+    builder = StatementBuilder('small').set_places('n')
+    builder.add_region('n', 'n-a', 'n-b').add_region('s', 's-a', 's-b')
+    builder.set_policy(peak_rate=given['peak_rate'])
+    addresses = {}
+    for number, domain in enumerate(('n-a', 'n-b', 's-a', 's-b')):
+        builder.add_vm(f'{domain}-1', domain, f'127.30.{number}.11')
+        addresses[domain] = f'127.30.{number}.100'
+    builder.add_service('desk').add_kind(
+        'order',
+        'desk',
+        work_ms=given['work_ms'],
+        answer_bytes=given['bytes'],
+    )
+    builder.add_upstreams(
+        'desk',
+        count=8,
+        addresses=addresses,
+        port=9000,
+        slots=given['slots'],
+        connections=given['connections'],
+    )
+    return builder.add_link('n', 's', given['megabits']).build()
+
+
+def drain(statement, target, *subjects):
+    """Return the statement with drains."""
+    drains = {name: Drain(name, target, name) for name in subjects}
+    return replace(statement, drains=drains)
+
+
+def list_messages(statement, severity):
+    """Return the findings of a severity as one text."""
+    findings = check_statement(statement)
+    return '\n'.join(
+        str(finding) for finding in findings if finding.severity is severity
+    )
+
+
+@pytest.mark.parametrize(
+    ('changes', 'message'),
+    [
+        ({'connections': 3}, '[upstream desk-1] connections = 3; allowed: 4'),
+        ({'slots': 200}, 'connections = 100; allowed: 200 or more'),
+        ({'work_ms': 5000}, '[kind order] work_ms = 5000; allowed: below'),
+        ({'peak_rate': 400}, '[service desk] 32 slots are not drained; all'),
+        ({'megabits': 0.1}, '[link n s] each of 2 entry VMs may send 5000 '),
+    ],
+)
+def test_caps_that_cannot_hold(changes, message):
+    """The finding names section, value and what is allowed."""
+    assert message in list_messages(build(**changes), Severity.ERROR)
+
+
+@pytest.mark.parametrize(
+    ('target', 'subjects', 'message'),
+    [
+        (DrainTarget.VM, ['n-a-1', 'n-b-1', 's-a-1'], '[vm] 1 entry VMs'),
+        (DrainTarget.REGION, ['n', 's'], 'stand in 0 failure domains'),
+        (DrainTarget.DOMAIN, ['n-a', 'n-b', 's-a'], 'stand in 1 failure'),
+        (
+            DrainTarget.UPSTREAM,
+            [f'desk-{number}' for number in range(1, 7)],
+            '8 slots are not drained; allowed: 10.0 or more',
+        ),
+    ],
+)
+def test_drains_that_leave_too_little(target, subjects, message):
+    """A drain has to leave VMs, failure domains and slots."""
+    statement = drain(build(), target, *subjects)
+    assert message in list_messages(statement, Severity.ERROR)
+
+
+def test_drain_of_a_region_over_links():
+    """What a drained region's callers need has to pass the links to it."""
+    drained = drain(build(), DrainTarget.REGION, 's')
+    assert not list_messages(drained, Severity.ERROR)
+    narrow = drain(build(megabits=20), DrainTarget.REGION, 's')
+    assert '[region s] answers of 5000000 bytes' in list_messages(
+        narrow,
+        Severity.ERROR,
+    )
+
+
+def test_reserve_is_warned_of():
+    """Load that needs the reserve may be submitted, with a warning."""
+    statement = build(peak_rate=300)
+    assert not list_messages(statement, Severity.ERROR)
+    assert 'cuts into the reserve' in list_messages(statement, Severity.WARNING)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'message'),
+    [
+        ('domain = n-a', 'domain = x', "domain = 'x': allowed: n-a, n-b"),
+        ('service = desk', 'service = x', "service = 'x': allowed: desk"),
+        ('127.30.1.11', '127.30.0.11', '127.30.0.11 belongs to two VMs'),
+        ('127.30.1.100', '127.30.0.100', 'belongs to two upstreams'),
+        ('peer_port = 8402', 'peer_port = 8400', 'must differ'),
+        ('domains = s-a', 'domains = n-a', "'n-a' stands in two regions"),
+        ('[link n s]', '[link n n]', 'source and target must differ'),
+        ('[vm n-a-1]', '[vm desk-1]', 'is also that of a VM'),
+        ('store_region = n', 'store_region = x', 'allowed: n, s'),
+        ('[vm n-a-1]', '[vm]', 'title must be [vm NAME]'),
+        ('[vm n-a-1]', '[vm n-a-1]\nname = x', 'title must be [vm NAME]'),
+        ('[vm n-a-1]', '[vm A.1]', "'A.1'"),
+        ('[vm n-a-1]', '[vm  n-b-1]', '[vm n-b-1]: section stands twice'),
+        ('[places]', '[region t]', '[places]: section is missing'),
+        ('slots = 4', 'slots = 0', "slots: '0'"),
+        ('cap = 0.8', 'cap = 1.1', 'cap: '),
+    ],
+)
+def test_wrong_reference(old, new, message):
+    """A statement with names that lead nowhere is never read."""
+    text = print_statement(build())
+    assert old in text
+    with pytest.raises(InputError) as caught:
+        read_statement(text.replace(old, new), 'some.ini')
+    assert message in caught.value.message
+
+
+def test_builder_names_repeated_section():
+    """A section that is built twice is refused at once."""
+    builder = StatementBuilder('small').add_service('desk')
+    with pytest.raises(InputError, match='service desk'):
+        builder.add_service('desk')
