--- a/sesameroute/adapters/tests/test_peers.py
+++ b/sesameroute/adapters/tests/test_peers.py
@@ -248,7 +248,7 @@
     one, two = fleet.add('a', 1), fleet.add('b', 2)
     relay = Relay(_target(1))
     two.set_targets({'a': relay.address})
-    assert _wait(one.list_connected)
+    assert _wait(lambda: one.list_connected() and two.list_connected())
     assert two.call('a', Text('x'), 2)
     two.set_targets({})
     assert _wait(lambda: not one.list_connected())
