--- a/sesameroute/delivery/_pipeline.py
+++ b/sesameroute/delivery/_pipeline.py
@@ -136,10 +136,13 @@
     ) -> KeptAnswer:
         if key.home.vm != self.identity.vm:
             return self.parts.relay.deliver(request, key, fingerprint)
-        if key.home != self.identity:
+        if not self._is_home(key):
             return self.parts.relay.ask_witness(key, fingerprint)
         return self.parts.home.deliver(request, key, fingerprint)
 
+    def _is_home(self, key: RequestKey) -> bool:
+        return key.home == self.identity
+
     def _deliver_unkeyed(
         self,
         request: Request,
--- a/sesameroute/delivery/_witness.py
+++ b/sesameroute/delivery/_witness.py
@@ -136,7 +136,7 @@
     def _find_ledger(self, key: RequestKey) -> _Ledger | None:
         """Return the ledger of a key's epoch, None if it is forgotten."""
         home = key.home
-        if key.witness != self.identity or self._is_forgotten(key):
+        if not self._is_mine(key) or self._is_forgotten(key):
             return None
         now = self.clock.read_monotonic()
         ledger = self.ledgers_.setdefault(
@@ -148,6 +148,9 @@
         self._evict(now)
         return None if self._is_forgotten(key) else ledger
 
+    def _is_mine(self, key: RequestKey) -> bool:
+        return key.witness == self.identity
+
     def _is_forgotten(self, key: RequestKey) -> bool:
         return (
             key.epoch <= self.floors_.get(key.home, 0)
--- a/sesameroute/delivery/tests/fleet.py
+++ b/sesameroute/delivery/tests/fleet.py
@@ -9,7 +9,7 @@
     Pipeline,
     RecordLimits,
 )
-from sesameroute.delivery.tests.tasks import Task, find_task
+from sesameroute.delivery.tests.tasks import CrashError, Task, find_task
 from sesameroute.exceptions import PeerError, RequestError
 from sesameroute.ports import (
     Answer,
@@ -199,6 +199,7 @@
         if task is None:
             return target.pipeline.deliver(request)
         hop = self.fleet.start(target, lambda: target.pipeline.deliver(request))
+        task.hop = hop
         outcome = task.pause('relay')
         if not hop.done or outcome == 'lose':
             raise PeerError('no answer of the home')
@@ -238,6 +239,10 @@
     pipeline: Pipeline
     alive: bool = True
 
+    def read(self, request):
+        """Return the body of the answer."""
+        return b''.join(self.pipeline.deliver(request).chunks)
+
     @property
     def identity(self):
         return self.pipeline.identity
@@ -264,8 +269,16 @@
         for vm in VMS:
             self.restart(vm)
 
+    def crash(self, vm):
+        """Let a VM's process die in the middle of all that it does."""
+        node = self.nodes[vm]
+        node.alive = False
+        for task in self.tasks:
+            if task.owner is node and not task.done:
+                task.resume(CrashError())
+
     def restart(self, vm):
-        """Start a new life of a VM's process; the old one dies."""
+        """Start a new life of a VM's process beside what the old one does."""
         former = self.nodes.get(vm)
         if former:
             former.alive = False
@@ -321,7 +334,6 @@
     def deliver(self, vm, request):
         """Return the body of the answer, else the error."""
         try:
-            answer = self.nodes[vm].pipeline.deliver(request)
+            return self.nodes[vm].read(request)
         except RequestError as error:
             return error
-        return b''.join(answer.chunks)
--- /dev/null
+++ b/sesameroute/delivery/tests/machine.py
@@ -0,0 +1,250 @@
+"""A state machine that looks for lost, doubled and mistaken requests."""
+
+from dataclasses import dataclass, field
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from sesameroute.delivery import RecordLimits
+from sesameroute.delivery.tests.fleet import VMS, Fleet, fail
+from sesameroute.delivery.tests.tasks import CrashError, Task
+from sesameroute.exceptions import InputError, PeerError, RequestError
+from sesameroute.ports import Request
+from sesameroute.verdict import Verdict
+
+LIMITS = RecordLimits(entries=3, seals=2, retention=5, epochs=5)
+OUTCOMES = {
+    'call': (None, None, 'lose', 'lose-reply', 'late'),
+    'reply': (None, None, 'lose'),
+    'relay': (None, None, 'lose'),
+    'send': (
+        None,
+        None,
+        'run-lost',
+        'run-late',
+        fail('lost'),
+        fail('refused', Verdict.NOT_RUN),
+        fail('shed', Verdict.NOT_RUN),
+    ),
+}
+ANY = st.integers(0, 11)
+VM = st.sampled_from(VMS)
+
+
+@dataclass(eq=False)
+class Order:
+    """One order of a caller, and where its copies are."""
+
+    request: Request
+    home: str
+    copies: list[Task] = field(default_factory=list)
+
+
+class DeliveryMachine(RuleBasedStateMachine):
+    """Sends orders through a fleet in which everything fails.
+
+    The oracle is the journal of runs: no order runs twice, none runs whose
+    caller heard `NOT_RUN`, and an answer is that of the order's own run.
+    """
+
+    strict = True
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet(limits=LIMITS)
+        self.orders: list[Order] = []
+        self.forged: list[Order] = []
+        self.sealed: list[Order] = []
+
+    @initialize()
+    def open_epochs(self):
+        self.refresh()
+
+    @rule(home=VM, entry=VM, keyed=st.booleans())
+    def send(self, home, entry, keyed):
+        key = self.fleet.make_key(home, f'n{len(self.orders)}') if keyed else ''
+        body = b'order %d' % len(self.orders)
+        request = self.fleet.build_request(key=key, body=body)
+        self.orders.append(Order(request, home))
+        self.start(self.orders[-1], entry)
+
+    @rule(vm=VM)
+    def fill(self, vm):
+        """Fill the record of a home with orders that end well."""
+        for _ in range(LIMITS.entries):
+            self.send(vm, vm, keyed=True)
+            for task in self.orders[-1].copies:
+                self.run_to_end(task)
+
+    @precondition(lambda machine: machine.orders)
+    @rule(index=ANY, entry=VM)
+    def send_copy(self, index, entry):
+        order = self.orders[-1 - index % len(self.orders)]
+        if order.request.key:
+            self.start(order, entry)
+
+    @precondition(lambda machine: machine.sealed)
+    @rule(index=ANY)
+    def send_refused_again(self, index):
+        """Send a copy of an order whose caller heard "not run"."""
+        order = self.sealed[-1 - index % len(self.sealed)]
+        if order.request.key:
+            self.start(order, order.home)
+
+    @precondition(lambda machine: machine.orders)
+    @rule(index=ANY, entry=VM)
+    def send_forged(self, index, entry):
+        order = self.orders[-1 - index % len(self.orders)]
+        known = any(task.done for task in order.copies)
+        if known and order.request.key and self.fleet.nodes[entry].alive:
+            forged = self.fleet.build_request(
+                key=order.request.key, body=b'forged'
+            )
+            self.forged.append(Order(forged, order.home))
+            self.start(self.forged[-1], entry)
+
+    @precondition(lambda machine: machine.find_running())
+    @rule(index=ANY, number=ANY)
+    def step(self, index, number):
+        running = self.find_running()
+        task = running[-1 - index % len(running)]
+        outcomes = OUTCOMES.get(task.point, (None,))
+        task.resume(outcomes[number % len(outcomes)])
+
+    @precondition(lambda machine: machine.find_running())
+    @rule(index=ANY)
+    def finish(self, index):
+        running = self.find_running()
+        self.run_to_end(running[-1 - index % len(running)])
+
+    @rule(vm=VM)
+    def crash(self, vm):
+        self.fleet.crash(vm)
+
+    @rule(vm=VM)
+    def crash_and_restart(self, vm):
+        self.fleet.crash(vm)
+        self.fleet.restart(vm)
+
+    @rule(vm=VM)
+    def replace_paused(self, vm):
+        """Start a new life while the paused old one can still wake up."""
+        self.fleet.restart(vm)
+
+    @rule(first=VM, second=VM)
+    def cut(self, first, second):
+        self.fleet.cuts.add(frozenset((first, second)))
+
+    @rule()
+    def heal(self):
+        self.fleet.cuts.clear()
+
+    @precondition(lambda machine: machine.fleet.late)
+    @rule(index=ANY, again=st.booleans())
+    def deliver_late(self, index, again):
+        late = self.fleet.late
+        call = late[index % len(late)]
+        if not again:
+            late.remove(call)
+        try:
+            call()
+        except PeerError:
+            """The peer has died meanwhile."""
+
+    @rule(seconds=st.sampled_from((0.5, 3, 20, 70)))
+    def pass_time(self, seconds):
+        self.fleet.clock.now += seconds
+        self.refresh()
+
+    @rule(vm=VM)
+    def stop(self, vm):
+        node = self.fleet.nodes[vm]
+        deadline = self.fleet.clock.now + 5
+        self.fleet.start(node, lambda: node.pipeline.stop(deadline))
+
+    @invariant()
+    def check(self):
+        runs = [body for _, _, body in self.fleet.journal]
+        assert len(runs) == len(set(runs)), 'an order ran twice'
+        for order in self.orders:
+            for task in order.copies:
+                self.hear(order, task)
+        for order in self.sealed:
+            assert order.request.body not in runs, 'a sealed order ran'
+        for order in self.forged:
+            for task in order.copies:
+                assert not task.done or task.error, 'answer to a forged key'
+
+    def teardown(self):
+        for task in self.fleet.tasks:
+            self.run_to_end(task)
+        self.fleet.cuts.clear()
+        for vm in VMS:
+            if not self.fleet.nodes[vm].alive:
+                self.fleet.restart(vm)
+        self.check()
+        for order in self.orders:
+            self.check_last_word(order)
+        self.check()
+
+    def check_last_word(self, order):
+        """Ask for each order once more, now that nothing fails."""
+        if order.request.key:
+            self.fleet.clock.now += 0.001
+            for vm in VMS:
+                self.start(order, vm)
+                self.run_to_end(order.copies[-1])
+
+    def start(self, order, entry):
+        node = self.fleet.nodes[entry]
+        if node.alive:
+            request = self.fleet.build_request(
+                key=order.request.key, body=order.request.body
+            )
+            order.copies.append(
+                self.fleet.start(node, lambda: node.read(request))
+            )
+
+    def hear(self, order, task):
+        """Compare the word that a caller got with the journal."""
+        body = order.request.body
+        runs = sum(body == ran for _, _, ran in self.fleet.journal)
+        if task.error is None and task.done:
+            assert task.returned == b'done %b' % body, 'wrong answer'
+            assert runs == 1, 'an answer without a run'
+        elif isinstance(task.error, RequestError):
+            if task.error.verdict is Verdict.NOT_RUN:
+                self.seal(order)
+            elif task.error.verdict is Verdict.RAN:
+                assert runs == 1, 'said to have run without a run'
+        elif isinstance(task.error, InputError):
+            assert not self.strict, 'own key taken for a forged one'
+        elif task.error and not isinstance(task.error, CrashError):
+            raise task.error
+
+    def seal(self, order):
+        if order not in self.sealed:
+            self.sealed.append(order)
+
+    def find_running(self):
+        return [task for task in self.fleet.tasks if not task.done]
+
+    def run_to_end(self, task):
+        """Let a task end without further faults."""
+        while not task.done:
+            if task.point == 'relay':
+                self.run_to_end(task.hop)
+            if task.point == 'sleep':
+                self.fleet.clock.now += 1
+            task.resume(None)
+
+    def refresh(self):
+        for node in self.fleet.nodes.values():
+            if node.alive:
+                node.pipeline.refresh()
--- a/sesameroute/delivery/tests/tasks.py
+++ b/sesameroute/delivery/tests/tasks.py
@@ -35,6 +35,7 @@
         self.owner = owner
         self.call = call
         self.point = ''
+        self.hop: Task | None = None
         self.done = False
         self.returned: Any = None
         self.error: BaseException | None = None
