--- a/sesameroute/programs/_control_table.py
+++ b/sesameroute/programs/_control_table.py
@@ -83,7 +83,7 @@
 
 
 @format_cell.register
-def _format_bool(cell: bool) -> str:  # noqa: FBT001
+def _format_bool(cell: bool) -> str:
     return 'yes' if cell else 'no'
 
 
--- a/sesameroute/submission/_configuration_store.py
+++ b/sesameroute/submission/_configuration_store.py
@@ -62,7 +62,7 @@
         self.clock = clock
         self.patience = patience
         self.seed = seed
-        self._random = random.Random(seed)  # noqa: S311
+        self._random = random.Random(seed)
 
     def read(self, after: int = -1) -> Base:
         """Return the stored configuration.
