Move, spill and eject by measured room, and measure against other policies

Cause: work left its region in no order, nothing limited a shift or a link, and there was no measure of the decisions. Change: health of backend servers from own tries and weighted reports, spill and shifts into reported room only, a sliding window for every shift and a paced byte budget for every link share; a benchmark with callers, cold backend servers and faults on an event heap, side by side with fixed shares, better of two, random and an all-seeing planner.

--- a/sesameroute/limits/__init__.py
+++ b/sesameroute/limits/__init__.py
@@ -9,7 +9,9 @@
     Ledger,
     Term,
 )
+from sesameroute.limits._link import LinkBudgets, TokenBucket
 from sesameroute.limits._queue import Waiter, WaitQueue, limit_wait
+from sesameroute.limits._window import SlidingWindow
 
 __all__ = [
     'Budget',
@@ -18,7 +20,10 @@
     'STANDING_SECONDS',
     'Lease',
     'Ledger',
+    'LinkBudgets',
+    'SlidingWindow',
     'Term',
+    'TokenBucket',
     'WaitQueue',
     'Waiter',
     'limit_wait',
--- a/sesameroute/limits/_queue.py
+++ b/sesameroute/limits/_queue.py
@@ -1,7 +1,7 @@
 """Requests that wait for a slot: bounded, by worth and deadline."""
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from sesameroute.ports import Choice, Request
@@ -11,6 +11,9 @@
 _MILLISECONDS = 1000  # in a second
 
 
+Listener = Callable[['Waiter'], None]
+
+
 @dataclass(slots=True, eq=False)
 class Waiter:
     """A request that waits for a slot.
@@ -36,6 +39,7 @@
     refused: bool = False
     retry_after: float = 0
     done: threading.Event = field(default_factory=threading.Event)
+    listener: Listener | None = None
 
     @property
     def worth(self) -> float:
@@ -46,13 +50,24 @@
     def settle(self, choice: Choice) -> None:
         """Hand over a slot."""
         self.choice = choice
-        self.done.set()
+        self._finish()
 
     def refuse(self, retry_after: float) -> None:
         """Give the request up; it gets its answer at once."""
         self.refused = True
         self.retry_after = retry_after
+        self._finish()
+
+    def listen(self, listener: Listener) -> None:
+        """Call something with this waiter once it is settled or refused."""
+        self.listener = listener
+        if self.done.is_set():
+            listener(self)
+
+    def _finish(self) -> None:
         self.done.set()
+        if self.listener:
+            self.listener(self)
 
 
 class WaitQueue:
--- a/sesameroute/routing/_admission.py
+++ b/sesameroute/routing/_admission.py
@@ -6,6 +6,7 @@
 from sesameroute.limits import Waiter, WaitQueue, limit_wait
 from sesameroute.ports import Choice, Request
 from sesameroute.routing._book import SlotBook
+from sesameroute.routing._headroom import count_used
 from sesameroute.statement import Kind
 
 __all__ = ['Admission', 'Place']
@@ -79,7 +80,7 @@
         waiter.refuse(self._estimate_wait(waiter.request.kind))
 
     def _estimate_wait(self, kind: Kind) -> float:
-        used = max(1, self.book.count_service(kind.service)[1])
+        used = max(1, count_used(self.book, kind.service))
         waiting = self.count_waiting(kind.service) + 1
         work = kind.work_ms / _MILLISECONDS
         spread = 1 + self.rng.random()
--- a/sesameroute/routing/_book.py
+++ b/sesameroute/routing/_book.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 
 from sesameroute.limits import LEASE_SECONDS, STANDING_SECONDS, Ledger, Term
-from sesameroute.ports import Clock
+from sesameroute.ports import Choice, Clock, Outcome
 from sesameroute.routing._geography import Geography
-from sesameroute.routing._view import Headroom, Members
-from sesameroute.statement import Statement, Upstream
+from sesameroute.routing._health import Health
+from sesameroute.routing._view import Members
+from sesameroute.statement import Kind, Statement, Upstream
 
 __all__ = ['SlotBook']
 
@@ -43,7 +44,8 @@
         self.members = members
         self.clock = clock
         self.ledgers_: dict[str, Ledger] = {}
-        self.held_: dict[int, str] = {}
+        self.held_: dict[int, tuple[str, Kind]] = {}
+        self.health_ = Health()
         self._geography: Geography | None = None
         self._tickets = itertools.count(1)
 
@@ -66,56 +68,41 @@
             return 0
         return geography.statement.policy.queue_ms / _MILLISECONDS
 
-    def count_free(self, upstream: str) -> int:
+    def count_free(self, upstream: Upstream) -> int:
         """Return the slots of a backend server that may be taken now."""
-        now = self.clock.read_monotonic()
-        return self.ledgers_[upstream].count_free(now)
+        ledger = self.ledgers_[upstream.name]
+        free = ledger.count_free(self.clock.read_monotonic())
+        return min(free, self.health_.limit_slots(upstream) - ledger.used)
 
-    def hold(self, upstream: str) -> int:
+    def hold(self, upstream: str, kind: Kind) -> int:
         """Take a slot that is free; return the ticket to release it."""
         self.ledgers_[upstream].take(self.clock.read_monotonic())
         ticket = next(self._tickets)
-        self.held_[ticket] = upstream
+        self.held_[ticket] = (upstream, kind)
         return ticket
 
     def release(self, ticket: int) -> bool:
         """End the use of a slot; return whether the ticket was held."""
-        upstream = self.held_.pop(ticket, None)
-        if upstream is None:
+        held = self.held_.pop(ticket, None)
+        if held is None:
             return False
-        self.ledgers_[upstream].give_back()
+        self.ledgers_[held[0]].give_back()
         return True
 
-    def count_service(self, service: str) -> tuple[int, int]:
-        """Return the free slots of a service and those in use here."""
+    def observe(self, choice: Choice, outcome: Outcome) -> None:
+        """Learn from a try that has not been released yet."""
+        kind = self.held_.get(choice.ticket, ('', None))[1]
         geography = self.read_geography()
-        if geography is None:
-            return 0, 0
-        barred = self.list_barred()
-        free, used = 0, 0
-        for upstream in geography.list_service(service):
-            used += self.ledgers_[upstream.name].used
-            if upstream.name not in barred:
-                free += max(0, self.count_free(upstream.name))
-        return free, used
-
-    def report_headroom(self) -> Headroom:
-        """Return free and total slots by service of the own upstreams."""
-        geography = self.read_geography()
-        totals: dict[str, tuple[int, int]] = {}
-        if geography is None:
-            return totals
-        barred = self.list_barred()
-        for upstream in geography.statement.upstreams.values():
-            ledger = self.ledgers_[upstream.name]
-            if not ledger.own or upstream.name in barred:
-                continue
-            free, total = totals.get(upstream.service, (0, 0))
-            totals[upstream.service] = (
-                free + max(0, self.count_free(upstream.name)),
-                total + self._count_held(upstream),
-            )
-        return totals
+        if kind is None or geography is None:
+            return
+        delay = 2 * geography.measure_delay(choice.upstream.domain)
+        usual = max(1, kind.work_ms) / _MILLISECONDS
+        self.health_.observe(
+            choice.upstream,
+            outcome,
+            (outcome.seconds - delay) / usual,
+            self.clock.read_monotonic(),
+        )
 
     def build_term(self, service: str, *, standing: bool = False) -> Term:
         """Return the term of a lease of slots of a service."""
@@ -124,19 +111,23 @@
         linger = geography.measure_linger(service) if geography else 0
         return Term(seconds, linger)
 
-    def list_barred(self) -> frozenset[str]:
-        """Return the backend servers that get no new work."""
+    def list_barred(self, service: str) -> frozenset[str]:
+        """Return the backend servers of a service that get no new work."""
         geography = self.read_geography()
-        drained = geography.drained_ if geography else frozenset()
-        return drained | self.members.list_leaving()
-
-    def _count_held(self, upstream: Upstream) -> int:
-        ledger = self.ledgers_[upstream.name]
-        return ledger.count_usable(self.clock.read_monotonic())
+        if geography is None:
+            return frozenset()
+        out = self.health_.list_out(
+            geography.list_service(service),
+            self.clock.read_monotonic(),
+        )
+        return geography.list_drained().union(out, self.members.list_leaving())
 
     def _update_ledgers(self, geography: Geography) -> None:
         now = self.clock.read_monotonic()
+        is_first = not self.ledgers_
         for upstream in geography.statement.upstreams.values():
+            if not is_first and upstream.name not in self.ledgers_:
+                self.health_.mark_cold(upstream.name)
             ledger = self.ledgers_.setdefault(upstream.name, Ledger())
             own = geography.split(upstream.name).get(self.vm, 0)
             if own > ledger.own:
--- a/sesameroute/routing/_borrower.py
+++ b/sesameroute/routing/_borrower.py
@@ -61,8 +61,8 @@
         self.asked_: dict[tuple[str, str], _LastAsk] = {}
         self._numbers = itertools.count(1)
 
-    def ask_room(self, service: str, wanted: int, *, far: bool) -> None:
-        """Ask the nearest owners with room for more slots.
+    def ask_room(self, service: str, wanted: int, region: str) -> None:
+        """Ask the owners of slots in a region for more.
 
         Parameters
         ----------
@@ -70,15 +70,15 @@
             Name of the service.
         wanted : int
             Slots to ask for.
-        far : bool
-            Whether owners in other regions may be asked too.
+        region : str
+            Region of the backend servers.
 
         """
         geography = self.book.read_geography()
         if geography is None:
             return
         now = self.book.clock.read_monotonic()
-        for owner, room in list_lenders(self.book, service, far=far):
+        for owner, room in list_lenders(self.book, service, region):
             share = min(wanted, room)
             asked = self._find_ask(owner, service).since
             round_trip = 2 * geography.measure_vm_delay(owner)
@@ -86,15 +86,15 @@
                 self._ask(geography, owner, service, share)
             wanted -= max(0, share)
 
-    def renew(self, service: str, excess: int) -> None:
+    def renew(self, service: str, excess: dict[str, int]) -> None:
         """Renew leases before they end and return idle slots.
 
         Parameters
         ----------
         service : str
             Name of the service.
-        excess : int
-            Free slots that are more than is needed.
+        excess : dict of str to int
+            Free slots that are more than is needed, by region.
 
         """
         geography = self.book.read_geography()
@@ -103,7 +103,6 @@
         now = self.book.clock.read_monotonic()
         for owner in reversed(self._list_partners(geography, service)):
             dropped = self._drop_idle(geography, owner, service, excess)
-            excess -= dropped
             asked = self._find_ask(owner, service).since
             if dropped or now - asked >= _RENEW_AFTER:
                 self._ask(geography, owner, service, 0)
@@ -126,7 +125,9 @@
         if geography is None:
             return
         most = sum(one.slots for one in geography.list_service(service))
-        if self._drop_idle(geography, owner, service, most):
+        regions = geography.statement.places.regions
+        everywhere = dict.fromkeys(regions, most)
+        if self._drop_idle(geography, owner, service, everywhere):
             self._ask(geography, owner, service, 0)
 
     def tell_held(self, owner: str, question: GrantCensus) -> None:
@@ -189,18 +190,20 @@
         geography: Geography,
         owner: str,
         service: str,
-        excess: int,
-    ) -> int:
+        excess: dict[str, int],
+    ) -> bool:
         now = self.book.clock.read_monotonic()
-        dropped = 0
         standing = geography.list_standing(service).get(owner, ())
         kept = {wish.upstream for wish in standing}
+        dropped = 0
         for upstream in geography.list_service(service):
-            if upstream.name in kept:
-                continue
-            ledger = self.book.ledgers_[upstream.name]
-            dropped += ledger.drop_idle(owner, now, excess - dropped)
-        return dropped
+            if upstream.name not in kept:
+                region = geography.find_region(upstream.domain)
+                ledger = self.book.ledgers_[upstream.name]
+                units = ledger.drop_idle(owner, now, excess.get(region, 0))
+                excess[region] = excess.get(region, 0) - units
+                dropped += units
+        return dropped > 0
 
     def _list_partners(self, geography: Geography, service: str) -> list[str]:
         owners = {
--- a/sesameroute/routing/_demand.py
+++ b/sesameroute/routing/_demand.py
@@ -11,10 +11,13 @@
 
 @dataclass(slots=True)
 class Demand:
-    """The recent peak of slots in use for one service.
+    """The recent peak of slots in use for one service in one region.
 
     Attributes
     ----------
+    is_far : bool
+        Whether the slots are in another region: there none is kept ready
+        without need.
     peak, previous : int
         Largest use in this window and the one before.
     since : float
@@ -29,6 +32,7 @@
 
     """
 
+    is_far: bool = False
     peak: int = 0
     previous: int = 0
     since: float = 0
@@ -44,5 +48,7 @@
     def count_needed(self, used: int) -> int:
         """Return the free slots to have ready beyond those in use."""
         peak = max(self.peak, self.previous)
+        if self.is_far and not peak:
+            return 0
         spare = max(1, math.ceil(peak * _SPARE))
         return max(0, peak - used) + spare
--- a/sesameroute/routing/_exchange.py
+++ b/sesameroute/routing/_exchange.py
@@ -1,6 +1,7 @@
 """Lending and borrowing of slots between entry VMs."""
 
 import random
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
@@ -9,6 +10,7 @@
 from sesameroute.routing._borrower import Borrower
 from sesameroute.routing._census import Census
 from sesameroute.routing._demand import Demand
+from sesameroute.routing._headroom import count_region
 from sesameroute.routing._lender import Lender
 from sesameroute.routing._messages import (
     GrantAsk,
@@ -22,6 +24,8 @@
 
 _BITS = 64  # of a random incarnation
 
+Wishes = Callable[[str, str], int]
+
 
 class Exchange:
     """Keeps this VM supplied with slots, and others with its idle ones.
@@ -49,10 +53,15 @@
         self.lender_ = Lender(book, f'{rng.getrandbits(_BITS):x}')
         self.borrower_ = Borrower(book, peers)
         self.census_ = Census(book, peers)
-        self.demands_: dict[str, Demand] = {}
+        self.demands_: dict[tuple[str, str], Demand] = {}
         self.waiting_: dict[str, int] = {}
 
-    def balance(self, service: str, waiting: int) -> None:
+    def balance(
+        self,
+        service: str,
+        waiting: int,
+        wishes: Wishes,
+    ) -> None:
         """Ask for slots that are missing and return those not needed.
 
         Parameters
@@ -61,18 +70,21 @@
             Name of the service.
         waiting : int
             Requests that wait for a slot here.
+        wishes : callable
+            Takes a service and a region; returns the requests that lacked a
+            slot there.
 
         """
+        geography = self.book.read_geography()
+        if geography is None:
+            return
         self.census_.ask_missing()
-        free, used = self.book.count_service(service)
-        demand = self.demands_.setdefault(service, Demand())
-        now = self.book.clock.read_monotonic()
-        demand.observe(used + waiting, now)
         self.waiting_[service] = waiting
-        missing = demand.count_needed(used) - free
-        self.borrower_.renew(service, -missing)
-        if missing > 0:
-            self.borrower_.ask_room(service, missing, far=waiting > 0)
+        excess = {geography.region: self._serve_near(service, waiting)}
+        for region in geography.list_far_regions(service):
+            wanted = waiting + wishes(service, region)
+            excess[region] = self._serve_far(service, region, wanted)
+        self.borrower_.renew(service, excess)
         if waiting:
             self._recall(service)
 
@@ -109,6 +121,30 @@
         self.census_.count(sender, message)
         return ''
 
+    def _serve_near(self, service: str, waiting: int) -> int:
+        """Ask near owners for missing slots; return the slots too many."""
+        geography = self.book.read_geography()
+        region = geography.region if geography else ''
+        missing = self._count_missing(service, region, waiting)
+        if missing > 0:
+            self.borrower_.ask_room(service, missing, region)
+        return -missing
+
+    def _serve_far(self, service: str, region: str, wanted: int) -> int:
+        """Ask owners of a region for missing slots; return those too many."""
+        missing = self._count_missing(service, region, wanted)
+        if wanted and missing > 0:
+            self.borrower_.ask_room(service, missing, region)
+        return -missing
+
+    def _count_missing(self, service: str, region: str, wanted: int) -> int:
+        geography = self.book.read_geography()
+        is_far = geography is not None and region != geography.region
+        free, used = count_region(self.book, service, region)
+        demand = self.demands_.setdefault((service, region), Demand(is_far))
+        demand.observe(used + wanted, self.book.clock.read_monotonic())
+        return demand.count_needed(used) - free
+
     def _recall(self, service: str) -> None:
         for borrower in sorted(self.lender_.list_borrowers(service)):
             self.peers.cast(borrower, GrantRecall(service))
--- a/sesameroute/routing/_geography.py
+++ b/sesameroute/routing/_geography.py
@@ -1,8 +1,9 @@
 """Distances, homes and drains as one VM sees a statement."""
 
 import math
-from functools import cache
 
+from sesameroute.routing._cached import cached_method
+from sesameroute.routing._distances import Distances
 from sesameroute.routing._messages import Holding
 from sesameroute.routing._rendezvous import rank_names
 from sesameroute.statement import DrainTarget, Statement, Upstream
@@ -68,94 +69,91 @@
     )
 
 
-class Geography:
-    """A statement seen from one VM; replaced when the statement changes.
-
-    Parameters
-    ----------
-    statement : Statement
-        The statement in force.
-    vm : str
-        Name of this VM.
+class Geography(Distances):
+    """Backend servers and their owners seen from one VM.
 
+    It never changes; a new statement makes a new one.
     """
 
-    def __init__(self, statement: Statement, vm: str) -> None:
-        """Store the statement and the place of this VM."""
-        self.statement = statement
-        self.vm = vm
-        self.domain = statement.vms[vm].domain
-        self.list_service = cache(statement.list_upstreams)
-        self.list_tiers = cache(self._sort_tiers)
-        self.list_lenders = cache(self._sort_lenders)
-        self.list_standing = cache(self._collect_standing)
-        self.split = cache(self._split)
-        self.drained_ = frozenset(
-            upstream.name
-            for upstream in statement.upstreams.values()
-            if is_drained(statement, upstream.name, upstream.domain)
+    @cached_method
+    def list_service(self, service: str) -> tuple[Upstream, ...]:
+        """Return the backend servers of a service."""
+        return self.statement.list_upstreams(service)
+
+    @cached_method
+    def list_region(self, service: str, region: str) -> tuple[Upstream, ...]:
+        """Return the backend servers of a service in a region."""
+        return tuple(
+            one
+            for one in self.list_service(service)
+            if self.find_region(one.domain) == region
         )
 
-    def measure_delay(self, domain: str) -> float:
-        """Return the one-way delay to a failure domain in seconds."""
-        return self.statement.places.measure_delay(self.domain, domain)
-
-    def measure_vm_delay(self, vm: str) -> float:
-        """Return the one-way delay to a VM in seconds; 0 if unknown."""
-        known = self.statement.vms.get(vm)
-        return self.measure_delay(known.domain) if known else 0
-
-    def is_near(self, domain: str) -> bool:
-        """Return whether a failure domain is in this VM's region."""
-        places = self.statement.places
-        return domain in places.regions[places.find_region(self.domain)]
-
-    def is_near_vm(self, vm: str) -> bool:
-        """Return whether a VM is in this VM's region."""
-        known = self.statement.vms.get(vm)
-        return known is not None and self.is_near(known.domain)
-
-    def measure_linger(self, service: str) -> float:
-        """Return the longest time that work of a service goes on, seconds."""
-        deadlines = [
-            kind.deadline_ms
-            for kind in self.statement.kinds.values()
-            if kind.service == service
-        ]
-        return max(deadlines, default=0) / _MILLISECONDS
-
-    def _split(self, name: str) -> dict[str, int]:
-        return split_slots(self.statement, self.statement.upstreams[name])
+    @cached_method
+    def list_far_regions(self, service: str) -> tuple[str, ...]:
+        """Return the other regions that have backend servers of a service."""
+        regions = dict.fromkeys(
+            self.find_region(one.domain) for one in self.list_service(service)
+        )
+        regions.pop(self.region, None)
+        return tuple(regions)
 
-    def _sort_tiers(self, service: str) -> tuple[tuple[Upstream, ...], ...]:
+    @cached_method
+    def list_near_tiers(self, service: str) -> tuple[tuple[Upstream, ...], ...]:
+        """Return this region's backend servers, the nearest group first."""
         by_delay: dict[float, list[Upstream]] = {}
-        for upstream in self.list_service(service):
+        for upstream in self.list_region(service, self.region):
             delay = self.measure_delay(upstream.domain)
             by_delay.setdefault(delay, []).append(upstream)
         return tuple(tuple(by_delay[delay]) for delay in sorted(by_delay))
 
-    def _sort_lenders(
+    @cached_method
+    def list_lenders(
         self,
         service: str,
+        region: str,
         live: frozenset[str],
     ) -> tuple[str, ...]:
+        """Return the first live owner of each backend server of a region."""
         lenders: dict[str, None] = {}
-        for tier in self.list_tiers(service):
-            for upstream in tier:
-                owners = [
-                    one for one in self.split(upstream.name) if one in live
-                ]
-                lenders.update(dict.fromkeys(owners[:1]))
+        for upstream in self.list_region(service, region):
+            owners = [one for one in self.split(upstream.name) if one in live]
+            lenders.update(dict.fromkeys(owners[:1]))
         lenders.pop(self.vm, None)
-        return tuple(lenders)
+        return tuple(sorted(lenders, key=self.measure_vm_delay))
 
-    def _collect_standing(self, service: str) -> dict[str, tuple[Holding, ...]]:
+    @cached_method
+    def list_standing(self, service: str) -> dict[str, tuple[Holding, ...]]:
+        """Return by standby its slots of backend servers homed here."""
         standing: dict[str, tuple[Holding, ...]] = {}
         for upstream in self.list_service(service):
             home, *standbys = self.split(upstream.name).items()
             if home[0] == self.vm and standbys:
                 standby, slots = standbys[0]
                 known = standing.get(standby, ())
-                holding = Holding(upstream.name, slots)
-                standing[standby] = (*known, holding)
+                standing[standby] = (*known, Holding(upstream.name, slots))
         return standing
+
+    @cached_method
+    def split(self, name: str) -> dict[str, int]:
+        """Return the slots of a backend server by owner, home first."""
+        return split_slots(self.statement, self.statement.upstreams[name])
+
+    @cached_method
+    def list_drained(self) -> frozenset[str]:
+        """Return the backend servers that the statement's drains cover."""
+        return frozenset(
+            upstream.name
+            for upstream in self.statement.upstreams.values()
+            if is_drained(self.statement, upstream.name, upstream.domain)
+        )
+
+    @cached_method
+    def measure_linger(self, service: str) -> float:
+        """Return the longest time that work of a service goes on, seconds."""
+        deadlines = [
+            kind.deadline_ms
+            for kind in self.statement.kinds.values()
+            if kind.service == service
+        ]
+        return max(deadlines, default=0) / _MILLISECONDS
--- a/sesameroute/routing/_lender.py
+++ b/sesameroute/routing/_lender.py
@@ -5,6 +5,7 @@
 from sesameroute.limits import Ledger, Term
 from sesameroute.routing._book import SlotBook
 from sesameroute.routing._geography import Geography
+from sesameroute.routing._headroom import count_own
 from sesameroute.routing._messages import GrantAsk, GrantReply, Holding
 from sesameroute.statement import Upstream
 
@@ -156,7 +157,7 @@
         now: float,
         term: Term,
     ) -> Upstream | None:
-        barred = self.book.list_barred()
+        barred = self.book.list_barred(service)
         best, most = None, 0
         for upstream in geography.list_service(service):
             ledger = self.book.ledgers_[upstream.name]
@@ -173,7 +174,7 @@
     ) -> int:
         if geography.is_near_vm(borrower):
             return ask.extra
-        free, total = self.book.report_headroom().get(ask.service, (0, 0))
+        free, total = count_own(self.book, ask.service)
         reserve = geography.statement.policy.reserve * total
         room = int(free - reserve)
         return self._ramp(ask.service, min(ask.extra, room), total)
--- a/sesameroute/routing/_lenders.py
+++ b/sesameroute/routing/_lenders.py
@@ -13,25 +13,19 @@
 def list_lenders(
     book: SlotBook,
     service: str,
-    *,
-    far: bool,
+    region: str,
 ) -> Iterator[tuple[str, int]]:
-    """Yield owners of slots, the nearest first, and their likely room.
-
-    Parameters
-    ----------
-    far : bool
-        Whether owners in other regions count. Of those only fresh reports
-        are believed: no news counts as no room.
+    """Yield owners of slots in a region, the nearest first, and their room.
 
+    Of owners in other regions only fresh reports are believed: no news
+    counts as no room.
     """
     geography = book.read_geography()
     if geography is None:
         return
     live = frozenset(book.members.list_live())
-    for owner in geography.list_lenders(service, live):
-        if far or geography.is_near_vm(owner):
-            yield owner, _estimate_room(book, geography, owner, service)
+    for owner in geography.list_lenders(service, region, live):
+        yield owner, _estimate_room(book, geography, owner, service)
 
 
 def _estimate_room(
--- a/sesameroute/routing/_steering.py
+++ b/sesameroute/routing/_steering.py
@@ -11,6 +11,7 @@
 from sesameroute.routing._admission import Admission
 from sesameroute.routing._book import SlotBook
 from sesameroute.routing._exchange import Exchange
+from sesameroute.routing._headroom import report_headroom
 from sesameroute.routing._picker import Picker
 from sesameroute.routing._ticker import Ticker
 from sesameroute.routing._view import Headroom, Members
@@ -59,15 +60,12 @@
         self.exchange_ = Exchange(self.book_, peers, rng)
         self.admission_ = Admission(self.book_, self.try_choose, rng)
         self._lock = threading.RLock()
-        self._ticker = Ticker(self.tick, _TICK_INTERVAL)
 
-    def start(self) -> None:
-        """Start the thread that balances slots with the other VMs."""
-        self._ticker.start()
-
-    def stop(self) -> None:
-        """End the balancing thread."""
-        self._ticker.stop()
+    def start(self) -> Ticker:
+        """Start the thread that balances slots; return it to be stopped."""
+        ticker = Ticker(self.tick, _TICK_INTERVAL)
+        ticker.start()
+        return ticker
 
     def choose(
         self,
@@ -116,9 +114,7 @@
         with self._lock:
             waiter = self.admission_.submit(request, exclude)
             if not waiter.done.is_set():
-                service = request.kind.service
-                waiting = self.admission_.count_waiting(service)
-                self.exchange_.balance(service, waiting)
+                self._balance(request.kind.service)
         return waiter
 
     def try_choose(
@@ -128,14 +124,12 @@
     ) -> Choice | None:
         """Take a permitted slot if one is free now."""
         with self._lock:
-            upstream = self.picker_.pick(request, exclude)
-            if upstream is None:
+            pick = self.picker_.pick(request, exclude)
+            if pick is None:
                 return None
-            return Choice(
-                upstream,
-                self.book_.hold(upstream.name),
-                'free slot',
-            )
+            self.picker_.count_move(pick.upstream)
+            ticket = self.book_.hold(pick.upstream.name, request.kind)
+            return Choice(pick.upstream, ticket, pick.reason)
 
     def tick(self) -> None:
         """Balance slots with the other VMs; call it often."""
@@ -143,12 +137,13 @@
             geography = self.book_.read_geography()
             services = geography.statement.services if geography else ()
             for service in services:
-                waiting = self.admission_.count_waiting(service)
-                self.exchange_.balance(service, waiting)
+                self._balance(service)
                 self.admission_.pump(service)
 
     def observe(self, choice: Choice, outcome: Outcome) -> None:
         """Learn from a try."""
+        with self._lock:
+            self.book_.observe(choice, outcome)
 
     def release(self, choice: Choice) -> None:
         """Give the slot back; a second call does nothing."""
@@ -158,6 +153,10 @@
 
     def charge(self, choice: Choice, body_bytes: int) -> None:
         """Charge bytes to the link as they flow; may block briefly."""
+        with self._lock:
+            wait = self.picker_.pass_bytes(choice.upstream, body_bytes)
+        if wait > 0:
+            self.clock.sleep(wait)
 
     def handle(self, sender: str, message: Any) -> Any:
         """Take a peer's message about grants; all replies are casts."""
@@ -169,4 +168,8 @@
     def report_headroom(self) -> Headroom:
         """Return free and total slots by service, for the heartbeat."""
         with self._lock:
-            return self.book_.report_headroom()
+            return report_headroom(self.book_)
+
+    def _balance(self, service: str) -> None:
+        waiting = self.admission_.count_waiting(service)
+        self.exchange_.balance(service, waiting, self.picker_.pop_wishes)
--- a/sesameroute/routing/tests/fleet.py
+++ b/sesameroute/routing/tests/fleet.py
@@ -46,6 +46,7 @@
     schedule: Schedule
     rate: float = 1
     offset: float = 0
+    slept: float = 0
 
     def read_monotonic(self) -> float:
         """Return the VM's time."""
@@ -56,7 +57,8 @@
         return self.read_monotonic()
 
     def sleep(self, seconds: float) -> None:
-        """Do nothing; no test blocks."""
+        """Note what would have been slept; no test blocks."""
+        self.slept += seconds
 
 
 class NodeMembers:
@@ -113,6 +115,18 @@
         return tuple(self.fleet.nodes)
 
 
+def build_steering(fleet, vm, clock, rng):
+    """Return the steering of a VM."""
+    return SlotSteering(
+        lambda: fleet.statement,
+        vm,
+        fleet.members[vm],
+        NodePeers(fleet, vm),
+        clock,
+        rng,
+    )
+
+
 def keep_report(vm, headroom):
     """Leave a report as it is."""
     return headroom
@@ -121,9 +135,12 @@
 class Fleet:
     """All entry VMs of a statement."""
 
-    def __init__(self, statement, seed=1, rates=None):
+    def __init__(self, statement, seed=1, rates=None, build=None):
         self.statement = statement
+        self.build = build or build_steering
+        self.servers = {}
         self.schedule = Schedule()
+        self.schedule_clock = NodeClock(self.schedule)
         self.random = random.Random(seed)
         self.rates = rates or {}
         self.nodes = {}
@@ -146,14 +163,8 @@
         """Start a new process on a VM."""
         clock = NodeClock(self.schedule, self.rates.get(vm, 1))
         self.members[vm] = NodeMembers(self, vm)
-        self.nodes[vm] = SlotSteering(
-            lambda: self.statement,
-            vm,
-            self.members[vm],
-            NodePeers(self, vm),
-            clock,
-            random.Random(self.random.random()),
-        )
+        rng = random.Random(self.random.random())
+        self.nodes[vm] = self.build(self, vm, clock, rng)
         self.paused.pop(vm, None)
         self._tick(vm, self.nodes[vm])
         self._beat(vm, self.nodes[vm])
