--- a/sesameroute/adapters/_http_server.py
+++ b/sesameroute/adapters/_http_server.py
@@ -146,9 +146,17 @@
         tree = cherrypy._cptree.Tree()
         tree.graft(self.hot, '')
         pages = tree.mount(self.pages, _PAGES_PATH, dict(_PAGES_CONFIG))
-        pages.log.screen = False
+        _silence_access_log(pages)
         return tree
 
 
 def _drop_log(*_args: object, **_options: object) -> None:
     """Ignore errors of single connections: the event log has them."""
+
+
+def _silence_access_log(pages: cherrypy.Application) -> None:
+    """Keep CherryPy's lines out: the event log and metrics have them."""
+    for manager in (cherrypy.log, pages.log):
+        manager.screen = False
+        manager.access_log.propagate = False
+        manager.error_log.propagate = False
--- a/sesameroute/adapters/_lookup_http.py
+++ b/sesameroute/adapters/_lookup_http.py
@@ -9,6 +9,7 @@
 from sesameroute.adapters._verdict_http import render_error
 from sesameroute.exceptions import InputError, SesameError
 from sesameroute.ports import Clock
+from sesameroute.telemetry import Tracer
 from sesameroute.verdict import Verdict
 
 __all__ = ['FindEntries', 'LookupApplication']
@@ -33,13 +34,21 @@
         Takes a service and the caller's failure domain.
     clock : Clock
         Source of time.
+    tracer : Tracer
+        Opens the span of each look-up.
 
     """
 
-    def __init__(self, find_entries: FindEntries, clock: Clock) -> None:
+    def __init__(
+        self,
+        find_entries: FindEntries,
+        clock: Clock,
+        tracer: Tracer,
+    ) -> None:
         """Store the parameters."""
         self.find_entries = find_entries
         self.clock = clock
+        self.tracer = tracer
         self._kept: dict[tuple[str, str], tuple[float, bytes]] = {}
         self._lock = threading.Lock()
 
@@ -50,7 +59,7 @@
     ) -> Iterable[bytes]:
         """Answer one look-up."""
         try:
-            body = self._find(environ)
+            body = self._trace(environ)
         except SesameError as error:
             refusal = render_error(error, Verdict.NOT_RUN)
             status = f'{refusal.status} Refused'
@@ -63,6 +72,11 @@
         start_response(_OK, headers)
         return (body,)
 
+    def _trace(self, environ: dict[str, Any]) -> bytes:
+        parent = environ.get('HTTP_TRACEPARENT', '')
+        with self.tracer.open('lookup', parent, path=environ['PATH_INFO']):
+            return self._find(environ)
+
     def _find(self, environ: dict[str, Any]) -> bytes:
         asked = _read_question(environ)
         now = self.clock.read_monotonic()
--- a/sesameroute/caller/_caller.py
+++ b/sesameroute/caller/_caller.py
@@ -178,6 +178,7 @@
             journey.request.kind.service,
             self.rng,
             tuple(journey.tried),
+            journey.request.headers,
         )
         journey.tried.add(entry.vm)
         if not journey.key and not journey.request.kind.idempotent:
--- a/sesameroute/caller/_directory.py
+++ b/sesameroute/caller/_directory.py
@@ -9,7 +9,7 @@
 
 from sesameroute.adapters import build_pool
 from sesameroute.exceptions import RequestError
-from sesameroute.ports import Clock, Wire
+from sesameroute.ports import Clock, Headers, Wire
 from sesameroute.verdict import Verdict
 
 __all__ = ['Directory', 'EntryAddress', 'LookupAnswer']
@@ -84,16 +84,28 @@
         service: str,
         rng: random.Random,
         exclude: tuple[str, ...] = (),
+        headers: Headers = (),
     ) -> EntryAddress:
         """Return an entry VM by weight, one outside `exclude` if there is.
 
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        rng : random.Random
+            Source of the choice.
+        exclude : tuple of str
+            Entry VMs already tried.
+        headers : tuple of (str, str)
+            Sent with a look-up, such as ``traceparent``.
+
         Raises
         ------
         RequestError
             No look-up was reached and no answer is kept: `NOT_RUN`.
 
         """
-        entries = self._find_entries(service)
+        entries = self._find_entries(service, headers)
         allowed = [entry for entry in entries if entry.vm not in exclude]
         weighted = [entry for entry in allowed if entry.weight > 0]
         candidates = weighted or allowed or entries
@@ -109,12 +121,16 @@
             if kept is not None:
                 self._answers[service] = LookupAnswer(kept.entries, 0)
 
-    def _find_entries(self, service: str) -> tuple[EntryAddress, ...]:
+    def _find_entries(
+        self,
+        service: str,
+        headers: Headers,
+    ) -> tuple[EntryAddress, ...]:
         kept = self._answers.get(service)
         if kept is not None and self.clock.read_monotonic() < kept.until:
             return kept.entries
         for target in self.lookups:
-            found = self._ask(target, service)
+            found = self._ask(target, service, headers)
             if found is not None and found.entries:
                 self._answers[service] = found
                 return found.entries
@@ -131,12 +147,14 @@
         self,
         target: tuple[str, int],
         service: str,
+        headers: Headers,
     ) -> LookupAnswer | None:
         path = f'/lookup/{service}?domain={self.domain}'
         try:
             response = self._pools[target].request(
                 'GET',
                 path,
+                headers=dict(headers),
                 timeout=_LOOKUP_SECONDS,
             )
         except (HTTPError, OSError):
--- a/sesameroute/programs/_lookup_node.py
+++ b/sesameroute/programs/_lookup_node.py
@@ -65,7 +65,11 @@
         )
         self.server = HttpServer(
             (settings.vm.address, settings.ports.lookup),
-            LookupApplication(self.find_entries, outside.clock),
+            LookupApplication(
+                self.find_entries,
+                outside.clock,
+                self.observers.tracer,
+            ),
             LookupPages(self.membership, self.observers),
             ServerLimits(_THREADS, settings.limits.header_bytes),
         )
--- a/sesameroute/programs/_service.py
+++ b/sesameroute/programs/_service.py
@@ -1,5 +1,6 @@
 """Command line of the programs that run until they are told to stop."""
 
+import logging
 import random
 import signal
 import sys
@@ -11,8 +12,10 @@
 
 from sesameroute.exceptions import ExitCode, SesameError
 from sesameroute.ports import SystemClock, TcpWire
+from sesameroute.programs._observers import Observers
 from sesameroute.programs._surroundings import Outside
 from sesameroute.settings import Settings, read_settings
+from sesameroute.telemetry import LogBridge
 
 __all__ = ['Node', 'run_service']
 
@@ -22,6 +25,8 @@
 class Node(Protocol):
     """A process that starts, and stops without cutting a request."""
 
+    observers: Observers
+
     def start(self) -> None:
         """Start the threads."""
 
@@ -74,5 +79,13 @@
     settings = read_settings(flags.FLAGS[_CONFIG].value)
     outside = Outside(TcpWire(), SystemClock(), random.SystemRandom())
     node = build(settings, outside)
+    _bridge_logs(node)
     node.start()
     return node
+
+
+def _bridge_logs(node: Node) -> None:
+    logger = logging.getLogger('sesameroute')
+    logger.propagate = False
+    logger.setLevel(logging.INFO)
+    logger.addHandler(LogBridge(node.observers.log))
