Test the programs as processes: planned stop, kill, replacement

Cause: nothing showed that separate processes work together. Change: tests that start the programs with the example settings.

--- a/sesameroute/adapters/tests/test_upstreams.py
+++ b/sesameroute/adapters/tests/test_upstreams.py
@@ -11,9 +11,15 @@
 from sesameroute.statement import Kind, Upstream
 from sesameroute.verdict import Verdict
 
+_ADDRESS = '127.31.0.2'
 _KIND = Kind('stock-check', 'tray-catalogue', work_ms=10)
 
 
+def serve(script):
+    """Return a scripted server on this module's own address."""
+    return ScriptedServer(script, _ADDRESS)
+
+
 def build_request(seconds=1.0):
     """Return a light request with a deadline."""
     return Request(_KIND, 'GET', '/a/b', deadline=time.monotonic() + seconds)
@@ -21,13 +27,13 @@
 
 def build_upstream(port):
     """Return a backend server on this machine."""
-    return Upstream('u', 's', 'd', '127.0.0.1', port, slots=1, connections=9)
+    return Upstream('u', 's', 'd', _ADDRESS, port, slots=1, connections=9)
 
 
 @pytest.fixture
 def adapter():
     """Yield an adapter that closes its connections."""
-    built = HttpUpstreams(TcpWire(), '127.0.0.1', SystemClock())
+    built = HttpUpstreams(TcpWire(), _ADDRESS, SystemClock())
     yield built
     built.close()
 
@@ -53,7 +59,7 @@
 )
 def test_failure_verdict(adapter, sent, code, verdict):
     """A failure on a fresh connection brings its code and verdict."""
-    with ScriptedServer(lambda _number, _count: sent) as server:
+    with serve(lambda _number, _count: sent) as server:
         with pytest.raises(RequestError) as caught:
             adapter.send(
                 build_upstream(server.port),
@@ -65,7 +71,7 @@
 
 def test_refused_is_not_run(adapter):
     """A refused connection is a certain not-run."""
-    with ScriptedServer(lambda _number, _count: b'') as server:
+    with serve(lambda _number, _count: b'') as server:
         port = server.port
     with pytest.raises(RequestError) as caught:
         adapter.send(build_upstream(port), build_request(), fresh=True)
@@ -75,7 +81,7 @@
 def test_cut_body_is_not_passed_off(adapter):
     """A truncated body raises in the middle of the chunks."""
     cut = b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\ncut'
-    with ScriptedServer(lambda _number, _count: cut) as server:
+    with serve(lambda _number, _count: cut) as server:
         answer = adapter.send(
             build_upstream(server.port),
             build_request(),
@@ -93,7 +99,7 @@
     def script(number, count):
         return failure if number == 1 and count > 1 else answer_whole()
 
-    with ScriptedServer(script) as server:
+    with serve(script) as server:
         upstream = build_upstream(server.port)
         for _ in range(3):
             answer = adapter.send(upstream, build_request(), fresh=False)
@@ -103,7 +109,7 @@
 
 def test_unread_body_closes_connection(adapter):
     """A connection whose answer was abandoned is never reused."""
-    with ScriptedServer(lambda _number, _count: answer_whole()) as server:
+    with serve(lambda _number, _count: answer_whole()) as server:
         upstream = build_upstream(server.port)
         answer = adapter.send(upstream, build_request(), fresh=False)
         answer.chunks.close()
--- a/sesameroute/programs/send.py
+++ b/sesameroute/programs/send.py
@@ -25,15 +25,6 @@
     }
 )
 
-flags.DEFINE_string('statement', '', 'Statement with kinds and look-ups.')
-flags.DEFINE_string('kind', '', 'Kind of the request.')
-flags.DEFINE_string('rest', '', 'Path after /SERVICE/KIND/.')
-flags.DEFINE_string('body', '', 'Body of the request.')
-flags.DEFINE_string('key', '', 'Key of a request whose fate is open.')
-flags.DEFINE_string('domain', '', 'Failure domain nearest to the caller.')
-flags.DEFINE_string('source', '127.0.0.1', 'Local IP address to send from.')
-flags.DEFINE_integer('count', 1, 'Number of requests.', lower_bound=1)
-flags.DEFINE_boolean('trace', False, 'Trace each request and print its span.')
 
 _USAGE = """Sends requests through the entry VMs and prints their outcome.
 
@@ -45,10 +36,25 @@
 
 def run() -> None:
     """Run the program."""
+    _define_flags()
     sys.modules['__main__'].__doc__ = _USAGE
     app.run(_send)
 
 
+def _define_flags() -> None:
+    flags.DEFINE_string('statement', '', 'Statement with kinds and look-ups.')
+    flags.DEFINE_string('kind', '', 'Kind of the request.')
+    flags.DEFINE_string('rest', '', 'Path after /SERVICE/KIND/.')
+    flags.DEFINE_string('body', '', 'Body of the request.')
+    flags.DEFINE_string('key', '', 'Key of a request whose fate is open.')
+    flags.DEFINE_string('domain', '', 'Failure domain nearest to the caller.')
+    flags.DEFINE_string('source', '127.0.0.1', 'Local IP address to send from.')
+    flags.DEFINE_integer('count', 1, 'Number of requests.', lower_bound=1)
+    flags.DEFINE_boolean(
+        'trace', False, 'Trace each request and print its span.'
+    )
+
+
 def _send(_arguments: list[str]) -> int:
     try:
         statement = read_statement(Path(_FLAGS.statement).read_text('utf-8'))
--- a/sesameroute/programs/standin.py
+++ b/sesameroute/programs/standin.py
@@ -27,12 +27,6 @@
 _LIST_PORT = 8501
 _FLAGS = flags.FLAGS
 
-flags.DEFINE_string('statement', '', 'Statement whose backend servers to run.')
-flags.DEFINE_string('address', '127.25.250.1', 'IP address of the platform.')
-flags.DEFINE_integer(
-    'store_port', _STORE_PORT, 'TCP port of the key-value service.'
-)
-flags.DEFINE_integer('list_port', _LIST_PORT, 'TCP port of the VM list.')
 
 _USAGE = """Runs a key-value service, a VM list and the backend servers of a
 statement until SIGTERM. All of them keep everything in memory.
@@ -44,10 +38,24 @@
 
 def run() -> None:
     """Run the program."""
+    _define_flags()
     sys.modules['__main__'].__doc__ = _USAGE
     app.run(_serve)
 
 
+def _define_flags() -> None:
+    flags.DEFINE_string(
+        'statement', '', 'Statement whose backend servers to run.'
+    )
+    flags.DEFINE_string(
+        'address', '127.25.250.1', 'IP address of the platform.'
+    )
+    flags.DEFINE_integer(
+        'store_port', _STORE_PORT, 'TCP port of the key-value service.'
+    )
+    flags.DEFINE_integer('list_port', _LIST_PORT, 'TCP port of the VM list.')
+
+
 def _serve(_arguments: list[str]) -> int:
     told = threading.Event()
 
--- /dev/null
+++ b/sesameroute/programs/tests/test_processes.py
@@ -0,0 +1,168 @@
+"""The programs as separate processes: start, send, drain, kill, replace."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from sesameroute.adapters import HttpStore
+from sesameroute.caller import Caller, Directory
+from sesameroute.exceptions import ExitCode
+from sesameroute.membership import Configuration, encode_configuration
+from sesameroute.ports import SystemClock, TcpWire
+from sesameroute.statement import read_statement
+from sesameroute.verdict import Verdict
+
+_EXAMPLES = Path('examples/processes')
+# Runs beside each other take different networks of the loopback range.
+_NETWORK = f'127.{130 + os.getpid() % 100}.'
+_KEY = 'sesameroute/configuration'
+_WAIT_SECONDS = 15
+
+
+class Fleet:
+    """Starts programs with the example settings on a network of their own."""
+
+    def __init__(self, folder):
+        """Write the settings with the test's addresses."""
+        self.folder = folder
+        self.processes = []
+        for path in _EXAMPLES.glob('*.ini'):
+            text = path.read_text('utf-8').replace('127.25.', _NETWORK)
+            (folder / path.name).write_text(text, 'utf-8')
+        text = (folder / 'statement.ini').read_text('utf-8')
+        self.statement = read_statement(text)
+        self.configuration = Configuration(1, 'test', text)
+
+    def run(self, program, *arguments):
+        """Start a program of the package."""
+        started = subprocess.Popen(
+            [sys.executable, '-m', f'sesameroute.programs.{program}']
+            + list(arguments),
+            stderr=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+        )
+        self.processes.append(started)
+        return started
+
+    def run_node(self, program, vm):
+        """Start an entry or look-up with a VM's settings."""
+        return self.run(program, '--config', str(self.folder / f'{vm}.ini'))
+
+    def build_caller(self):
+        """Return a caller near the first VM."""
+        lookups = tuple(
+            (vm.address, self.statement.lookup_port)
+            for vm in self.statement.vms.values()
+        )
+        return Caller(
+            Directory(
+                lookups,
+                'plovdiv-a',
+                TcpWire(),
+                f'{_NETWORK}9.1',
+                SystemClock(),
+            ),
+        )
+
+    def submit(self):
+        """Put the statement into the store, once it is up."""
+        store = HttpStore(
+            f'http://{_NETWORK}250.1:8500',
+            TcpWire(),
+            f'{_NETWORK}9.1',
+        )
+        wait_for(lambda: store.read(_KEY) is None)
+        store.swap(_KEY, encode_configuration(self.configuration), 0)
+
+
+def wait_for(check):
+    """Call `check` until it is true; errors count as false."""
+    until = time.monotonic() + _WAIT_SECONDS
+    while time.monotonic() < until:
+        with contextlib.suppress(Exception):
+            if check():
+                return
+        time.sleep(0.1)
+    pytest.fail('not true in time')
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory):
+    """Yield a fleet of two entry VMs with a statement in force."""
+    built = Fleet(tmp_path_factory.mktemp('fleet'))
+    statement = str(built.folder / 'statement.ini')
+    built.run(
+        'standin',
+        f'--statement={statement}',
+        f'--address={_NETWORK}250.1',
+    )
+    for vm in built.statement.vms:
+        built.run_node('lookup', vm)
+    built.entries = {
+        vm: built.run_node('entry', vm) for vm in built.statement.vms
+    }
+    built.submit()
+    caller = built.build_caller()
+    wait_for(lambda: send_order(built, caller).verdict is Verdict.RAN)
+    yield built
+    for process in built.processes:
+        process.kill()
+        process.wait()
+
+
+def send_order(fleet, caller):
+    """Send one order and return its outcome."""
+    return caller.send(fleet.statement.kinds['batch-order'], body=b'pallets')
+
+
+def test_planned_stop_cuts_nothing(fleet):
+    """Every order is answered while an entry VM leaves and comes back."""
+    caller = fleet.build_caller()
+    leaving = fleet.entries['plovdiv-a-1']
+    leaving.send_signal(signal.SIGTERM)
+    verdicts = []
+    while leaving.poll() is None:
+        verdicts.append(send_order(fleet, caller).verdict)
+    verdicts.extend(send_order(fleet, caller).verdict for _ in range(5))
+    assert leaving.returncode == ExitCode.OK
+    assert set(verdicts) == {Verdict.RAN}
+    fleet.entries['plovdiv-a-1'] = fleet.run_node('entry', 'plovdiv-a-1')
+
+
+def test_killed_entry_is_replaced(fleet):
+    """After a kill the other VM serves, and a new process joins."""
+    caller = fleet.build_caller()
+    fleet.entries['plovdiv-b-1'].kill()
+    fleet.entries['plovdiv-b-1'].wait()
+    wait_for(lambda: send_order(fleet, caller).verdict is Verdict.RAN)
+    fleet.entries['plovdiv-b-1'] = fleet.run_node('entry', 'plovdiv-b-1')
+    wait_for(lambda: count_vms(fleet) == len(fleet.entries))
+
+
+def count_vms(fleet):
+    """Return how many entry VMs a look-up names with a key prefix."""
+    directory = fleet.build_caller().directory
+    entries = directory._find_entries('order-desk', ())
+    return sum(bool(entry.prefix) for entry in entries)
+
+
+@pytest.mark.parametrize(
+    ('program', 'text', 'code'),
+    [
+        ('entry', '[vm]\nname = a\n', ExitCode.INPUT),
+        ('entry', 'nonsense', ExitCode.INPUT),
+        ('lookup', '[vm]\nname = a\nsurprise = 1\n', ExitCode.INPUT),
+    ],
+)
+def test_bad_settings(fleet, tmp_path, program, text, code):
+    """Bad settings end the program before it listens."""
+    path = tmp_path / 'bad.ini'
+    path.write_text(text, 'utf-8')
+    started = fleet.run(program, '--config', str(path))
+    assert started.wait(_WAIT_SECONDS) == code
