--- a/sesameroute/fakes/__init__.py
+++ b/sesameroute/fakes/__init__.py
@@ -12,6 +12,7 @@
     StoreOutage,
 )
 from sesameroute.fakes._store import FakeStoreServer
+from sesameroute.fakes._slots import SlotQueue
 from sesameroute.fakes._upstream import FakeUpstream
 from sesameroute.fakes._vmlist import FakeVmList
 from sesameroute.fakes._wire import FakeWire
@@ -30,6 +31,7 @@
     'PausableClock',
     'Run',
     'Site',
+    'SlotQueue',
     'StoreFaults',
     'StoreOutage',
     'WorkKind',
--- a/sesameroute/fakes/_upstream.py
+++ b/sesameroute/fakes/_upstream.py
@@ -61,6 +61,11 @@
         self._listener: socket.socket | None = None
         self._connections: set[Connection] = set()
 
+    @property
+    def is_running(self) -> bool:
+        """Whether it listens."""
+        return self._listener is not None
+
     def start(self) -> None:
         """Listen; after a crash the server is cold again."""
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -86,13 +91,12 @@
         for connection in connections:
             connection.reset()
 
-    def drain(self) -> None:
-        """Announce the leaving; refuse new work some seconds later."""
-        self.drained_at = time.monotonic()
+    def drain(self, *, leaving: bool = True) -> None:
+        """Announce the leaving, or that it is off.
 
-    def undrain(self) -> None:
-        """Take new work again."""
-        self.drained_at = 0
+        New work is refused some seconds later.
+        """
+        self.drained_at = time.monotonic() if leaving else 0
 
     def silence(self) -> None:
         """Never answer again on the connections that are open now."""
--- a/sesameroute/fakes/_wire.py
+++ b/sesameroute/fakes/_wire.py
@@ -106,6 +106,10 @@
         self.outages.kill(address)
         self._pump.close(lambda lane: address in {lane.source, lane.target})
 
+    def reset(self, selects: Callable[[Lane], bool]) -> None:
+        """Reset the open connections that `selects` names."""
+        self._pump.close(selects)
+
     def silence(self, selects: Callable[[Lane], bool]) -> int:
         """Lose track of the open connections that `selects` names.
 
--- /dev/null
+++ b/sesameroute/local/_vm.py
@@ -0,0 +1,90 @@
+"""One entry VM of a local run: its entry and its look-up process."""
+
+from sesameroute.fakes import FakeWire
+from sesameroute.local._process import LocalProcess
+from sesameroute.programs import EntryNode, LookupNode
+from sesameroute.settings import Settings
+
+__all__ = ['LocalVm']
+
+
+class LocalVm:
+    """Both processes on one address.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of both processes.
+    wire : FakeWire
+        The network of the deployment.
+    seed : int
+        Seed of their random choices.
+
+    """
+
+    def __init__(self, settings: Settings, wire: FakeWire, seed: int) -> None:
+        """Store the parameters."""
+        self.settings = settings
+        self.wire = wire
+        ports = settings.ports
+        self.entry = LocalProcess(
+            EntryNode,
+            settings,
+            (ports.entry, ports.peer),
+            wire,
+            seed,
+        )
+        self.lookup = LocalProcess(
+            LookupNode,
+            settings,
+            (ports.lookup,),
+            wire,
+            seed + 1,
+        )
+
+    @property
+    def name(self) -> str:
+        """Name of the VM."""
+        return self.settings.vm.name
+
+    @property
+    def address(self) -> str:
+        """IP address of the VM."""
+        return self.settings.vm.address
+
+    @property
+    def domain(self) -> str:
+        """Failure domain of the VM."""
+        return self.settings.vm.domain
+
+    def start(self) -> None:
+        """Start both processes."""
+        self.entry.start()
+        self.lookup.start()
+
+    def crash(self) -> None:
+        """End both processes at once."""
+        self.entry.crash()
+        self.lookup.crash()
+
+    def pause(self) -> None:
+        """Let the whole VM stand still."""
+        self.wire.outages.pause(self.address)
+        self.entry.pause()
+        self.lookup.pause()
+
+    def resume(self) -> None:
+        """Let the whole VM go on."""
+        self.entry.resume()
+        self.lookup.resume()
+        self.wire.outages.resume(self.address)
+
+    def list_versions(self) -> tuple[tuple[int, int], ...]:
+        """Return identity and configuration version of each process."""
+        entry, lookup = self.entry.node, self.lookup.node
+        versions = []
+        if entry is not None:
+            versions.append((id(entry), entry.parts.membership.version))
+        if lookup is not None:
+            versions.append((id(lookup), lookup.membership.version))
+        return tuple(versions)
