Claim a network for each local run

Cause: two runs that started together took the same addresses; each then saw the other's entry VMs and three in four orders failed. Change: a run binds a claim to its network before it starts anything.

--- a/sesameroute/local/__init__.py
+++ b/sesameroute/local/__init__.py
@@ -5,7 +5,7 @@
 from sesameroute.local._options import FaultTime, RunOptions, parse_fault
 from sesameroute.local._place_faults import PLACE_FAULTS
 from sesameroute.local._platform_faults import PLATFORM_FAULTS
-from sesameroute.local._relocation import find_free_offset, relocate
+from sesameroute.local._relocation import claim_offset, relocate
 from sesameroute.local._report import build_report, print_json, print_table
 from sesameroute.local._session import Result, run_session
 from sesameroute.local._upstream_faults import UPSTREAM_FAULTS
@@ -19,7 +19,7 @@
     'Result',
     'RunOptions',
     'build_report',
-    'find_free_offset',
+    'claim_offset',
     'list_faults',
     'parse_fault',
     'print_json',
--- a/sesameroute/local/_relocation.py
+++ b/sesameroute/local/_relocation.py
@@ -7,10 +7,11 @@
 from sesameroute.exceptions import InputError
 from sesameroute.statement import Statement
 
-__all__ = ['find_free_offset', 'relocate']
+__all__ = ['claim_offset', 'relocate']
 
 _NETWORK_SIZE = 65_536  # addresses below one second octet
 _MOST_RUNS = 10
+_CLAIM_PORT = 8499  # bound, but never listened on
 _STRIDE = 20  # second octets between two runs
 
 
@@ -29,8 +30,8 @@
     return replace(statement, vms=vms, upstreams=upstreams)
 
 
-def find_free_offset(statement: Statement) -> int:
-    """Return the first offset at which no other run listens.
+def claim_offset(statement: Statement) -> tuple[int, socket.socket]:
+    """Return an offset that no other run uses, and the claim to it.
 
     Raises
     ------
@@ -40,21 +41,15 @@
     """
     first = next(iter(statement.vms.values()))
     for run in range(_MOST_RUNS):
-        offset = run * _STRIDE
-        if _is_free(_move(first.address, offset), statement.entry_port):
-            return offset
+        claim = socket.socket()
+        try:
+            claim.bind((_move(first.address, run * _STRIDE), _CLAIM_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return run * _STRIDE, claim
     raise InputError(f'{first.address}: {_MOST_RUNS} runs are under way')
 
 
 def _move(address: str, offset: int) -> str:
     return str(IPv4Address(address) + offset * _NETWORK_SIZE)
-
-
-def _is_free(address: str, port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((address, port))
-        except OSError:
-            return False
-    return True
--- a/sesameroute/local/_upstream_faults.py
+++ b/sesameroute/local/_upstream_faults.py
@@ -113,7 +113,7 @@
         def selects(lane: Lane) -> bool:
             # Both directions of a connection must fall alike.
             ends = sorted((lane.source, lane.target))
-            return xxh3_64_intdigest(f'{ends}{lane.port}') % 2 == 0
+            return xxh3_64_intdigest(f'{ends}{lane.port}'.encode()) % 2 == 0
 
         scene.deployment.wire.silence(selects)
 
--- a/sesameroute/programs/local.py
+++ b/sesameroute/programs/local.py
@@ -9,7 +9,7 @@
 from sesameroute.local import (
     RunOptions,
     build_report,
-    find_free_offset,
+    claim_offset,
     list_faults,
     parse_fault,
     print_json,
@@ -72,8 +72,9 @@
         faults=tuple(parse_fault(text) for text in _FAULTS.value),
     )
     statement = read_statement(_read_text(), _CONFIG.value)
-    moved = relocate(statement, find_free_offset(statement))
-    result = run_session(moved, options)
+    offset, claim = claim_offset(statement)
+    with claim:
+        result = run_session(relocate(statement, offset), options)
     report = build_report(result)
     draw(result)
     if _REPORT.value == 'table':
