--- a/sesameroute/fakes/__init__.py
+++ b/sesameroute/fakes/__init__.py
@@ -11,8 +11,8 @@
     StoreFaults,
     StoreOutage,
 )
-from sesameroute.fakes._store import FakeStoreServer
 from sesameroute.fakes._slots import SlotQueue
+from sesameroute.fakes._store import FakeStoreServer
 from sesameroute.fakes._upstream import FakeUpstream
 from sesameroute.fakes._vmlist import FakeVmList
 from sesameroute.fakes._wire import FakeWire
--- a/sesameroute/local/_process.py
+++ b/sesameroute/local/_process.py
@@ -9,7 +9,9 @@
 from weakref import WeakSet
 
 from sesameroute.fakes import FakeWire, PausableClock
-from sesameroute.programs import EntryNode, LookupNode, Outside
+from sesameroute.programs._entry_node import EntryNode
+from sesameroute.programs._lookup_node import LookupNode
+from sesameroute.programs._surroundings import Outside
 from sesameroute.settings import Settings
 
 __all__ = ['LocalProcess', 'ProcessWire', 'end_node']
--- a/sesameroute/local/_vm.py
+++ b/sesameroute/local/_vm.py
@@ -2,7 +2,8 @@
 
 from sesameroute.fakes import FakeWire
 from sesameroute.local._process import LocalProcess
-from sesameroute.programs import EntryNode, LookupNode
+from sesameroute.programs._entry_node import EntryNode
+from sesameroute.programs._lookup_node import LookupNode
 from sesameroute.settings import Settings
 
 __all__ = ['LocalVm']
--- /dev/null
+++ b/sesameroute/local/tests/test_session.py
@@ -0,0 +1,110 @@
+"""Short runs of small deployments; only counts are checked."""
+
+import io
+import json
+
+import pytest
+
+from sesameroute.exceptions import InputError
+from sesameroute.local import (
+    RunOptions,
+    build_report,
+    claim_offset,
+    list_faults,
+    parse_fault,
+    print_json,
+    print_table,
+    relocate,
+    run_session,
+)
+from sesameroute.statement import StatementBuilder
+
+_BROKEN = ('lost', 'doubled', 'wrong_answer', 'false_not_run')
+
+
+def _build_statement():
+    builder = StatementBuilder('small')
+    builder.set_places(
+        'north',
+        domain_delay_ms=1,
+        region_delay_ms=5,
+        client_delay_ms=1,
+    )
+    builder.add_region('north', 'north-a', 'north-b')
+    builder.add_region('south', 'south-a')
+    builder.set_policy(priority='latency')
+    addresses = {}
+    for number, domain in enumerate(('north-a', 'north-b', 'south-a')):
+        network = f'127.19.{number}'
+        builder.add_vm(f'{domain}-1', domain, f'{network}.11')
+        addresses[domain] = f'{network}.100'
+    for service, idempotent in (('checks', True), ('orders', False)):
+        builder.add_service(service)
+        builder.add_kind(f'{service}-kind', service, idempotent=idempotent)
+        builder.add_upstreams(
+            service,
+            count=6,
+            addresses=addresses,
+            port=9000 if idempotent else 9001,
+            slots=4,
+            connections=100,
+        )
+    builder.add_link('north', 'south', megabits=100)
+    return builder.build()
+
+
+def _run(*faults, seconds=3):
+    statement = _build_statement()
+    options = RunOptions(
+        seconds=seconds,
+        seed=3,
+        rate=20,
+        faults=tuple(parse_fault(text) for text in faults),
+    )
+    offset, claim = claim_offset(statement)
+    with claim:
+        moved = relocate(statement, offset)
+        return build_report(run_session(moved, options, io.StringIO()))
+
+
+def _sum(report, word):
+    return sum(counts[word] for counts in report['requests'].values())
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [
+        (),
+        ('upstream-crash@1',),
+        ('entry-crash@1',),
+    ],
+)
+def test_no_promise_breaks(faults):
+    report = _run(*faults)
+    assert _sum(report, 'sent') > 20
+    assert {word: _sum(report, word) for word in _BROKEN} == dict.fromkeys(
+        _BROKEN,
+        0,
+    )
+    assert not report['problems']
+    assert json.loads(print_json(report)) == report
+    assert 'orders-kind' in print_table(report)
+
+
+def test_an_unknown_fault_is_named_before_anything_starts():
+    with pytest.raises(InputError, match='allowed: cold-starts'):
+        _run('nonsense')
+
+
+def test_every_fault_says_what_it_does():
+    for name, text in list_faults():
+        assert text.endswith('.'), name
+
+
+def test_two_runs_never_share_addresses():
+    statement = _build_statement()
+    first, claim = claim_offset(statement)
+    with claim:
+        second, other = claim_offset(statement)
+        other.close()
+    assert first != second
--- a/sesameroute/programs/local.py
+++ b/sesameroute/programs/local.py
@@ -1,5 +1,6 @@
 """`sesame-local`: a whole deployment in one process, under load and faults."""
 
+import logging
 import sys
 from pathlib import Path
 
@@ -63,6 +64,8 @@
 
 def _run_and_print() -> int:
     draw = _find_drawing()
+    # Pools and parts log through the standard library; the report counts.
+    logging.disable(logging.WARNING)
     options = RunOptions(
         seconds=_SECONDS.value,
         seed=_SEED.value,
