Weigh a statement's size and the loss of a domain, in less time

Cause: a check went through all drains for each backend server, and each submission asked every entry VM for its version. Change: drained names are gathered once, repeated titles counted once; the size as the store keeps it is checked, and the loss of one failure domain is warned of; two VMs of each failure domain are asked for the version in force. Fuzz of settings files. Ctrl-C says where to look.

--- a/sesameroute/programs/_control_context.py
+++ b/sesameroute/programs/_control_context.py
@@ -19,6 +19,7 @@
 _MILLISECONDS = 1000  # in a second
 _ANY_ADDRESS = ''
 _STANDARD_INPUT = '-'
+_ASKED_PER_DOMAIN = 2
 
 
 class Context:
@@ -100,17 +101,33 @@
         print(text, file=sys.stderr)
 
     def find_known_version(self) -> int:
-        """Return the highest version that an entry VM knows.
+        """Return the highest version that the fleet is known to have.
 
-        A store that lost writes must not give their versions out again.
+        A store that lost writes must not give their versions out again. A
+        few entry VMs of each failure domain are asked, not hundreds.
         """
-        answers = self.fleet.fetch_status().answers
+        if self.statement is None:
+            return 0
+        asked = [
+            vm.name
+            for domain in self.statement.places.domains
+            for vm in self.statement.list_vms(domain)[:_ASKED_PER_DOMAIN]
+        ]
+        answers = self.fleet.fetch_status(asked).answers
         return max((page.get('version', 0) for page in answers), default=0)
 
-    def _list_stated_urls(self) -> dict[str, str]:
+    @cached_property
+    def statement(self) -> Statement | None:
+        """The stored statement, None if there is none."""
         base = self.configurations.read()
         if base.configuration is None:
+            return None
+        return read_statement(base.text, f'version {base.version}')
+
+    def _list_stated_urls(self) -> dict[str, str]:
+        if self.statement is None:
             return {}
-        statement: Statement = read_statement(base.text)
-        addresses = [(vm.name, vm.address) for vm in statement.vms.values()]
-        return list_urls(addresses, statement.entry_port)
+        addresses = [
+            (vm.name, vm.address) for vm in self.statement.vms.values()
+        ]
+        return list_urls(addresses, self.statement.entry_port)
--- a/sesameroute/programs/_control_fleet.py
+++ b/sesameroute/programs/_control_fleet.py
@@ -1,6 +1,6 @@
 """The entry VMs as an operator asks them."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from typing import Annotated, Any
@@ -77,24 +77,36 @@
         self.timeout = timeout
         self._pool = urllib3.PoolManager(num_pools=_THREADS, retries=False)
 
-    def fetch(self, path: str) -> FleetView:
-        """Return the pages of all VMs, and why some are missing."""
+    def fetch(
+        self,
+        path: str,
+        vms: Collection[str] | None = None,
+    ) -> FleetView:
+        """Return the pages of some VMs, and why some are missing.
+
+        Parameters
+        ----------
+        vms : collection of str, optional
+            Names of the VMs to ask; all by default.
+
+        """
+        asked = self.urls if vms is None else vms
         view = FleetView()
         with ThreadPoolExecutor(_THREADS) as threads:
             pages = threads.map(
                 lambda vm: self._fetch_page(vm, path),
-                self.urls,
+                asked,
             )
-            for vm, page in zip(self.urls, pages, strict=True):
+            for vm, page in zip(asked, pages, strict=True):
                 if isinstance(page, str):
                     view.missing[vm] = page
                 else:
                     view.answers.append({'vm': vm, **page})
         return view
 
-    def fetch_status(self) -> FleetView:
-        """Return what the VMs believe."""
-        return self.fetch('/-/status')
+    def fetch_status(self, vms: Collection[str] | None = None) -> FleetView:
+        """Return what some or all VMs believe."""
+        return self.fetch('/-/status', vms)
 
     def explain(self, subject: str) -> FleetView:
         """Return why decisions about a service or request key fell."""
--- a/sesameroute/programs/control.py
+++ b/sesameroute/programs/control.py
@@ -56,7 +56,15 @@
 
 def run() -> None:
     """Run the program."""
-    sys.exit(int(main(sys.argv)))
+    try:
+        code = main(sys.argv)
+    except KeyboardInterrupt:
+        print(
+            'interrupted: look with `sesamectl show` at what took effect',
+            file=sys.stderr,
+        )
+        code = ExitCode.UNREACHABLE
+    sys.exit(int(code))
 
 
 def main(argv: list[str]) -> ExitCode:
--- a/sesameroute/settings/tests/test_settings.py
+++ b/sesameroute/settings/tests/test_settings.py
@@ -1,6 +1,10 @@
 """Settings: defaults, every wrong value at once, secrets kept out."""
 
+from contextlib import suppress
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from sesameroute.exceptions import ExitCode, InputError
 from sesameroute.settings import (
@@ -92,6 +96,27 @@
     assert KEY not in repr(parse_settings(WHOLE))
 
 
+@settings(derandomize=True, deadline=None, max_examples=200, database=None)
+@given(
+    edits=st.lists(
+        st.tuples(
+            st.integers(0, len(WHOLE.splitlines()) - 1),
+            st.text(max_size=12)
+            | st.sampled_from(['[log]', '[limits]', 'key =', 'urls = ,', '=']),
+        ),
+        min_size=1,
+        max_size=4,
+    ),
+)
+def test_edited_lines(edits):
+    """A damaged file raises InputError or is read; nothing else happens."""
+    lines = WHOLE.splitlines()
+    for place, line in edits:
+        lines[place] = line
+    with suppress(InputError):
+        assert parse_settings('\n'.join(lines)).vm
+
+
 @pytest.mark.parametrize('content', [None, b'\xff\xfe'])
 def test_unreadable_file(tmp_path, content):
     """A missing file and a file of another encoding are bad input."""
--- a/sesameroute/statement/_assembly.py
+++ b/sesameroute/statement/_assembly.py
@@ -1,5 +1,6 @@
 """Validated sections to a statement and back."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import asdict
 from types import MappingProxyType
@@ -102,13 +103,13 @@
 
 
 def _require_single(sections: Iterable[str], problems: ProblemList) -> None:
-    titles = [' '.join(title.split()) for title in sections]
-    for title in dict.fromkeys(titles):
-        if titles.count(title) > 1:
+    counts = Counter(' '.join(title.split()) for title in sections)
+    for title, count in counts.items():
+        if count > 1:
             problems.add(title, 'section stands twice')
-    for title in _SINGLE:
-        if title not in titles:
-            problems.add(title, 'section is missing')
+    for single in _SINGLE:
+        if single not in counts:
+            problems.add(single, 'section is missing')
 
 
 def _compose(parsed: _Parsed) -> Statement:
--- a/sesameroute/statement/_check.py
+++ b/sesameroute/statement/_check.py
@@ -1,5 +1,6 @@
 """Checks that a statement can hold what it promises."""
 
+import json
 from collections.abc import Iterator
 
 from sesameroute.statement._finding import Finding, Severity
@@ -7,10 +8,13 @@
 from sesameroute.statement._model import Statement
 from sesameroute.statement._reference import find_wrong_references
 from sesameroute.statement._room import Room
+from sesameroute.statement._text import print_statement
 
 __all__ = ['check_statement']
 
 _LEAST_DOMAINS = 2  # for a service
+_MOST_BYTES = 1_000_000  # of a value in the store
+_ENVELOPE_BYTES = 4000
 _LEAST_VMS = 2  # a request key needs a witness
 
 
@@ -40,19 +44,32 @@
     wrong = list(find_wrong_references(statement))
     if wrong:
         return wrong
+    room = Room(statement)
     return [
-        *_check_vms(statement),
-        *_check_services(statement),
+        *_check_size(statement),
+        *_check_vms(room),
+        *_check_services(room),
         *_check_upstreams(statement),
         *_check_kinds(statement),
         *_check_links(statement),
-        *_check_shifts(statement),
-        *find_overloads(statement),
+        *_check_shifts(room),
+        *find_overloads(room),
     ]
 
 
-def _check_vms(statement: Statement) -> Iterator[Finding]:
-    left = Room(statement).vms
+def _check_size(statement: Statement) -> Iterator[Finding]:
+    # As the store keeps it: JSON, beside version and submission ids.
+    size = len(json.dumps(print_statement(statement))) + _ENVELOPE_BYTES
+    if size > _MOST_BYTES:
+        yield Finding(
+            'institution',
+            f'the statement has {size} bytes; allowed: up to {_MOST_BYTES}',
+        )
+
+
+def _check_vms(room: Room) -> Iterator[Finding]:
+    statement = room.statement
+    left = room.vms
     if len(left) < _LEAST_VMS:
         yield Finding(
             'vm',
@@ -68,9 +85,8 @@
             )
 
 
-def _check_services(statement: Statement) -> Iterator[Finding]:
-    room = Room(statement)
-    for service in statement.services:
+def _check_services(room: Room) -> Iterator[Finding]:
+    for service in room.statement.services:
         domains = {each.domain for each in room.list_upstreams(service)}
         if len(domains) < _LEAST_DOMAINS:
             yield Finding(
@@ -139,10 +155,9 @@
             )
 
 
-def _check_shifts(statement: Statement) -> Iterator[Finding]:
+def _check_shifts(room: Room) -> Iterator[Finding]:
     moved: dict[tuple[str, str], float] = {}
-    room = Room(statement)
-    for shift in statement.shifts.values():
+    for shift in room.statement.shifts.values():
         place = shift.service, shift.source
         moved[place] = moved.get(place, 0) + shift.fraction
         if moved[place] > 1:
--- a/sesameroute/statement/_load.py
+++ b/sesameroute/statement/_load.py
@@ -1,5 +1,6 @@
 """The stated load against slots and links."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from sesameroute.statement._finding import Finding, Severity
@@ -11,20 +12,21 @@
 _MILLISECONDS = 1000  # in a second
 
 
-def find_overloads(statement: Statement) -> Iterator[Finding]:
+def find_overloads(room: Room) -> Iterator[Finding]:
     """Yield where the stated peak load exceeds slots or links.
 
     Callers are taken to be spread evenly over the regions. Nothing is
     found when no load is stated.
     """
-    if not statement.policy.peak_rate:
+    if not room.statement.policy.peak_rate:
         return
-    yield from _find_short_services(statement)
-    yield from _find_short_links(statement)
+    yield from _find_short_services(room)
+    yield from _find_short_links(room)
+    yield from _find_vital_domains(room)
 
 
-def _find_short_services(statement: Statement) -> Iterator[Finding]:
-    room = Room(statement)
+def _find_short_services(room: Room) -> Iterator[Finding]:
+    statement = room.statement
     reserve = statement.policy.reserve
     for service in statement.services:
         slots = room.count_slots(service)
@@ -44,11 +46,31 @@
             )
 
 
-def _find_short_links(statement: Statement) -> Iterator[Finding]:
+def _find_vital_domains(room: Room) -> Iterator[Finding]:
+    """Yield services that the loss of one failure domain would overload."""
+    statement = room.statement
+    for service in statement.services:
+        slots = room.count_slots(service)
+        needed = _count_needed_slots(statement, service)
+        losses = Counter()
+        for upstream in room.list_upstreams(service):
+            losses[upstream.domain] += upstream.slots
+        for domain, lost in losses.items():
+            if slots - lost < needed <= slots:
+                yield Finding(
+                    f'service {service}',
+                    f'without {domain} there are {slots - lost} slots; '
+                    f'{needed:.1f} are needed for the stated load',
+                    Severity.WARNING,
+                )
+
+
+def _find_short_links(room: Room) -> Iterator[Finding]:
     """Yield regions whose spilled work exceeds the links to them."""
+    statement = room.statement
     for region in statement.places.regions:
         needed = sum(
-            _count_spilled_bytes(statement, service, region)
+            _count_spilled_bytes(room, service, region)
             for service in statement.services
         )
         carried = sum(
@@ -75,16 +97,17 @@
 
 
 def _count_spilled_bytes(
-    statement: Statement,
+    room: Room,
     service: str,
     region: str,
 ) -> float:
     """Return the bytes a second that a region's callers get from others."""
+    statement = room.statement
     regions = len(statement.places.regions)
     needed = _count_needed_slots(statement, service) / regions
     if not needed:
         return 0
-    slots = Room(statement).count_slots(service, region)
+    slots = room.count_slots(service, region)
     answered = sum(
         _count_rate(statement, kind) * kind.answer_bytes
         for kind in statement.kinds.values()
--- a/sesameroute/statement/_room.py
+++ b/sesameroute/statement/_room.py
@@ -1,9 +1,9 @@
 """What the drains of a statement leave."""
 
+from collections.abc import Mapping
 from functools import cached_property
 
 from sesameroute.statement._model import (
-    Drain,
     DrainTarget,
     Statement,
     Upstream,
@@ -62,23 +62,24 @@
             if region in {'', find_region(upstream.domain)}
         )
 
-    def _is_drained(self, target: DrainTarget, place: Vm | Upstream) -> bool:
-        return any(
-            self._covers(drain, target, place)
-            for drain in self.statement.drains.values()
+    @cached_property
+    def _drained_names(self) -> Mapping[DrainTarget, frozenset[str]]:
+        drains = self.statement.drains.values()
+        return {
+            target: frozenset(
+                drain.subject for drain in drains if drain.target is target
+            )
+            for target in DrainTarget
+        }
+
+    @cached_property
+    def _drained_domains(self) -> frozenset[str]:
+        """Failure domains that are drained, alone or with their region."""
+        regions = self._drained_names[DrainTarget.REGION]
+        return self._drained_names[DrainTarget.DOMAIN].union(
+            *(self.statement.places.regions[region] for region in regions),
         )
 
-    def _covers(
-        self,
-        drain: Drain,
-        target: DrainTarget,
-        place: Vm | Upstream,
-    ) -> bool:
-        subjects = {
-            target: place.name,
-            DrainTarget.DOMAIN: place.domain,
-            DrainTarget.REGION: self.statement.places.find_region(
-                place.domain,
-            ),
-        }
-        return subjects.get(drain.target) == drain.subject
+    def _is_drained(self, target: DrainTarget, place: Vm | Upstream) -> bool:
+        is_named = place.name in self._drained_names[target]
+        return is_named or place.domain in self._drained_domains
--- a/sesameroute/statement/tests/test_check.py
+++ b/sesameroute/statement/tests/test_check.py
@@ -110,6 +110,24 @@
     )
 
 
+def test_loss_of_a_domain_is_warned_of():
+    """Load that needs every failure domain may be submitted as well."""
+    warnings = list_messages(build(peak_rate=270), Severity.WARNING)
+    assert 'without n-a there are 24 slots; 27.0 are needed' in warnings
+
+
+def test_statement_larger_than_a_value():
+    """A statement that the store would not take is found out."""
+    statement = build()
+    first = statement.upstreams['desk-1']
+    more = {
+        f'more-{number}': replace(first, name=f'more-{number}', port=number)
+        for number in range(10_000, 19_000)
+    }
+    large = replace(statement, upstreams={**statement.upstreams, **more})
+    assert 'allowed: up to 1000000' in list_messages(large, Severity.ERROR)
+
+
 def test_reserve_is_warned_of():
     """Load that needs the reserve may be submitted, with a warning."""
     statement = build(peak_rate=300)
