Take over slots of dead owners, and start balancing with the entry

Cause: the programs never started the balancing, so homes did not get their standbys' slots; a dead process kept half of its region's slots idle. Change: the entry starts and stops it. A machine that refuses connections runs no process: its co-owner uses its slots for a term from each refused dial, and a restarted owner need not wait for its answer. Silence gives no right.

--- a/benchmarks/_scenarios.py
+++ b/benchmarks/_scenarios.py
@@ -79,14 +79,20 @@
 
 
 def lose_vm(traffic: Traffic) -> None:
-    """One entry VM dies and stays dead."""
+    """The machine of one entry VM dies and stays dead."""
     vm = _pick_vm(traffic)
-    _at(traffic, START, lambda: traffic.fleet.crash(vm))
+    _at(traffic, START, partial(traffic.fleet.lose, vm))
+
+
+def crash_vm(traffic: Traffic) -> None:
+    """The process of one entry VM dies and does not come back."""
+    vm = _pick_vm(traffic)
+    _at(traffic, START, partial(traffic.fleet.crash, vm))
 
 
 def _fail_domain(traffic: Traffic, domain: str) -> None:
     for vm in traffic.statement.list_vms(domain):
-        traffic.fleet.crash(vm.name)
+        traffic.fleet.lose(vm.name)
     for server in traffic.servers.values():
         if server.upstream.domain == domain:
             server.up = False
@@ -200,6 +206,7 @@
 
 _STEADY = Scenario('steady', 0.6)
 _LOST_VM = Scenario('lost-vm', 0.6, (lose_vm,))
+_CRASHED_VM = Scenario('crashed-vm', 0.6, (crash_vm,), 14)
 _LOST_DOMAIN = Scenario('lost-domain', 0.6, (lose_domain,))
 _LOST_REGION = Scenario('lost-region', 0.5, (lose_region,))
 _CUT = Scenario('cut', 0.6, (cut_region,))
@@ -214,6 +221,7 @@
     Scenario('full', 0.9),
     _SKEW,
     _LOST_VM,
+    _CRASHED_VM,
     _LOST_DOMAIN,
     _LOST_REGION,
     _CUT,
--- a/sesameroute/adapters/_peer_dialer.py
+++ b/sesameroute/adapters/_peer_dialer.py
@@ -1,5 +1,6 @@
 """Keeps one stream to one peer by dialing again."""
 
+import math
 import random
 import socket
 import threading
@@ -32,6 +33,12 @@
     target : tuple of (str, int)
         Its IP address and port.
 
+    Attributes
+    ----------
+    refused_ : float
+        Monotonic time in seconds at which the last dial began that the
+        peer's machine refused: no process listened there.
+
     """
 
     def __init__(
@@ -44,6 +51,7 @@
         self.network = network
         self.name = name
         self.target = target
+        self.refused_ = -math.inf
         self._is_stopping = threading.Event()
         self._random = random.Random()
         self._connection: socket.socket | None = None
@@ -80,12 +88,16 @@
     def _dial(self) -> bool:
         """Run one stream to its end; return whether there was one."""
         network = self.network
+        started = network.clock.read_monotonic()
         try:
             connection = network.wire.connect(
                 network.listen[0],
                 self.target,
                 _CONNECT_SECONDS,
             )
+        except ConnectionRefusedError:
+            self.refused_ = started
+            return False
         except OSError:
             return False
         try:
--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -1,5 +1,6 @@
 """Peer network over TCP: msgpack frames, one thread for each stream."""
 
+import math
 import socket
 import threading
 from collections.abc import Mapping
@@ -124,6 +125,17 @@
         senders = self.streams.list_senders()
         return tuple(sender for sender in senders if '/' in sender)
 
+    def list_refused(self) -> Mapping[str, float]:
+        """Return VMs that refused the last dial and when it began.
+
+        Monotonic times in seconds; VMs that never did are left out.
+        """
+        return {
+            name: dialer.refused_
+            for name, dialer in tuple(self._dialers.items())
+            if math.isfinite(dialer.refused_)
+        }
+
     def cast(self, vm: str, message: Any) -> bool:
         """Send a message without a reply; return whether it was queued."""
         stream = self.streams.find(vm)
--- a/sesameroute/ports/_peer.py
+++ b/sesameroute/ports/_peer.py
@@ -75,5 +75,13 @@
     def list_observers(self) -> tuple[str, ...]:
         """Return the ids of look-up processes and operators connected."""
 
+    def list_refused(self) -> Mapping[str, float]:
+        """Return VMs that refused the last dial and when it began.
+
+        Monotonic times in seconds. At that time no process listened there:
+        whatever an earlier one held has ended.
+        """
+        return {}
+
     def set_targets(self, targets: Mapping[str, tuple[str, int]]) -> None:
         """Keep streams to these VMs, by name with IP address and port."""
--- a/sesameroute/programs/_entry_node.py
+++ b/sesameroute/programs/_entry_node.py
@@ -87,6 +87,7 @@
         """
         self.parts.network.start(self.parts.handle)
         self.parts.membership.start()
+        self.parts.steering.start()
         self.server.start()
         threading.Thread(
             target=self._refresh,
@@ -131,6 +132,7 @@
     def crash(self) -> None:
         """Close everything at once, as the death of the process would."""
         self._is_stopping.set()
+        self.parts.steering.stop()
         self.parts.membership.stop()
         self.parts.network.stop()
         self.server.stop()
--- a/sesameroute/routing/_census.py
+++ b/sesameroute/routing/_census.py
@@ -16,7 +16,8 @@
 
     A new process has forgotten what it lent in an earlier life. Until the
     longest lease of that life has ended it leaves its own slots alone, but
-    when all others have said what they hold it need not wait.
+    when all others have said what they hold, or refuse connections and thus
+    run no process that holds any, it need not wait.
 
     Parameters
     ----------
@@ -34,6 +35,7 @@
         self.boot_ = book.clock.read_wall()
         self.answered_: set[str] = set()
         self.done_ = False
+        self._started = book.clock.read_monotonic()
         self._asked = -_REPEAT
 
     def ask_missing(self) -> None:
@@ -43,6 +45,10 @@
         if self.done_ or geography is None or now - self._asked < _REPEAT:
             return
         self._asked = now
+        refused = self.peers.list_refused()
+        self.answered_.update(
+            vm for vm, since in refused.items() if since >= self._started
+        )
         missing = self._list_missing(geography)
         if not missing:
             self._settle(now)
--- a/sesameroute/routing/_exchange.py
+++ b/sesameroute/routing/_exchange.py
@@ -11,6 +11,7 @@
 from sesameroute.routing._census import Census
 from sesameroute.routing._demand import Demand
 from sesameroute.routing._headroom import count_region
+from sesameroute.routing._inheritance import Inheritance
 from sesameroute.routing._lender import Lender
 from sesameroute.routing._messages import (
     GrantAsk,
@@ -38,6 +39,9 @@
         Streams to the other entry VMs.
     rng : random.Random
         Makes the incarnation.
+    pop_wishes : callable
+        Takes a service and a region; returns the requests that lacked a
+        slot there.
 
     """
 
@@ -46,22 +50,20 @@
         book: SlotBook,
         peers: Peers,
         rng: random.Random,
+        pop_wishes: Wishes,
     ) -> None:
         """Store the arguments; nothing is lent or borrowed."""
         self.book = book
         self.peers = peers
+        self.pop_wishes = pop_wishes
         self.lender_ = Lender(book, f'{rng.getrandbits(_BITS):x}')
         self.borrower_ = Borrower(book, peers)
         self.census_ = Census(book, peers)
+        self.inheritance_ = Inheritance(book, peers)
         self.demands_: dict[tuple[str, str], Demand] = {}
         self.waiting_: dict[str, int] = {}
 
-    def balance(
-        self,
-        service: str,
-        waiting: int,
-        wishes: Wishes,
-    ) -> None:
+    def balance(self, service: str, waiting: int) -> None:
         """Ask for slots that are missing and return those not needed.
 
         Parameters
@@ -70,19 +72,17 @@
             Name of the service.
         waiting : int
             Requests that wait for a slot here.
-        wishes : callable
-            Takes a service and a region; returns the requests that lacked a
-            slot there.
 
         """
         geography = self.book.read_geography()
         if geography is None:
             return
         self.census_.ask_missing()
+        self.inheritance_.take_over(service)
         self.waiting_[service] = waiting
         excess = {geography.region: self._serve_near(service, waiting)}
         for region in geography.list_far_regions(service):
-            wanted = waiting + wishes(service, region)
+            wanted = waiting + self.pop_wishes(service, region)
             excess[region] = self._serve_far(service, region, wanted)
         self.borrower_.renew(service, excess)
         if waiting:
--- a/sesameroute/routing/_steering.py
+++ b/sesameroute/routing/_steering.py
@@ -55,17 +55,26 @@
     ) -> None:
         """Store the arguments; no slot is taken."""
         self.clock = clock
+        self.peers = peers
         self.book_ = SlotBook(statement, vm, members, clock)
         self.picker_ = Picker(self.book_, rng)
-        self.exchange_ = Exchange(self.book_, peers, rng)
+        self.exchange_ = Exchange(
+            self.book_,
+            peers,
+            rng,
+            self.picker_.pop_wishes,
+        )
         self.admission_ = Admission(self.book_, self.try_choose, rng)
         self._lock = threading.RLock()
+        self._ticker = Ticker(self.tick, _TICK_INTERVAL)
 
-    def start(self) -> Ticker:
-        """Start the thread that balances slots; return it to be stopped."""
-        ticker = Ticker(self.tick, _TICK_INTERVAL)
-        ticker.start()
-        return ticker
+    def start(self) -> None:
+        """Start the thread that balances slots with the other VMs."""
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """End the balancing thread."""
+        self._ticker.stop()
 
     def choose(
         self,
@@ -114,7 +123,11 @@
         with self._lock:
             waiter = self.admission_.submit(request, exclude)
             if not waiter.done.is_set():
-                self._balance(request.kind.service)
+                service = request.kind.service
+                self.exchange_.balance(
+                    service,
+                    self.admission_.count_waiting(service),
+                )
         return waiter
 
     def try_choose(
@@ -137,7 +150,8 @@
             geography = self.book_.read_geography()
             services = geography.statement.services if geography else ()
             for service in services:
-                self._balance(service)
+                waiting = self.admission_.count_waiting(service)
+                self.exchange_.balance(service, waiting)
                 self.admission_.pump(service)
 
     def observe(self, choice: Choice, outcome: Outcome) -> None:
@@ -169,7 +183,3 @@
         """Return free and total slots by service, for the heartbeat."""
         with self._lock:
             return report_headroom(self.book_)
-
-    def _balance(self, service: str) -> None:
-        waiting = self.admission_.count_waiting(service)
-        self.exchange_.balance(service, waiting, self.picker_.pop_wishes)
--- a/sesameroute/routing/tests/fleet.py
+++ b/sesameroute/routing/tests/fleet.py
@@ -96,6 +96,7 @@
     def __init__(self, fleet, vm):
         self.fleet = fleet
         self.vm = vm
+        self.refused = {}
 
     def call(self, vm, message, timeout):
         """Not used by steering."""
@@ -114,6 +115,10 @@
         """Return all VMs."""
         return tuple(self.fleet.nodes)
 
+    def list_refused(self):
+        """Return the VMs whose last dial was refused, and when."""
+        return self.refused
+
 
 def build_steering(fleet, vm, clock, rng):
     """Return the steering of a VM."""
@@ -147,6 +152,7 @@
         self.members = {}
         self.paused = {}
         self.cuts = set()
+        self.lost = set()
         self.leaving = frozenset()
         self.mangle = keep_report
         self.stalled = False
@@ -166,13 +172,19 @@
         rng = random.Random(self.random.random())
         self.nodes[vm] = self.build(self, vm, clock, rng)
         self.paused.pop(vm, None)
+        self.lost.discard(vm)
         self._tick(vm, self.nodes[vm])
         self._beat(vm, self.nodes[vm])
 
     def crash(self, vm):
-        """End the process of a VM."""
+        """End the process of a VM; its machine refuses connections."""
         self.nodes.pop(vm, None)
 
+    def lose(self, vm):
+        """Lose the machine of a VM; it answers nothing any more."""
+        self.crash(vm)
+        self.lost.add(vm)
+
     def pause(self, vm):
         """Stop a process without its knowing."""
         self.paused[vm] = []
@@ -222,9 +234,19 @@
         if self.find(vm) is not node:
             return
         if vm not in self.paused:
+            self._dial(vm, node)
             node.tick()
         self.schedule.add(TICK, lambda: self._tick(vm, node))
 
+    def _dial(self, vm, node):
+        start = self.statement.vms[vm].domain
+        refused = getattr(getattr(node, 'peers', None), 'refused', {})
+        for target, entry in self.statement.vms.items():
+            is_cut = self.is_cut(start, entry.domain)
+            if target not in self.nodes and target not in self.lost:
+                if not is_cut and target != vm:
+                    refused[target] = node.clock.read_monotonic()
+
     def _beat(self, vm, node):
         if self.find(vm) is not node:
             return
--- a/sesameroute/routing/tests/samples.py
+++ b/sesameroute/routing/tests/samples.py
@@ -124,3 +124,7 @@
     def list_connected(self):
         """Return nobody."""
         return ()
+
+    def list_refused(self):
+        """Return nobody."""
+        return {}
