--- a/sesameroute/adapters/_peer_frames.py
+++ b/sesameroute/adapters/_peer_frames.py
@@ -7,6 +7,7 @@
 
 import hmac
 import struct
+import zlib
 from dataclasses import dataclass
 from enum import IntEnum, unique
 from typing import Any
@@ -29,6 +30,9 @@
 _COUNTER = struct.Struct('>Q')
 _SEAL_BYTES = 16
 _DIGEST = 'sha256'
+_COMPRESS_BYTES = 4096
+_MAX_BODY_BYTES = MAX_FRAME_BYTES - 1024  # leaves room for the seal
+_COMPRESSED = b'\xc1'  # the byte that msgpack never uses
 
 
 @unique
@@ -143,14 +147,27 @@
 
 
 def pack_frame(frame: Frame) -> bytes:
-    """Return the msgpack body of a frame."""
-    return msgpack.packb((int(frame.kind), frame.number, frame.content))
+    """Return the msgpack body of a frame; large ones are compressed.
+
+    Raises
+    ------
+    PeerError
+        The frame is longer than a reader takes.
+
+    """
+    fields = (int(frame.kind), frame.number, frame.content)
+    packed = msgpack.packb(fields)
+    if len(packed) > _MAX_BODY_BYTES:
+        raise PeerError(f'frame of {len(packed)} bytes is too long')
+    if len(packed) < _COMPRESS_BYTES:
+        return packed
+    return _COMPRESSED + zlib.compress(packed)
 
 
 def unpack_frame(packed: bytes) -> Frame:
     """Return the frame; raise PeerError when the body is no frame."""
     try:
-        kind, number, content = msgpack.unpackb(packed)
+        kind, number, content = msgpack.unpackb(_expand(packed))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise PeerError(f'frame is not valid: {error}') from error
     if kind not in _KINDS or not isinstance(number, int):
@@ -158,6 +175,20 @@
     return Frame(FrameKind(kind), number, content)
 
 
+def _expand(packed: bytes) -> bytes:
+    """Return the msgpack form; raise ValueError if it would be too long."""
+    if not packed.startswith(_COMPRESSED):
+        return packed
+    expander = zlib.decompressobj()
+    try:
+        expanded = expander.decompress(packed[1:], _MAX_BODY_BYTES)
+    except zlib.error as error:
+        raise ValueError(f'compressed frame is broken: {error}') from error
+    if not expander.eof:
+        raise ValueError(f'frame is longer than {_MAX_BODY_BYTES} bytes')
+    return expanded
+
+
 def _compute_seal(key: bytes, count: int, packed: bytes) -> bytes:
     numbered = _COUNTER.pack(count) + packed
     return hmac.digest(key, numbered, _DIGEST)[:_SEAL_BYTES]
--- a/sesameroute/adapters/_peer_stream.py
+++ b/sesameroute/adapters/_peer_stream.py
@@ -78,8 +78,9 @@
 
     def send(self, frame: Frame) -> bool:
         """Send or queue a frame; return whether it was."""
-        packed = pack_frame(frame)
-        if len(packed) > MAX_FRAME_BYTES // 2:
+        try:
+            packed = pack_frame(frame)
+        except PeerError:
             return False
         with self._lock:
             self._sent = self.clock.read_monotonic()
--- a/sesameroute/membership/__init__.py
+++ b/sesameroute/membership/__init__.py
@@ -17,7 +17,8 @@
     VmReport,
 )
 from sesameroute.membership._surroundings import CONFIGURATION_KEY, Surroundings
-from sesameroute.membership._targets import FanOut
+from sesameroute.membership._targets import FanOut, choose_targets
+from sesameroute.membership._watcher import Watcher
 
 __all__ = [
     'CONFIGURATION_KEY',
@@ -33,6 +34,8 @@
     'ServiceHeadroom',
     'Surroundings',
     'VmReport',
+    'Watcher',
+    'choose_targets',
     'decode_configuration',
     'encode_configuration',
     'make_incarnation',
