Let a request of death cost at most two backend servers in the fleet

Cause: after the first loss, copies with new keys at several entry VMs could each cost one more server. Change: the VM that saw the first loss grants one trial at a time; answers clear a suspect everywhere; two losses in one crash count once. Conclusion: copies that run together before the first loss is known can still cost one server each.

--- a/sesameroute/delivery/_attempt.py
+++ b/sesameroute/delivery/_attempt.py
@@ -18,7 +18,7 @@
 )
 from sesameroute.verdict import Verdict
 
-__all__ = ['Attempt']
+__all__ = ['LOCAL_CODES', 'Attempt']
 
 _RETURN_SECONDS: Final = 0.01  # kept back from the deadline for the way back
 _LOAD_HEADER: Final = 'sesame-load'
@@ -28,9 +28,16 @@
     'draining': OutcomeCode.DRAINING,
     'refused': OutcomeCode.REFUSED,
     'timeout': OutcomeCode.TIMEOUT,
+    'silent': OutcomeCode.TIMEOUT,
 }
 
 
+# Codes of refusals that say nothing about the backend server.
+LOCAL_CODES: Final = frozenset(
+    ('deadline', 'answer-too-large', 'quarantined', 'suspected'),
+)
+
+
 class Attempt:
     """Sends requests to chosen backend servers and learns from each try.
 
@@ -78,7 +85,7 @@
         """
         started = self.clock.read_monotonic()
         try:
-            answer = self._exchange(choice, request, started)
+            answer = self._exchange(choice, request, fingerprint, started)
         except RequestError as error:
             self._observe_failure(choice, error, fingerprint, started)
             self.steering.release(choice)
@@ -93,9 +100,11 @@
         self,
         choice: Choice,
         request: Request,
+        fingerprint: str,
         started: float,
     ) -> Answer:
         self._check_deadline(request, started)
+        self.quarantine.begin(fingerprint)
         answer = self.upstreams.send(
             choice.upstream,
             replace(request, deadline=request.deadline - _RETURN_SECONDS),
@@ -151,7 +160,7 @@
         fingerprint: str,
         started: float,
     ) -> None:
-        if error.code in {'deadline', 'answer-too-large'}:
+        if error.code in LOCAL_CODES:
             return
         code = _OUTCOMES.get(error.code, OutcomeCode.LOST)
         seconds = self.clock.read_monotonic() - started
--- a/sesameroute/delivery/_handler.py
+++ b/sesameroute/delivery/_handler.py
@@ -11,6 +11,8 @@
     HandoverReply,
     LossReport,
     RecordAsk,
+    TrialAsk,
+    TrialReply,
     WitnessReply,
 )
 from sesameroute.delivery._quarantine import Quarantine
@@ -59,10 +61,14 @@
 
     @_handle.register
     def _handle_loss(self, message: LossReport, sender: str) -> None:
-        if not self.quarantine.merge(message):
+        if not self.quarantine.merge(message, sender):
             acquittal = Acquittal(message.fingerprint)
             self.quarantine.peers.cast(sender, acquittal)
 
     @_handle.register
     def _handle_acquittal(self, message: Acquittal, sender: str) -> None:
         self.quarantine.acquit(message)
+
+    @_handle.register
+    def _handle_trial(self, message: TrialAsk, sender: str) -> TrialReply:
+        return self.quarantine.grant(message)
--- a/sesameroute/delivery/_message.py
+++ b/sesameroute/delivery/_message.py
@@ -46,7 +46,7 @@
     FORGOTTEN = 'forgotten'
 
 
-@register_message('record-ask')
+@register_message('record-ask', quick=True)
 @dataclass(frozen=True, slots=True)
 class RecordAsk:
     """A home asks its witness to acknowledge a key before it runs."""
@@ -54,7 +54,7 @@
     key: str
 
 
-@register_message('fence-ask')
+@register_message('fence-ask', quick=True)
 @dataclass(frozen=True, slots=True)
 class FenceAsk:
     """An entry that can't reach a key's home asks the key's witness."""
@@ -135,7 +135,7 @@
     fingerprint: str
 
 
-@register_message('trial-ask')
+@register_message('trial-ask', quick=True)
 @dataclass(frozen=True, slots=True)
 class TrialAsk:
     """Asks the VM that saw the first loss for leave to try once more."""
--- a/sesameroute/delivery/_parts.py
+++ b/sesameroute/delivery/_parts.py
@@ -78,7 +78,7 @@
     clock, peers = ports.clock, ports.peers
     record = Record(limits, make_event)
     keeper = EpochKeeper(identity, ports.members, record, clock)
-    quarantine = Quarantine(clock, peers)
+    quarantine = Quarantine(identity.vm, clock, peers)
     witness = Witness(identity, clock)
     attempt = Attempt(clock, ports.steering, ports.upstreams, quarantine)
     retrier = Retrier(attempt, ports.statement)
--- a/sesameroute/delivery/_quarantine.py
+++ b/sesameroute/delivery/_quarantine.py
@@ -2,30 +2,24 @@
 
 import logging
 import threading
-from collections import OrderedDict
-from dataclasses import dataclass, field
 from typing import Final
 
-from sesameroute.delivery._message import Acquittal, LossReport
-from sesameroute.exceptions import RequestError
+from sesameroute.delivery._message import (
+    Acquittal,
+    LossReport,
+    TrialAsk,
+    TrialReply,
+)
+from sesameroute.delivery._suspects import MAX_LOSSES, SuspectList
+from sesameroute.exceptions import PeerError, RequestError
 from sesameroute.ports import Clock, Peers
 from sesameroute.verdict import Verdict
 
 __all__ = ['Quarantine']
 
 _LOG = logging.getLogger(__name__)
-_MAX_LOSSES: Final = 2  # backend servers lost to one request
-_QUARANTINE_SECONDS: Final = 60.0
-_INNOCENT_SECONDS: Final = 60.0  # for which an answered request is trusted
-_MAX_FINGERPRINTS: Final = 10_000
-
-
-@dataclass(slots=True)
-class _Suspect:
-    """Backend servers lost with one fingerprint, and when the last was."""
-
-    changed: float
-    upstreams: set[str] = field(default_factory=set)
+_TRIAL_SECONDS: Final = 5.0  # for which a trial keeps others out
+_ASK_SECONDS: Final = 0.3
 
 
 class Quarantine:
@@ -33,6 +27,8 @@
 
     Parameters
     ----------
+    vm : str
+        Name of this VM.
     clock : Clock
         Source of time.
     peers : Peers
@@ -40,78 +36,103 @@
 
     Notes
     -----
-    A request that was answered a short time ago doesn't crash its servers:
-    its losses aren't counted, else the loss of a region would make the most
-    common reads refused everywhere.
+    After the first loss a request is suspected, and the VM that saw the
+    loss grants one trial at a time to the whole fleet. The second loss puts
+    it into quarantine. A request that was answered a short time ago doesn't
+    crash its servers: its losses aren't counted, else the loss of a region
+    would make the most common reads refused everywhere.
 
     """
 
-    def __init__(self, clock: Clock, peers: Peers) -> None:
+    def __init__(self, vm: str, clock: Clock, peers: Peers) -> None:
         """Store the parameters; nothing is suspected yet."""
+        self.vm = vm
         self.clock = clock
         self.peers = peers
-        self.suspects_: OrderedDict[str, _Suspect] = OrderedDict()
-        self.innocent_: OrderedDict[str, float] = OrderedDict()
+        self.suspects_ = SuspectList(clock)
         self._lock = threading.Lock()
 
     def check(self, fingerprint: str) -> None:
         """Raise RequestError, `NOT_RUN`, if the request is quarantined."""
-        if not self.suspects_:
-            return
         with self._lock:
-            suspect = self._find_suspect(fingerprint)
-            if suspect and len(suspect.upstreams) >= _MAX_LOSSES:
-                raise RequestError(
-                    'backend servers were lost while they ran this request',
-                    Verdict.NOT_RUN,
-                    'quarantined',
-                    _QUARANTINE_SECONDS,
-                )
+            suspect = self.suspects_.find(fingerprint)
+        if suspect and suspect.losses >= MAX_LOSSES:
+            raise RequestError(
+                'backend servers were lost while they ran this request',
+                Verdict.NOT_RUN,
+                'quarantined',
+                self.suspects_.count_seconds(suspect),
+            )
+
+    def begin(self, fingerprint: str) -> None:
+        """Raise RequestError, `NOT_RUN`, unless a try may start now."""
+        self.check(fingerprint)
+        with self._lock:
+            suspect = self.suspects_.find(fingerprint)
+        if suspect and not self._is_allowed(suspect.judge, fingerprint):
+            raise RequestError(
+                'a backend server was lost while it ran this request',
+                Verdict.NOT_RUN,
+                'suspected',
+                _TRIAL_SECONDS,
+            )
+
+    def grant(self, ask: TrialAsk) -> TrialReply:
+        """Grant one trial at a time of a request whose loss was seen here."""
+        now = self.clock.read_monotonic()
+        with self._lock:
+            suspect = self.suspects_.find(ask.fingerprint)
+            if suspect is None:
+                return TrialReply(allowed=True)
+            if suspect.losses >= MAX_LOSSES or suspect.trial > now:
+                return TrialReply(allowed=False)
+            suspect.trial = now + _TRIAL_SECONDS
+        return TrialReply(allowed=True)
 
     def observe_answer(self, fingerprint: str) -> None:
         """Note that a backend server survived the request."""
         with self._lock:
-            self.suspects_.pop(fingerprint, None)
-            self.innocent_[fingerprint] = self.clock.read_monotonic()
-            self.innocent_.move_to_end(fingerprint)
-            if len(self.innocent_) > _MAX_FINGERPRINTS:
-                self.innocent_.popitem(last=False)
+            cleared = self.suspects_.clear(fingerprint)
+        if cleared:
+            self._tell(Acquittal(fingerprint))
 
     def observe_loss(self, fingerprint: str, upstream: str) -> None:
         """Note a loss of this VM's own and report it to all peers."""
-        if self.merge(LossReport(fingerprint, upstream)):
+        report = LossReport(fingerprint, upstream)
+        if self.merge(report, self.vm):
             _LOG.warning(
-                'upstream lost',
+                'upstream-lost',
                 extra={'fingerprint': fingerprint, 'upstream': upstream},
             )
-            for vm in self.peers.list_connected():
-                self.peers.cast(vm, LossReport(fingerprint, upstream))
+            self._tell(report)
 
-    def merge(self, report: LossReport) -> bool:
-        """Count a loss; return False if the request is known to be good."""
-        now = self.clock.read_monotonic()
+    def merge(self, report: LossReport, judge: str) -> bool:
+        """Count a loss; return False if the request is known to be good.
+
+        Parameters
+        ----------
+        judge : str
+            Name of the VM that saw the loss.
+
+        """
         with self._lock:
-            answered = self.innocent_.get(report.fingerprint)
-            if answered is not None and now - answered < _INNOCENT_SECONDS:
-                return False
-            suspect = self._find_suspect(report.fingerprint) or _Suspect(now)
-            suspect.changed = now
-            suspect.upstreams.add(report.upstream)
-            self.suspects_[report.fingerprint] = suspect
-            self.suspects_.move_to_end(report.fingerprint)
-            if len(self.suspects_) > _MAX_FINGERPRINTS:
-                self.suspects_.popitem(last=False)
-        return True
+            return self.suspects_.add(report, judge)
 
     def acquit(self, acquittal: Acquittal) -> None:
         """Clear a request that another VM saw answered."""
         with self._lock:
-            self.suspects_.pop(acquittal.fingerprint, None)
-
-    def _find_suspect(self, fingerprint: str) -> _Suspect | None:
-        suspect = self.suspects_.get(fingerprint)
-        now = self.clock.read_monotonic()
-        if suspect and now - suspect.changed > _QUARANTINE_SECONDS:
-            self.suspects_.pop(fingerprint)
-            return None
-        return suspect
+            self.suspects_.drop(acquittal.fingerprint)
+
+    def _is_allowed(self, judge: str, fingerprint: str) -> bool:
+        ask = TrialAsk(fingerprint)
+        if judge == self.vm:
+            return self.grant(ask).allowed
+        try:
+            return self.peers.call(judge, ask, _ASK_SECONDS).allowed
+        except PeerError:
+            return False
+
+    def _tell(self, message: LossReport | Acquittal) -> None:
+        for vm in self.peers.list_connected():
+            if vm != self.vm:
+                self.peers.cast(vm, message)
--- a/sesameroute/delivery/_retry.py
+++ b/sesameroute/delivery/_retry.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from sesameroute.delivery._attempt import Attempt
+from sesameroute.delivery._attempt import LOCAL_CODES, Attempt
 from sesameroute.exceptions import RequestError
 from sesameroute.limits import Budget
 from sesameroute.ports import Answer, Choice, Request
@@ -16,8 +16,7 @@
 _MAX_TRIES: Final = 4
 _MAX_LOSSES: Final = 2  # of backend servers by one request
 _RETRY_BURST: Final = 10.0  # retries that a service may save up
-_LOSS_CODES: Final = frozenset(('lost', 'truncated'))
-_FINAL_CODES: Final = frozenset(('deadline', 'answer-too-large'))
+_LOSS_CODES: Final = frozenset(('lost', 'truncated', 'cut-answer'))
 
 
 @dataclass(slots=True)
@@ -139,7 +138,7 @@
         certain = error.verdict is Verdict.NOT_RUN
         if not (certain or request.kind.idempotent):
             return False
-        if error.code in _FINAL_CODES or tries.losses >= _MAX_LOSSES:
+        if error.code in LOCAL_CODES or tries.losses >= _MAX_LOSSES:
             return False
         if len(tries.names) >= _MAX_TRIES:
             return False
