Keep look-ups short when they fail, and prefer entry VMs that answer

Ruled out: the entry VMs, whose waiting was under 0.7 s. Change: one thread renews while others use the kept answer, all look-ups together get 0.4 s, a silent connection closes all idle ones, failed look-ups and entry VMs are passed over for 2 s.

--- a/sesameroute/adapters/_kept_connections.py
+++ b/sesameroute/adapters/_kept_connections.py
@@ -115,11 +115,19 @@
             kept.line.close()
         return len(suspects)
 
-    def close(self) -> None:
-        """Close all idle connections."""
+    def suspect_all(self) -> None:
+        """Close all idle connections: one of them has gone silent.
+
+        What lies between the two ends may have lost track of many; a new
+        connection costs little.
+        """
         for target in tuple(self._idle):
             self.suspect(target)
 
+    def close(self) -> None:
+        """Close all idle connections."""
+        self.suspect_all()
+
     def _is_usable(self, kept: KeptConnection) -> bool:
         now = self.clock.read_monotonic()
         young = now - kept.opened <= self.age_seconds
--- a/sesameroute/adapters/_upstreams.py
+++ b/sesameroute/adapters/_upstreams.py
@@ -96,6 +96,8 @@
         try:
             return exchange(self._connections, kept, request, patience)
         except RequestError as error:
+            if error.code == SilentError.code:
+                self._connections.suspect_all()
             self._connections.suspect(kept.target)
             if error.code not in {SilentError.code, 'lost'}:
                 raise
--- a/sesameroute/caller/_directory.py
+++ b/sesameroute/caller/_directory.py
@@ -3,11 +3,11 @@
 import json
 import random
 import threading
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-from urllib3.exceptions import HTTPError
-
-from sesameroute.adapters import build_pool
+from sesameroute.adapters import KeptConnections
+from sesameroute.caller._question import ask_lookup
 from sesameroute.exceptions import RequestError
 from sesameroute.ports import Clock, Headers, Wire
 from sesameroute.verdict import Verdict
@@ -15,8 +15,10 @@
 __all__ = ['Directory', 'EntryAddress', 'LookupAnswer']
 
 _MILLISECONDS = 1000
-_LOOKUP_SECONDS = 0.5
-_OK = 200
+_FIRST_SECONDS = 1.5  # for all look-ups, while no answer is kept
+_RENEW_SECONDS = 0.4  # for all look-ups, while an older answer is kept
+_SUSPECT_SECONDS = 2.0
+_EXTENSION_SECONDS = 0.5  # of a kept answer when no look-up answers
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +44,7 @@
     """Asks look-ups for entry VMs and keeps the answers.
 
     An answer past its time to live is still used when no look-up can be
-    reached.
+    reached, and while another thread asks for a new one.
 
     Parameters
     ----------
@@ -73,11 +75,10 @@
         self.wire = wire
         self.source = source
         self.clock = clock
-        self._pools = {
-            target: build_pool(wire, source, target) for target in lookups
-        }
+        self._connections = KeptConnections(wire, source, clock)
         self._answers: dict[str, LookupAnswer] = {}
-        self._lock = threading.Lock()
+        self._suspects: dict[object, float] = {}
+        self._renewal = threading.Lock()
 
     def choose(
         self,
@@ -106,20 +107,30 @@
 
         """
         entries = self._find_entries(service, headers)
-        allowed = [entry for entry in entries if entry.vm not in exclude]
-        weighted = [entry for entry in allowed if entry.weight > 0]
-        candidates = weighted or allowed or entries
-        weights = [max(entry.weight, 0) for entry in candidates]
-        if not sum(weights):
+        untried = [entry for entry in entries if entry.vm not in exclude]
+        trusted = [entry for entry in untried if not self._is_suspect(entry.vm)]
+        candidates = trusted or untried or entries
+        weighted = [entry for entry in candidates if entry.weight > 0]
+        if not weighted:
             return rng.choice(candidates)
-        return rng.choices(candidates, weights)[0]
+        return rng.choices(weighted, [entry.weight for entry in weighted])[0]
 
     def forget(self, service: str) -> None:
         """Ask a look-up again before the next choice, if one answers."""
-        with self._lock:
-            kept = self._answers.get(service)
-            if kept is not None:
-                self._answers[service] = LookupAnswer(kept.entries, 0)
+        kept = self._answers.get(service)
+        if kept is not None:
+            self._answers[service] = LookupAnswer(kept.entries, 0)
+
+    def suspect(self, vm: str) -> None:
+        """Prefer other entry VMs for a while: this one was not reached."""
+        self._suspects[vm] = self.clock.read_monotonic() + _SUSPECT_SECONDS
+
+    def close(self) -> None:
+        """Close kept connections."""
+        self._connections.close()
+
+    def _is_suspect(self, name: object) -> bool:
+        return self._suspects.get(name, 0) > self.clock.read_monotonic()
 
     def _find_entries(
         self,
@@ -127,15 +138,27 @@
         headers: Headers,
     ) -> tuple[EntryAddress, ...]:
         kept = self._answers.get(service)
-        if kept is not None and self.clock.read_monotonic() < kept.until:
+        if kept is None:
+            with self._renewal:
+                return self._ask_first(service, headers)
+        if self.clock.read_monotonic() < kept.until:
             return kept.entries
-        for target in self.lookups:
-            found = self._ask(target, service, headers)
-            if found is not None and found.entries:
-                self._answers[service] = found
-                return found.entries
+        if self._renewal.locked():
+            return kept.entries
+        with self._renewal:
+            return self._renew(service, headers, self._answers[service])
+
+    def _ask_first(
+        self,
+        service: str,
+        headers: Headers,
+    ) -> tuple[EntryAddress, ...]:
+        kept = self._answers.get(service)
         if kept is not None:
             return kept.entries
+        for found in self._ask_all(service, headers, _FIRST_SECONDS):
+            self._answers[service] = found
+            return found.entries
         raise RequestError(
             f'no look-up answered for {service!r}',
             Verdict.NOT_RUN,
@@ -143,25 +166,48 @@
             retry_after=1,
         )
 
-    def _ask(
+    def _renew(
+        self,
+        service: str,
+        headers: Headers,
+        kept: LookupAnswer,
+    ) -> tuple[EntryAddress, ...]:
+        now = self.clock.read_monotonic()
+        if now < kept.until:
+            return kept.entries
+        until = now + _EXTENSION_SECONDS
+        answer = LookupAnswer(kept.entries, until)
+        for found in self._ask_all(service, headers, _RENEW_SECONDS):
+            answer = found
+            break
+        self._answers[service] = answer
+        return answer.entries
+
+    def _ask_all(
         self,
-        target: tuple[str, int],
         service: str,
         headers: Headers,
-    ) -> LookupAnswer | None:
+        seconds: float,
+    ) -> Iterator[LookupAnswer]:
+        """Yield usable answers, asking those not suspected first."""
         path = f'/lookup/{service}?domain={self.domain}'
-        try:
-            response = self._pools[target].request(
-                'GET',
+        until = self.clock.read_monotonic() + seconds
+        for target in sorted(self.lookups, key=self._is_suspect):
+            now = self.clock.read_monotonic()
+            if now >= until:
+                return
+            body = ask_lookup(
+                self._connections,
+                target,
                 path,
-                headers=dict(headers),
-                timeout=_LOOKUP_SECONDS,
+                headers,
+                until,
             )
-        except (HTTPError, OSError):
-            return None
-        if response.status != _OK:
-            return None
-        return self._read(response.data)
+            found = self._read(body)
+            if found is None:
+                self._suspects[target] = now + _SUSPECT_SECONDS
+            elif found.entries:
+                yield found
 
     def _read(self, body: bytes) -> LookupAnswer | None:
         try:
--- /dev/null
+++ b/sesameroute/caller/tests/test_directory.py
@@ -0,0 +1,110 @@
+"""Callers find entry VMs while look-ups fail."""
+
+import json
+import random
+import time
+
+import pytest
+
+from sesameroute.adapters.tests.scripted import ScriptedServer, answer_whole
+from sesameroute.caller import Directory
+from sesameroute.exceptions import RequestError
+from sesameroute.ports import SystemClock, TcpWire
+
+_ADDRESS = '127.31.0.3'
+_ENTRIES = tuple(
+    {'vm': vm, 'address': '127.0.0.1', 'port': 1, 'weight': 1, 'prefix': vm}
+    for vm in ('a', 'b')
+)
+_ANSWER = answer_whole(
+    json.dumps({'ttl_ms': 50, 'entries': _ENTRIES}).encode(),
+)
+
+
+def serve(script):
+    """Return a scripted look-up."""
+    return ScriptedServer(script, _ADDRESS)
+
+
+def build_directory(*ports):
+    """Return a directory that asks look-ups on these ports."""
+    return Directory(
+        tuple((_ADDRESS, port) for port in ports),
+        'd',
+        TcpWire(),
+        _ADDRESS,
+        SystemClock(),
+    )
+
+
+def choose(directory, exclude=()):
+    """Return the name of a chosen entry VM."""
+    return directory.choose('s', random.Random(1), exclude).vm
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [
+        None,
+        b'',
+        b'garbage\r\n\r\n',
+        answer_whole(b'not json'),
+        answer_whole(b'{"entries": [{"vm": 1}], "ttl_ms": 1}'),
+    ],
+)
+def test_next_lookup_answers(broken):
+    """A look-up that fails in any way is passed over for the next."""
+    with (
+        serve(lambda *_request: broken) as bad,
+        serve(lambda *_request: _ANSWER) as good,
+    ):
+        directory = build_directory(bad.port, good.port)
+        assert choose(directory) in {'a', 'b'}
+        time.sleep(0.06)
+        choose(directory)
+    # The second question went to the good look-up only.
+    assert (len(bad.requests), len(good.requests)) == (1, 2)
+
+
+def test_old_answer_is_used():
+    """With every look-up silent, the kept answer still serves."""
+
+    def script(number, count):
+        return _ANSWER if (number, count) == (1, 1) else b''
+
+    with serve(script) as server:
+        directory = build_directory(server.port)
+        for _ in range(3):
+            assert choose(directory) in {'a', 'b'}
+            time.sleep(0.06)
+    assert server.requests == [(1, 1), (1, 2), (2, 1)]
+
+
+def test_no_answer_at_all():
+    """Without any answer the request has not run, and the caller waits."""
+    with serve(lambda *_request: b'') as server:
+        with pytest.raises(RequestError) as caught:
+            choose(build_directory(server.port))
+    assert caught.value.verdict.allows_retry
+    assert caught.value.retry_after > 0
+
+
+@pytest.mark.parametrize(
+    ('suspects', 'exclude', 'expected'),
+    [
+        (['a'], (), {'b'}),
+        (['a', 'b'], (), {'a', 'b'}),
+        (['a'], ('b',), {'a'}),
+        ([], ('a',), {'b'}),
+        ([], ('a', 'b'), {'a', 'b'}),
+    ],
+)
+def test_suspected_vms(suspects, exclude, expected):
+    """An entry VM not reached lately is chosen only when no other is left."""
+    with serve(lambda *_request: _ANSWER) as server:
+        directory = build_directory(server.port)
+        for vm in suspects:
+            directory.suspect(vm)
+        rng = random.Random(3)
+        chosen = {directory.choose('s', rng, exclude).vm for _ in range(20)}
+    assert chosen == expected
