Hold the operators' pages to the defaults, and race four operators

Four concurrent submissions over one version: one wins. Conclusion: a page that drifts from the code fails the tests.

--- a/sesameroute/programs/tests/test_control.py
+++ b/sesameroute/programs/tests/test_control.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import threading
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from pathlib import Path
 
@@ -207,6 +208,19 @@
     assert '[drain order-desk-2]' in desk.run('show')[1]
 
 
+def test_two_operators_race(desk):
+    """Of two who change the same version at once, one wins."""
+    desk.run('submit', 'small.ini')
+    config = ['--config', str(desk.path / 'ctl.ini')]
+    path = str(desk.path / 'small.ini')
+    argv = ['sesamectl', 'submit', path, '--base=1', *config]
+    with ThreadPoolExecutor() as operators:
+        codes = list(operators.map(control.main, (argv, argv, argv, argv)))
+    assert codes.count(ExitCode.OK) == 1
+    assert codes.count(ExitCode.CONFLICT) == 3
+    assert desk.store.memory.read('sesameroute/small').revision == 2
+
+
 def test_lost_answer_is_settled(desk):
     """A write whose answer got lost is reported once, as accepted."""
     desk.store.faults.lost_answers = 1
--- a/sesameroute/programs/tests/test_docs.py
+++ b/sesameroute/programs/tests/test_docs.py
@@ -1,16 +1,41 @@
 """The operators' pages name every section and key."""
 
+import re
+from dataclasses import MISSING, fields
 from pathlib import Path
 
 import pytest
 
 from sesameroute.programs.control import main
+from sesameroute.settings import (
+    Limits,
+    LogSettings,
+    PortSettings,
+    StoreSettings,
+    TraceSettings,
+    parse_settings,
+)
 from sesameroute.settings._schema import SECTIONS as SETTINGS_SECTIONS
+from sesameroute.statement import (
+    Kind,
+    Link,
+    Policy,
+    Statement,
+    check_statement,
+    read_statement,
+)
 from sesameroute.statement._schema import SECTIONS as STATEMENT_SECTIONS
 
 PAGES = Path(__file__).parents[3] / 'docs' / 'operators'
 
 
+def print_value(default):
+    """Return a default as the pages write it."""
+    if isinstance(default, bool):
+        return 'yes' if default else 'no'
+    return str(default)
+
+
 @pytest.mark.parametrize(
     ('page', 'sections'),
     [
@@ -27,6 +52,50 @@
         assert {key for key in keys if f'`{key}`' not in rows} == set(), title
 
 
+@pytest.mark.parametrize(
+    ('page', 'models'),
+    [
+        ('statement.md', (Policy, Kind, Link, Statement)),
+        (
+            'settings.md',
+            (Limits, LogSettings, PortSettings, StoreSettings, TraceSettings),
+        ),
+    ],
+)
+def test_defaults_are_documented(page, models):
+    """The default beside a key is the one in the data class."""
+    text = (PAGES / page).read_text()
+    stated = dict(re.findall(r'\| `(\w+)` \| ([\w.]+) \|', text))
+    defaults = {
+        field.name: print_value(field.default)
+        for model in models
+        for field in fields(model)
+        if field.default not in {MISSING, '', ()}
+    }
+    assert defaults.items() <= stated.items()
+
+
+@pytest.mark.parametrize(
+    ('page', 'required'),
+    [('settings.md', ('vm', 'peers')), ('sesamectl.md', ('operator',))],
+)
+def test_sample_settings(page, required):
+    """The settings on the page can be read."""
+    text = (PAGES / page).read_text()
+    sample = text.partition('```ini\n')[2].partition('```')[0]
+    assert parse_settings(sample, page, ('store', *required)).store
+
+
+def test_sample_statement(capsys):
+    """The Python on the page prints a statement that may be submitted."""
+    text = (PAGES / 'statement.md').read_text()
+    sample = text.partition('```python\n')[2].partition('```')[0]
+    exec(sample, {})  # noqa: S102, WPS421
+    printed = capsys.readouterr().out
+    statement = read_statement(printed)
+    assert check_statement(statement) == []
+
+
 def test_commands_are_documented(capsys):
     """Each command of the usage text stands on the page of sesamectl."""
     main(['sesamectl', '--help'])
