--- a/sesameroute/routing/__init__.py
+++ b/sesameroute/routing/__init__.py
@@ -10,6 +10,11 @@
 from sesameroute.routing._lookup import Lookup, LookupAnswer, LookupEntry
 from sesameroute.routing._rendezvous import rank_names
 from sesameroute.routing._steering import SlotSteering
+from sesameroute.routing._subset import (
+    choose_connectors,
+    choose_prober,
+    count_connections,
+)
 from sesameroute.routing._view import Digest, Headroom, Members
 
 __all__ = [
@@ -23,6 +28,9 @@
     'LookupEntry',
     'Members',
     'SlotSteering',
+    'choose_connectors',
+    'choose_prober',
+    'count_connections',
     'is_drained',
     'rank_names',
     'rank_owners',
--- a/sesameroute/routing/_geography.py
+++ b/sesameroute/routing/_geography.py
@@ -6,6 +6,7 @@
 from sesameroute.routing._distances import Distances
 from sesameroute.routing._messages import Holding
 from sesameroute.routing._rendezvous import rank_names
+from sesameroute.routing._subset import choose_connectors
 from sesameroute.statement import DrainTarget, Statement, Upstream
 
 __all__ = ['Geography', 'is_drained', 'rank_owners', 'split_slots']
@@ -139,6 +140,12 @@
         """Return the slots of a backend server by owner, home first."""
         return split_slots(self.statement, self.statement.upstreams[name])
 
+    @cached_method
+    def list_connectors(self, name: str) -> frozenset[str]:
+        """Return the VMs that may connect to a backend server."""
+        upstream = self.statement.upstreams[name]
+        return frozenset(choose_connectors(self.statement, upstream))
+
     @cached_method
     def list_drained(self) -> frozenset[str]:
         """Return the backend servers that the statement's drains cover."""
--- a/sesameroute/routing/_lender.py
+++ b/sesameroute/routing/_lender.py
@@ -129,7 +129,12 @@
         term = self.book.build_term(ask.service)
         granted = {}
         for _ in range(limit):
-            upstream = self._pick_lendable(geography, ask.service, now, term)
+            upstream = self._pick_lendable(
+                geography,
+                borrower,
+                ask.service,
+                term,
+            )
             if upstream is None:
                 break
             ledger = self.book.ledgers_[upstream.name]
@@ -153,19 +158,26 @@
     def _pick_lendable(
         self,
         geography: Geography,
+        borrower: str,
         service: str,
-        now: float,
         term: Term,
     ) -> Upstream | None:
+        until = self.book.clock.read_monotonic() + term.cover
         barred = self.book.list_barred(service)
         best, most = None, 0
         for upstream in geography.list_service(service):
-            ledger = self.book.ledgers_[upstream.name]
-            free = ledger.count_usable(now, now + term.cover) - ledger.used
+            if borrower not in geography.list_connectors(upstream.name):
+                continue
+            free = self._count_lendable(upstream, until)
             if free > most and upstream.name not in barred:
                 best, most = upstream, free
         return best
 
+    def _count_lendable(self, upstream: Upstream, until: float) -> int:
+        ledger = self.book.ledgers_[upstream.name]
+        now = self.book.clock.read_monotonic()
+        return ledger.count_usable(now, until) - ledger.used
+
     def _limit_extra(
         self,
         geography: Geography,
--- a/sesameroute/routing/_lookup.py
+++ b/sesameroute/routing/_lookup.py
@@ -1,5 +1,6 @@
 """Answers to callers: which entry VM to use for a service."""
 
+import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -8,6 +9,7 @@
 from sesameroute.routing._geography import is_drained
 from sesameroute.routing._rendezvous import rank_names
 from sesameroute.routing._view import Members
+from sesameroute.routing._weights import Weights, aim_weights
 from sesameroute.statement import Statement, Vm
 
 __all__ = ['Lookup', 'LookupAnswer', 'LookupEntry']
@@ -65,6 +67,8 @@
         self.statement = statement
         self.members = members
         self.clock = clock
+        self.weights_: dict[tuple[str, str], Weights] = {}
+        self._lock = threading.Lock()
 
     def answer(self, service: str, domain: str = '') -> LookupAnswer:
         """Return the entry VMs for a service, the nearest first.
@@ -85,13 +89,17 @@
         statement = self.statement()
         if statement is None or service not in statement.services:
             raise InputError(f'service {service!r} is not known', 'no-service')
-        ranked = self._rank(statement, service, domain)
-        nearest = ranked[0].domain if ranked else ''
+        if domain not in statement.places.domains:
+            domain = ''
+        ranked = self._rank(statement, service, domain)[:_MAX_ENTRIES]
+        ttl = statement.policy.lookup_ttl_ms / _MILLISECONDS
+        aim = aim_weights(statement, self.members, service, ranked)
+        with self._lock:
+            kept = self.weights_.setdefault((service, domain), Weights())
+            weights = kept.follow(aim, self.clock.read_monotonic(), ttl)
         entries = tuple(
-            LookupEntry(vm.name, vm.address, float(vm.domain == nearest))
-            for vm in ranked[:_MAX_ENTRIES]
+            LookupEntry(vm.name, vm.address, weights[vm.name]) for vm in ranked
         )
-        ttl = statement.policy.lookup_ttl_ms / _MILLISECONDS
         return LookupAnswer(service, entries, ttl)
 
     def _rank(
