--- a/sesameroute/routing/_demand.py
+++ b/sesameroute/routing/_demand.py
@@ -6,6 +6,7 @@
 __all__ = ['Demand']
 
 _WINDOW = 0.2  # seconds for which a peak of use is remembered
+_FAR_WINDOW = 1.0  # the same for slots that take long to get back
 _SPARE = 0.15  # part of the peak that is kept free
 
 
@@ -39,7 +40,8 @@
 
     def observe(self, used: int, now: float) -> None:
         """Take in the slots in use and wanted now."""
-        if now - self.since >= _WINDOW:
+        window = _FAR_WINDOW if self.is_far else _WINDOW
+        if now - self.since >= window:
             self.previous = self.peak
             self.peak = 0
             self.since = now
