--- a/sesameroute/routing/_borrower.py
+++ b/sesameroute/routing/_borrower.py
@@ -212,6 +212,8 @@
             for owner in self.book.ledgers_[upstream.name].borrowed
         }
         owners.update(geography.list_standing(service))
+        # Leases of a silent owner run out; those of a dead one stay.
+        owners.intersection_update(self.book.members.list_live())
         return sorted(
             owners,
             key=lambda owner: (geography.measure_vm_delay(owner), owner),
