Ask the fleet for its version when the store is empty

Cause: after a store lost everything, a first submission got version 1, which entry VMs with a newer one would have ignored. Change: with an empty store sesamectl asks the entry VMs of its settings and refuses what is behind them, as for a restored store. Conclusion: an accepted version is above all that was in force, as far as the VMs of the settings can be reached.

--- a/sesameroute/programs/_control_context.py
+++ b/sesameroute/programs/_control_context.py
@@ -68,16 +68,17 @@
     def fleet(self) -> Fleet:
         """The entry VMs of the stored statement.
 
-        With the store down they are those of the settings.
+        With the store down or empty they are those of the settings.
         """
         operator = self.settings.operator
+        known = {url: url for url in operator.urls}
         try:
-            urls = self._list_stated_urls()
+            urls = self._list_stated_urls() or known
         except StoreDownError as error:
-            urls = {url: url for url in operator.urls}
-            if not urls:
+            if not known:
                 raise
             self.warn(f'{error.message}; asking the URLs of the settings')
+            urls = known
         return Fleet(urls, operator.token, self.options.page_timeout)
 
     def read_text(self, path: str) -> str:
@@ -106,13 +107,7 @@
         A store that lost writes must not give their versions out again. A
         few entry VMs of each failure domain are asked, not hundreds.
         """
-        if self.statement is None:
-            return 0
-        asked = [
-            vm.name
-            for domain in self.statement.places.domains
-            for vm in self.statement.list_vms(domain)[:_ASKED_PER_DOMAIN]
-        ]
+        asked = self._choose_asked()
         answers = self.fleet.fetch_status(asked).answers
         return max((page.get('version', 0) for page in answers), default=0)
 
@@ -124,6 +119,16 @@
             return None
         return read_statement(base.text, f'version {base.version}')
 
+    def _choose_asked(self) -> list[str] | None:
+        """Return the VMs to ask for their version, None for all known."""
+        if self.statement is None:
+            return None
+        return [
+            vm.name
+            for domain in self.statement.places.domains
+            for vm in self.statement.list_vms(domain)[:_ASKED_PER_DOMAIN]
+        ]
+
     def _list_stated_urls(self) -> dict[str, str]:
         if self.statement is None:
             return {}
