--- a/sesameroute/fakes/_connection.py
+++ b/sesameroute/fakes/_connection.py
@@ -80,6 +80,7 @@
 
     def _serve(self, seconds: float) -> None:
         time.sleep(seconds)
+        self.accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             with self.accepted.makefile('rb') as lines:
                 self._answer_all(lines)
--- a/sesameroute/local/_load.py
+++ b/sesameroute/local/_load.py
@@ -46,7 +46,7 @@
         self.started: float = 0
         self._is_planned = False
         self._lock = Lock()
-        self._due: SimpleQueue[Order] = SimpleQueue()
+        self._due: SimpleQueue[Order | None] = SimpleQueue()
 
     def start(self) -> None:
         """Start the threads."""
@@ -55,6 +55,11 @@
             Thread(target=self._work, daemon=True).start()
         Thread(target=self._hand_out, daemon=True).start()
 
+    def stop(self) -> None:
+        """End the threads once nothing is due."""
+        for _ in range(self.workers):
+            self._due.put(None)
+
     def put(self, order: Order) -> None:
         """Hand out one more order now."""
         order.planned = time.monotonic() - self.started
--- a/sesameroute/local/_session.py
+++ b/sesameroute/local/_session.py
@@ -102,7 +102,7 @@
     result.seconds = time.monotonic() - scene.load.started
     calls = scene.deployment.store.call_counts.total()
     result.store_calls = calls - result.calls_before
-    for part in (scene.watch, result.sampler):
+    for part in (scene.watch, result.sampler, scene.load):
         part.stop()
 
 
--- a/sesameroute/programs/local.py
+++ b/sesameroute/programs/local.py
@@ -31,27 +31,32 @@
 """
 
 _USUAL_SECONDS = 15
-
-_CONFIG = flags.DEFINE_string('config', '', 'Statement of the institution.')
-_SECONDS = flags.DEFINE_float('seconds', _USUAL_SECONDS, 'Length of the load.')
-_SEED = flags.DEFINE_integer('seed', 1, 'Seed of load, choices and faults.')
-_RATE = flags.DEFINE_float('rate', 60, 'Requests of callers a second.')
-_WORK = flags.DEFINE_float('work_factor', 1, 'Multiplies all work times.')
-_TRACE = flags.DEFINE_float('trace_sample', 0, 'Part of requests traced.')
-_FAULTS = flags.DEFINE_multi_string('fault', [], 'NAME or NAME@SECOND.')
-_REPORT = flags.DEFINE_enum('report', 'table', ['table', 'json'], 'Form.')
-_PLOT = flags.DEFINE_string('plot', '', 'Where to draw the run (PNG).')
-_LIST = flags.DEFINE_bool('list_faults', False, 'Name all faults and end.')
+_USUAL_RATE = 60
 
 
 def run() -> None:
     """Run the program."""
+    _define_flags()
     sys.modules['__main__'].__doc__ = _USAGE
     app.run(_main)
 
 
+def _define_flags() -> None:
+    """Define the flags now: other programs use the same names."""
+    flags.DEFINE_string('config', '', 'Statement of the institution.')
+    flags.DEFINE_float('seconds', _USUAL_SECONDS, 'Length of the load.')
+    flags.DEFINE_integer('seed', 1, 'Seed of load, choices and faults.')
+    flags.DEFINE_float('rate', _USUAL_RATE, 'Requests of callers a second.')
+    flags.DEFINE_float('work_factor', 1, 'Multiplies all work times.')
+    flags.DEFINE_float('trace_sample', 0, 'Part of requests traced.')
+    flags.DEFINE_multi_string('fault', [], 'NAME or NAME@SECOND.')
+    flags.DEFINE_enum('report', 'table', ['table', 'json'], 'Form.')
+    flags.DEFINE_string('plot', '', 'Where to draw the run (PNG).')
+    flags.DEFINE_bool('list_faults', default=False, help='Name all faults.')
+
+
 def _main(_arguments: list[str]) -> int:
-    if _LIST.value:
+    if flags.FLAGS.list_faults:
         for name, text in list_faults():
             print(f'{name:20} {text}')
         return int(ExitCode.OK)
@@ -67,20 +72,20 @@
     # Pools and parts log through the standard library; the report counts.
     logging.disable(logging.WARNING)
     options = RunOptions(
-        seconds=_SECONDS.value,
-        seed=_SEED.value,
-        rate=_RATE.value,
-        work_factor=_WORK.value,
-        trace_sample=_TRACE.value,
-        faults=tuple(parse_fault(text) for text in _FAULTS.value),
+        seconds=flags.FLAGS.seconds,
+        seed=flags.FLAGS.seed,
+        rate=flags.FLAGS.rate,
+        work_factor=flags.FLAGS.work_factor,
+        trace_sample=flags.FLAGS.trace_sample,
+        faults=tuple(parse_fault(text) for text in flags.FLAGS.fault),
     )
-    statement = read_statement(_read_text(), _CONFIG.value)
+    statement = read_statement(_read_text(), flags.FLAGS.config)
     offset, claim = claim_offset(statement)
     with claim:
         result = run_session(relocate(statement, offset), options)
     report = build_report(result)
     draw(result)
-    if _REPORT.value == 'table':
+    if flags.FLAGS.report == 'table':
         print(print_table(report))
     else:
         print(print_json(report))
@@ -89,18 +94,18 @@
 
 def _read_text() -> str:
     try:
-        return Path(_CONFIG.value).read_text(encoding='utf-8')
+        return Path(flags.FLAGS.config).read_text(encoding='utf-8')
     except OSError as error:
-        raise InputError(f'--config {_CONFIG.value!r}: {error}') from error
+        raise InputError(f'--config {flags.FLAGS.config!r}: {error}') from error
 
 
 def _find_drawing():
     """Return what draws a result; fails before the run, not after it."""
-    if not _PLOT.value:
+    if not flags.FLAGS.plot:
         return lambda _result: None
     from sesameroute.local.plot import draw_result  # noqa: PLC0415
 
-    return lambda result: draw_result(result, _PLOT.value)
+    return lambda result: draw_result(result, flags.FLAGS.plot)
 
 
 if __name__ == '__main__':
