--- a/sesameroute/local/_upstream_faults.py
+++ b/sesameroute/local/_upstream_faults.py
@@ -16,7 +16,8 @@
 _WORK_PART = 0.3  # of the deadline
 _MOST_RATE = 60.0  # extra requests a second
 _MILLISECONDS = 1000
-_POISONS = 2  # for each kind
+_POISONS = 3  # sendings of each, beside its user's own
+_POISON_SECONDS = 1.0  # between two
 
 
 @register_fault('upstream-crash')
@@ -120,16 +121,17 @@
 
 @register_fault('request-of-death')
 class RequestOfDeath(Fault):
-    """Requests crash each server that runs them; callers send them again."""
+    """A request crashes each server that runs it; its caller sends it again."""
 
     def inject(self, scene: Scene) -> None:
-        """Send poisonous requests of each kind."""
-        statement = scene.deployment.statement
-        for kind in statement.kinds.values():
+        """Send one idempotent and one non-idempotent poisonous request."""
+        kinds = scene.deployment.statement.kinds.values()
+        for kind in {each.idempotent: each for each in kinds}.values():
+            name = f'poison-{kind.name}'
+            caller = scene.rng.choice(scene.deployment.callers)
             for number in range(_POISONS):
-                caller = scene.rng.choice(scene.deployment.callers)
-                name = f'poison-{kind.name}-{number}'
-                scene.load.put(Order(name, kind, caller))
+                order = Order(name, kind, caller)
+                scene.put_later(number * _POISON_SECONDS, order)
 
     def heal(self, scene: Scene) -> None:
         """Start crashed servers again."""
--- a/sesameroute/programs/local.py
+++ b/sesameroute/programs/local.py
@@ -50,6 +50,10 @@
     flags.DEFINE_float('work_factor', 1, 'Multiplies all work times.')
     flags.DEFINE_float('trace_sample', 0, 'Part of requests traced.')
     flags.DEFINE_multi_string('fault', [], 'NAME or NAME@SECOND.')
+    _define_output_flags()
+
+
+def _define_output_flags() -> None:
     flags.DEFINE_enum('report', 'table', ['table', 'json'], 'Form.')
     flags.DEFINE_string('plot', '', 'Where to draw the run (PNG).')
     flags.DEFINE_bool('list_faults', default=False, help='Name all faults.')
