Give up a silent kept connection early, and judge all attempts together

Cause: callers waited for their whole deadline on a kept connection gone silent; a read whose first attempt may have run was said not to have run when a later attempt was quarantined. Change: a kept connection gets three tenths of the time left, then a new one is used; without a home's seal one open attempt leaves the verdict open.

--- a/sesameroute/caller/_caller.py
+++ b/sesameroute/caller/_caller.py
@@ -29,6 +29,8 @@
 _MOST_ATTEMPTS = 6
 _BAD_REQUEST = 400
 _NO_VERDICT = 'no-verdict'
+_KEPT_PART = 0.3  # of the time left, before a kept connection is given up
+_GONE_CODES = frozenset(('silent', 'lost'))
 _FRESH_CODES = frozenset(('refused', 'no-room', 'stopping', 'no-statement'))
 
 
@@ -152,7 +154,10 @@
         self._connections.close()
 
     def _follow(self, journey: _Journey) -> Outcome:
-        failed = RequestError('no attempt', Verdict.NOT_RUN, 'deadline')
+        open_fate = (
+            Verdict.MAY_HAVE_RUN if journey.ambiguous else Verdict.NOT_RUN
+        )
+        failed = RequestError('no attempt', open_fate, 'deadline')
         while self._may_try(journey):
             journey.attempts += 1
             try:
@@ -186,20 +191,53 @@
             journey.key = f'{entry.prefix}.{nonce}'
         request = replace(journey.request, key=journey.key)
         try:
-            answer = self._exchange(entry, request)
+            answer = self._exchange(entry, journey, request)
             return self._read(journey, answer)
         except RequestError as error:
-            raise self._judge(journey, error) from error
+            raise _judge(journey, error) from error
 
-    def _exchange(self, entry: EntryAddress, request: Request) -> Answer:
+    def _exchange(
+        self,
+        entry: EntryAddress,
+        journey: _Journey,
+        request: Request,
+    ) -> Answer:
         target = (entry.address, entry.port)
         kept = None
         if request.kind.idempotent:
             kept = self._connections.take(target)
-        if kept is None:
-            left = request.deadline - self.clock.read_monotonic()
-            kept = self._open(target, min(left, _CONNECT_SECONDS))
-        return exchange(self._connections, kept, request)
+        if kept is not None:
+            answer = self._try_kept(kept, request)
+            if answer is not None:
+                return answer
+            journey.ambiguous = True
+        left = request.deadline - self.clock.read_monotonic()
+        opened = self._open(target, min(left, _CONNECT_SECONDS))
+        return exchange(self._connections, opened, request)
+
+    def _try_kept(
+        self,
+        kept: KeptConnection,
+        request: Request,
+    ) -> Answer | None:
+        """Return the answer on a kept connection, None if it has gone.
+
+        Whatever lies between the two ends may have lost track of it, so it
+        gets a part of the time only; its brothers are not trusted either.
+        """
+        left = request.deadline - self.clock.read_monotonic()
+        try:
+            return exchange(
+                self._connections,
+                kept,
+                request,
+                left * _KEPT_PART,
+            )
+        except RequestError as error:
+            self._connections.suspect(kept.target)
+            if error.code not in _GONE_CODES:
+                raise
+        return None
 
     def _open(
         self,
@@ -233,22 +271,6 @@
             attempts=journey.attempts,
         )
 
-    def _judge(self, journey: _Journey, error: RequestError) -> RequestError:
-        """Return the error with the verdict on all attempts together."""
-        if journey.request.kind.idempotent:
-            return error
-        unreached = error.code == 'refused' and error.verdict.allows_retry
-        if unreached and journey.ambiguous:
-            return RequestError(
-                error.message,
-                Verdict.MAY_HAVE_RUN,
-                error.code,
-                error.retry_after,
-            )
-        if not unreached:
-            journey.ambiguous = not error.verdict.allows_retry
-        return error
-
     def _prepare_next(self, journey: _Journey, error: RequestError) -> bool:
         """Return whether another attempt makes sense now."""
         if journey.final:
@@ -277,3 +299,19 @@
     if request.kind.idempotent or error.code == _NO_VERDICT:
         return False
     return not error.verdict.allows_retry
+
+
+def _judge(journey: _Journey, error: RequestError) -> RequestError:
+    """Return the error with the verdict on all attempts together."""
+    unreached = error.code == 'refused' and error.verdict.allows_retry
+    # A home seals a key for all attempts; without one, nobody does.
+    sealed = not unreached and not journey.request.kind.idempotent
+    if error.verdict.allows_retry and journey.ambiguous and not sealed:
+        return RequestError(
+            error.message,
+            Verdict.MAY_HAVE_RUN,
+            error.code,
+            error.retry_after,
+        )
+    journey.ambiguous = not error.verdict.allows_retry
+    return error
--- a/sesameroute/local/_order.py
+++ b/sesameroute/local/_order.py
@@ -56,6 +56,9 @@
         What the caller heard, one for each sending.
     outcome : Outcome or None
         The last answer or refusal.
+    is_sent_anew : bool
+        Whether its user sent the same before under another key, although
+        that may have run.
 
     """
 
@@ -67,6 +70,7 @@
     ended: float = 0
     words: list[Word] = field(default_factory=list)
     outcome: Outcome | None = None
+    is_sent_anew: bool = False
 
     @property
     def is_answered(self) -> bool:
--- a/sesameroute/local/_scene.py
+++ b/sesameroute/local/_scene.py
@@ -105,6 +105,13 @@
             time.sleep(_POLL_SECONDS)
         return self.watch.is_settled()
 
+    def wait_ended(self, order: Order) -> bool:
+        """Wait until an order has its last word; return if it has."""
+        ends = time.monotonic() + _PATIENCE_SECONDS
+        while not order.ended and time.monotonic() < ends:
+            time.sleep(_POLL_SECONDS)
+        return bool(order.ended)
+
     def read_time(self) -> float:
         """Return monotonic seconds."""
         return time.monotonic()
--- a/sesameroute/local/_upstream_faults.py
+++ b/sesameroute/local/_upstream_faults.py
@@ -1,5 +1,7 @@
 """Faults of backend servers."""
 
+from functools import partial
+
 from xxhash import xxh3_64_intdigest
 
 from sesameroute.fakes import FakeUpstream, Lane
@@ -17,7 +19,6 @@
 _MOST_RATE = 60.0  # extra requests a second
 _MILLISECONDS = 1000
 _POISONS = 3  # sendings of each, beside its user's own
-_POISON_SECONDS = 1.0  # between two
 
 
 @register_fault('upstream-crash')
@@ -125,20 +126,29 @@
 
     def inject(self, scene: Scene) -> None:
         """Send one idempotent and one non-idempotent poisonous request."""
+        self.is_over = False
         kinds = scene.deployment.statement.kinds.values()
-        for kind in {each.idempotent: each for each in kinds}.values():
-            name = f'poison-{kind.name}'
-            caller = scene.rng.choice(scene.deployment.callers)
-            for number in range(_POISONS):
-                order = Order(name, kind, caller)
-                scene.put_later(number * _POISON_SECONDS, order)
+        by_deadline = sorted(kinds, key=lambda each: -each.deadline_ms)
+        for kind in {each.idempotent: each for each in by_deadline}.values():
+            scene.run_aside(partial(self._send_again, scene, kind))
 
     def heal(self, scene: Scene) -> None:
         """Start crashed servers again."""
+        self.is_over = True
         for fake in scene.deployment.upstreams.values():
             if not fake.is_running:
                 _restart(fake)
 
+    def _send_again(self, scene: Scene, kind: Kind) -> None:
+        caller = scene.rng.choice(scene.deployment.callers)
+        for _ in range(_POISONS):
+            if self.is_over:
+                return
+            order = Order(f'poison-{kind.name}', kind, caller)
+            order.is_sent_anew = True
+            scene.load.put(order)
+            scene.wait_ended(order)
+
 
 @register_fault('overload')
 class Overload(Fault):
--- a/sesameroute/local/tests/test_judge.py
+++ b/sesameroute/local/tests/test_judge.py
@@ -121,6 +121,19 @@
     assert count_kinds([order], journal)[0]['write'].faults == 0
 
 
+@pytest.mark.parametrize(
+    ('keys', 'expected'),
+    [(('k1', 'k2'), 0), (('k1', 'k1'), 1)],
+)
+def test_a_user_who_sends_anew_doubles_by_one_key_only(keys, expected):
+    journal = Journal()
+    order = Order('o1', _WRITE, None, is_sent_anew=True)
+    for key in keys:
+        _run(journal, order, key, ends=False)
+    _hear(order, Verdict.MAY_HAVE_RUN)
+    assert count_kinds([order], journal)[0]['write'].doubled == expected
+
+
 @pytest.mark.parametrize('text', ['', 'Entry', 'a@', 'a@x', 'a@-1', 'a b'])
 def test_a_malformed_fault_is_named(text):
     with pytest.raises(InputError, match='NAME@SECOND'):
