Bound the patience for a kept connection from below

Cause: a deadline passed while a kept connection was taken raised ValueError in the caller's library instead of giving an outcome. Change: the patience is at least 10 ms; the local run reports errors that a caller's library raises.

--- a/sesameroute/caller/_caller.py
+++ b/sesameroute/caller/_caller.py
@@ -231,7 +231,7 @@
                 self._connections,
                 kept,
                 request,
-                left * _KEPT_PART,
+                max(left * _KEPT_PART, _SHORTEST_CONNECT),
             )
         except RequestError as error:
             self._connections.suspect(kept.target)
--- a/sesameroute/caller/tests/test_caller.py
+++ b/sesameroute/caller/tests/test_caller.py
@@ -97,6 +97,13 @@
     assert {outcome.body for outcome in outcomes} == {b'ok'}
 
 
+@pytest.mark.parametrize('seconds', [0, 1e-9, 1e-4])
+def test_too_little_time_is_an_outcome_not_an_error(entry, seconds):
+    caller = Caller(entry, random.Random(1))
+    caller.send(_READ, '1')
+    assert not caller.send(_READ, '2', seconds=seconds).body
+
+
 def test_no_time_left_says_nothing_about_an_open_fate(entry):
     caller = Caller(entry, random.Random(1))
     outcome = caller.send(_WRITE, '1', b'x', seconds=0, key='e1.x.1.abc')
--- a/sesameroute/local/_load.py
+++ b/sesameroute/local/_load.py
@@ -30,6 +30,8 @@
         All orders handed out so far.
     lags : list of float
         Seconds by which each order started too late.
+    errors : list of str
+        Errors of the caller's library: it should raise none.
 
     """
 
@@ -43,6 +45,7 @@
         self.workers = workers
         self.orders: list[Order] = []
         self.lags: list[float] = []
+        self.errors: list[str] = []
         self.started: float = 0
         self._is_planned = False
         self._lock = Lock()
@@ -104,4 +107,7 @@
         for order in iter(self._due.get, None):
             lag = time.monotonic() - self.started - order.planned
             self.lags.append(lag)
-            follow_order(order)
+            try:
+                follow_order(order)
+            except Exception as error:
+                self.errors.append(f'{order.name}: {error!r}')
--- a/sesameroute/local/_report.py
+++ b/sesameroute/local/_report.py
@@ -147,5 +147,6 @@
     if result.open_orders:
         yield f'{result.open_orders} orders are still under way'
     yield from result.scene.watch.problems
+    yield from result.scene.load.errors[:_MOST_FINDINGS]
     for finding in broken[:_MOST_FINDINGS]:
         yield finding.describe()
