--- /dev/null
+++ b/benchmarks/_control_lookups.py
@@ -0,0 +1,67 @@
+"""Cost of one look-up's decision by the number of entry VMs."""
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import cycle, islice
+
+from benchmarks._control_store import make_fleet_statement
+from benchmarks._figure import Figure
+from sesameroute.membership import FanOut, choose_targets
+from sesameroute.ports import SystemClock
+from sesameroute.routing import Lookup
+from sesameroute.statement import Service, Statement
+
+__all__ = ['measure_lookups']
+
+_SIZES = ((7, 6, 3), (65, 9, 4), (540, 9, 4))
+_SERVICE = 'order-desk'
+_LOOKUPS = 100
+_MICROSECONDS = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class KnownMembers:
+    """The members that a look-up process of one VM hears."""
+
+    live: tuple[str, ...]
+
+    def list_live(self) -> tuple[str, ...]:
+        """Return the VMs with a stream."""
+        return self.live
+
+    def list_leaving(self) -> frozenset[str]:
+        """Return nobody."""
+        return frozenset()
+
+
+def measure_lookups() -> Iterator[Figure]:
+    """Measure the decision without HTTP, from each failure domain in turn."""
+    for size in _SIZES:
+        statement = _add_service(make_fleet_statement(*size))
+        seconds = _time_lookup(statement)
+        title = f'control/{size[0]}/lookup'
+        yield Figure(title, seconds * _MICROSECONDS, 'us of a core')
+
+
+def _time_lookup(statement: Statement) -> float:
+    live = choose_targets(statement, 'vm0', 'd0', FanOut())
+    members = KnownMembers(tuple(live))
+    lookup = Lookup(lambda: statement, members, SystemClock())
+    domains = cycle(statement.places.domains)
+    started = time.process_time()
+    for domain in islice(domains, _LOOKUPS):
+        lookup.answer(_SERVICE, domain)
+    return (time.process_time() - started) / _LOOKUPS
+
+
+def _add_service(statement: Statement) -> Statement:
+    return Statement(
+        statement.institution,
+        statement.places,
+        statement.policy,
+        statement.vms,
+        {_SERVICE: Service(_SERVICE)},
+        {},
+        {},
+    )
--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -13,6 +13,7 @@
 from statistics import linear_regression
 
 from benchmarks._control_fleet import ControlFleet
+from benchmarks._control_lookups import measure_lookups
 from benchmarks._control_store import StoreLoad, make_fleet_statement
 from benchmarks._control_tables import measure_blocks, measure_statements
 from benchmarks._figure import Figure
@@ -46,6 +47,7 @@
         *_measure_peers(_QUICK_PEERS if quick else _PEERS, 3 if quick else 8),
         *_count_streams(),
         *_measure_store(seed, 600 if quick else 1800),
+        *measure_lookups(),
         *measure_statements(quick=quick),
         *measure_blocks(seed, quick=quick),
     ]
