Bound what a silent connection to the store can delay

Cause: with watches of 15 s, connections to the store that all go silent would hold a change up for longer than 4 s; the stand-in ran out of threads when it hung; tests on fixed addresses met those of another run.

--- a/benchmarks/_control_fleet.py
+++ b/benchmarks/_control_fleet.py
@@ -100,6 +100,12 @@
         """End all cuts."""
         self.wire.outages.heal()
 
+    def silence_store(self) -> None:
+        """Lose track of all open connections to the store."""
+        self.wire.silence(
+            lambda lane: _STORE_ADDRESS in {lane.source, lane.target},
+        )
+
     def measure_force(self) -> float:
         """Return seconds until the newest version is in force everywhere."""
         return _measure_until(
--- a/benchmarks/_control_tables.py
+++ b/benchmarks/_control_tables.py
@@ -1,11 +1,10 @@
 """Cost of statements by size and of the table of client blocks."""
 
 import random
-import resource
+import sys
 import time
 import zlib
 from collections.abc import Callable, Iterator
-from pathlib import Path
 from typing import Any
 
 from benchmarks._figure import Figure
@@ -55,10 +54,8 @@
     for count in _QUICK_BLOCK_COUNTS if quick else _BLOCK_COUNTS:
         rng = random.Random(seed)
         title = f'control/blocks/{count}'
-        before = _read_memory()
         seconds, table = _time(BlockTable.build, _make(count))
-        memory = (_read_memory() - before) / _MEGABYTE
-        yield Figure(f'{title}/memory', memory, 'MB')
+        yield Figure(f'{title}/memory', _sum_memory(table), 'MB')
         yield Figure(f'{title}/build', seconds, 's of a core')
         packed = table.pack()
         yield Figure(f'{title}/chunks', len(packed), 'values')
@@ -124,6 +121,11 @@
     return time.process_time() - started, done
 
 
-def _read_memory() -> int:
-    fields = Path('/proc/self/statm').read_text().split()
-    return int(fields[1]) * resource.getpagesize()
+def _sum_memory(table: BlockTable) -> float:
+    """Return the allocated megabytes of all arrays."""
+    columns = (
+        column
+        for chunk in table.chunks
+        for column in (chunk.starts, chunk.bits, chunk.sites)
+    )
+    return sum(map(sys.getsizeof, columns)) / _MEGABYTE
--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -23,6 +23,7 @@
 __all__ = ['run']
 
 _FORCE_SECONDS = 4.0  # asked for
+_WARM_SECONDS = 3
 _PEERS = (2, 4, 8, 16, 32, 64)
 _QUICK_PEERS = (2, 8)
 _DAY_SECONDS = 86_400
@@ -59,6 +60,7 @@
         'submit': _force_submit,
         'heal': _force_heal,
         'silent-heal': _force_silent_heal,
+        'store-silent': _force_store_silent,
         'store-return': _force_store_return,
         'restart-store-down': _force_restart,
     }
@@ -95,6 +97,14 @@
     return fleet.measure_force()
 
 
+def _force_store_silent(fleet: ControlFleet) -> float:
+    """All open connections to the store go silent; new ones work."""
+    time.sleep(_WARM_SECONDS)
+    fleet.silence_store()
+    fleet.submit()
+    return fleet.measure_force()
+
+
 def _force_store_return(fleet: ControlFleet) -> float:
     """The store is down while the change is accepted, then returns."""
     fleet.store.faults.outage = StoreOutage.HANG
--- a/sesameroute/adapters/tests/test_peers.py
+++ b/sesameroute/adapters/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Peer streams under failure: nobody gets in, nothing grows or crashes."""
 
+import os
 import random
 import socket
 import threading
@@ -21,6 +22,8 @@
     register_message,
 )
 
+# Runs side by side on one machine stay apart.
+_NETWORK = f'127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}'
 _KEY = b'key of this test 0123456789'
 _PORT = 18600
 
@@ -56,14 +59,14 @@
         self.networks = []
 
     def add(self, name, number, key=_KEY, role=PeerRole.ENTRY, **options):
-        """Start a network on 127.6.1.`number`."""
+        """Start a network on the address with that last number."""
         port = _PORT if role is PeerRole.ENTRY else 0
         network = PeerNetwork(
             PeerIdentity(name, f'i{random.random()}', role),
             key,
             options.get('wire', TcpWire()),
             SystemClock(),
-            (f'127.6.1.{number}', port),
+            (f'{_NETWORK}.{number}', port),
         )
         network.start(options.get('handler', _echo))
         self.networks.append(network)
@@ -80,7 +83,7 @@
 
 
 def _target(number):
-    return (f'127.6.1.{number}', _PORT)
+    return (f'{_NETWORK}.{number}', _PORT)
 
 
 def test_call(fleet):
@@ -218,7 +221,7 @@
     def __init__(self, target):
         """Listen on a free port."""
         self.target = target
-        self.server = socket.create_server(('127.6.1.99', 0))
+        self.server = socket.create_server((f'{_NETWORK}.99', 0))
         self.address = self.server.getsockname()
         self.recorded = []
         self.is_silent = {'up': False, 'down': False}
--- a/sesameroute/fakes/_store.py
+++ b/sesameroute/fakes/_store.py
@@ -22,7 +22,7 @@
 
 _THREADS = 40  # waiting watches take one each
 _STOP_SECONDS = 0.2
-_HANG_SECONDS = 60.0
+_HANG_SECONDS = 0.05  # between looks whether the outage is over
 
 Environ = dict[str, Any]
 Reply = tuple[HTTPStatus, StoredValue | None]
@@ -126,8 +126,9 @@
         self.call_counts['failed'] += 1
         if self.faults.outage is StoreOutage.REFUSE:
             return HTTPStatus.SERVICE_UNAVAILABLE, None
-        if self.faults.outage is StoreOutage.HANG:
-            self._is_stopping.wait(_HANG_SECONDS)
+        while self.faults.outage is StoreOutage.HANG:
+            if self._is_stopping.wait(_HANG_SECONDS):
+                break
         return _cut(environ)
 
     def _dispatch(self, environ: Environ) -> Reply:
--- a/sesameroute/fakes/tests/test_fleet.py
+++ b/sesameroute/fakes/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Seven nodes on real sockets: a configuration is in force everywhere."""
 
+import os
 import random
 import socket
 import time
@@ -22,6 +23,8 @@
 from sesameroute.ports import PeerIdentity, PeerRole, SystemClock, TcpWire
 from sesameroute.statement import Places, Policy, Statement, Vm
 
+# Runs side by side on one machine stay apart.
+_NETWORK = f'127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}'
 _KEY = b'key of this test 0123456789'
 _PORT = 18700
 _DOMAINS = ('a1', 'a1', 'a2', 'b1', 'b2', 'c1', 'c2')
@@ -30,7 +33,7 @@
 )
 _VMS = MappingProxyType(
     {
-        f'vm{number}': Vm(f'vm{number}', domain, f'127.6.2.{number + 1}')
+        f'vm{number}': Vm(f'vm{number}', domain, f'{_NETWORK}.{number + 1}')
         for number, domain in enumerate(_DOMAINS)
     },
 )
@@ -78,7 +81,7 @@
 
     def __init__(self):
         """Start the store; no node runs yet."""
-        self.store = FakeStoreServer('127.6.2.200', 18750)
+        self.store = FakeStoreServer(f'{_NETWORK}.200', 18750)
         self.store.start()
         self.wire = CutWire()
         self.nodes = {}
--- a/sesameroute/fakes/tests/test_store.py
+++ b/sesameroute/fakes/tests/test_store.py
@@ -1,5 +1,6 @@
 """The HTTP store against its stand-in and the stand-in's faults."""
 
+import os
 import threading
 
 import pytest
@@ -13,13 +14,15 @@
 from sesameroute.fakes import FakeStoreServer, StoreOutage
 from sesameroute.ports import TcpWire
 
+# Runs side by side on one machine stay apart.
+_NETWORK = f'127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}'
 _KEY = 'a/b c'
 
 
 @pytest.fixture
 def server():
     """Run a stand-in on an address of its own."""
-    running = FakeStoreServer('127.6.0.1', 18500)
+    running = FakeStoreServer(f'{_NETWORK}.1', 18500)
     running.start()
     yield running
     running.stop()
@@ -28,7 +31,7 @@
 @pytest.fixture
 def store(server):
     """Return a client of the stand-in."""
-    return HttpStore(server.url, TcpWire(), '127.6.0.2', timeout=0.5)
+    return HttpStore(server.url, TcpWire(), f'{_NETWORK}.2', timeout=0.5)
 
 
 def test_swap(store):
--- a/sesameroute/membership/_watcher.py
+++ b/sesameroute/membership/_watcher.py
@@ -14,12 +14,12 @@
 __all__ = ['ListPoller', 'Watcher']
 
 
-_WATCH_SECONDS = 15.0
-_READ_EVERY = 4  # watches: a store from an older backup shows in a read
+_WATCH_SECONDS = 2.0  # a connection gone silent costs no more than this
+_READ_EVERY = 300  # watches: a store from an older backup shows in a read
 _POLL_SECONDS = 600.0  # of nodes without the duty
 _DUTY_SECONDS = 1.0  # between looks at who has it
 _MIN_PAUSE_SECONDS = 0.3
-_MAX_PAUSE_SECONDS = 3.0
+_MAX_PAUSE_SECONDS = 2.0
 _LIST_SECONDS = 5.0
 
 
