--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 from collections.abc import Mapping
+from contextlib import ExitStack
 from typing import Any
 
 from sesameroute.adapters._peer_dialer import PeerDialer
@@ -167,12 +168,14 @@
     def run_stream(self, connection: socket.socket, session: Session) -> None:
         """Read a stream in the calling thread until it ends."""
         stream = PeerStream(connection, session, self.clock)
-        self.streams.add(stream)
-        stream.send(Frame(FrameKind.BEAT))
-        for frame in stream.receive():
-            self._take(stream, frame)
-        self.streams.remove(stream)
-        self._calls.fail(stream)
+        with ExitStack() as cleanup:
+            cleanup.callback(self._calls.fail, stream)
+            cleanup.callback(self.streams.remove, stream)
+            cleanup.callback(stream.close)
+            self.streams.add(stream)
+            stream.send(Frame(FrameKind.BEAT))
+            for frame in stream.receive():
+                self._take(stream, frame)
 
     def _take(self, stream: PeerStream, frame: Frame) -> None:
         if frame.kind in _ANSWERS:
--- a/sesameroute/membership/_members.py
+++ b/sesameroute/membership/_members.py
@@ -78,8 +78,11 @@
         """Learn from a peer's digest."""
         known = KnownDigest(digest, self.clock.read_monotonic())
         with self._lock:
-            if digest.vm in self._known or len(self._known) < _MAX_MEMBERS:
-                self._known[digest.vm] = known
+            self._known.pop(digest.vm, None)
+            self._known[digest.vm] = known
+            # The first one has been silent for longest.
+            if len(self._known) > _MAX_MEMBERS:
+                self._known.pop(next(iter(self._known)))
             self.leaving.merge(digest.leaving)
             self.quarantine.merge(digest.quarantine)
 
--- a/sesameroute/membership/_membership.py
+++ b/sesameroute/membership/_membership.py
@@ -43,6 +43,7 @@
     spreader : Spreader
     fetcher : Fetcher
     watcher : Watcher
+    threads : StepThreads
 
     """
 
@@ -75,7 +76,7 @@
             self.members,
             self.freshness,
         )
-        self._threads = StepThreads()
+        self.threads = StepThreads()
         self.keeper.listen(self._apply)
 
     @property
@@ -96,17 +97,17 @@
     def start(self) -> None:
         """Start the threads; the peer network must have been started."""
         self.spreader.set_targets()
-        self._threads.spawn('membership-beat', self.spreader.step)
-        self._threads.spawn('membership-fetch', self.fetcher.wait_step)
+        self.threads.spawn('membership-beat', self.spreader.step)
+        self.threads.spawn('membership-fetch', self.fetcher.wait_step)
         if self.around.store is not None:
-            self._threads.spawn('membership-watch', self.watcher.step)
+            self.threads.spawn('membership-watch', self.watcher.step)
         if self.around.vm_list is not None:
             poller = ListPoller(self.around, self.keeper, self.members)
-            self._threads.spawn('membership-list', poller.step)
+            self.threads.spawn('membership-list', poller.step)
 
     def stop(self) -> None:
         """Let the threads end after their present step."""
-        self._threads.stop()
+        self.threads.stop()
 
     def handle(self, sender: str, message: Any) -> Configuration | None:
         """Take a peer's message; return the reply to a question.
