--- a/sesameroute/caller/_caller.py
+++ b/sesameroute/caller/_caller.py
@@ -31,7 +31,18 @@
 _NO_VERDICT = 'no-verdict'
 _KEPT_PART = 0.3  # of the time left, before a kept connection is given up
 _GONE_CODES = frozenset(('silent', 'lost'))
-_FRESH_CODES = frozenset(('refused', 'no-room', 'stopping', 'no-statement'))
+_FRESH_CODES = frozenset(
+    (
+        'epoch-closed',
+        'home-lost',
+        'no-room',
+        'no-statement',
+        'record-full',
+        'refused',
+        'stopping',
+        'witness-lost',
+    ),
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesameroute/delivery/_epoch.py
+++ b/sesameroute/delivery/_epoch.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -13,6 +14,7 @@
 
 _LOG = logging.getLogger(__name__)
 _EPOCH_SECONDS: Final = 30.0  # after which the next epoch is opened
+_SHORTEST_SECONDS: Final = 0.2  # before a better witness is named
 _OVERLAP_SECONDS: Final = 15.0  # for which the one before still takes keys
 _SUSPECT_SECONDS: Final = 2.0  # for which a silent witness is not named
 
@@ -55,6 +57,8 @@
         Told of every epoch opened and closed.
     clock : Clock
         Source of time.
+    announce : callable
+        Called without a lock after an epoch was opened in place of another.
 
     """
 
@@ -64,8 +68,10 @@
         members: Members,
         record: Record,
         clock: Clock,
+        announce: Callable[[], None],
     ) -> None:
         """Store the parameters; no epoch is open yet."""
+        self.announce = announce
         self.identity = identity
         self.members = members
         self.record = record
@@ -93,13 +99,15 @@
 
     def refresh(self) -> Epoch:
         """Open a new epoch if the current one should not be used more."""
+        now = self.clock.read_monotonic()
         with self._lock:
-            now = self.clock.read_monotonic()
             self._close_former(now)
             epoch = self.read_epoch()
             if self.stopped_ or not self._is_due(epoch, now):
                 return epoch
-            return self._open(now)
+            epoch = self._open(now)
+        self.announce()
+        return epoch
 
     def give_up(self, key: RequestKey, reason: str) -> None:
         """Close the epoch of a key whose witness didn't acknowledge it."""
@@ -108,11 +116,11 @@
             self.record.close_epochs(now, key.epoch)
             if key.witness and reason != 'fenced':
                 self.suspects_[key.witness] = now + _SUSPECT_SECONDS
-            _LOG.warning(
-                'epoch closed',
-                extra={'epoch': key.epoch, 'reason': reason},
-            )
-            self.refresh()
+        _LOG.warning(
+            'epoch-closed',
+            extra={'epoch': key.epoch, 'reason': reason},
+        )
+        self.refresh()
 
     def stop(self) -> None:
         """Close every epoch for good."""
@@ -123,8 +131,9 @@
     def _is_due(self, epoch: Epoch, now: float) -> bool:
         if not self.record.is_open(epoch.number):
             return self.record.has_room()
-        if now - epoch.opened > _EPOCH_SECONDS:
-            return True
+        age = now - epoch.opened
+        if not _SHORTEST_SECONDS <= age <= _EPOCH_SECONDS:
+            return age > _EPOCH_SECONDS
         if epoch.witness is None:
             return self._choose_witness(now) is not None
         life = self.members.find_incarnation(epoch.witness.vm)
@@ -134,11 +143,13 @@
         former = self.epoch_
         number = former.number + 1 if former else 1
         witness = self._choose_witness(now)
+        if self.former_:
+            self.record.close_epochs(now, self.former_.number)
         self.former_ = former
         self.epoch_ = Epoch(self.identity, number, witness, now)
         self.record.open_epoch(number, witness)
         _LOG.info(
-            'epoch opened',
+            'epoch-opened',
             extra={'epoch': number, 'witness': witness and witness.vm},
         )
         return self.epoch_
--- a/sesameroute/delivery/_parts.py
+++ b/sesameroute/delivery/_parts.py
@@ -22,6 +22,10 @@
 __all__ = ['DeliveryPorts', 'Parts', 'assemble_parts']
 
 
+def _announce_nothing() -> None:
+    """Stand for a fleet that needs no news."""
+
+
 @dataclass(frozen=True, slots=True)
 class DeliveryPorts:
     """All that delivery uses of the rest of the entry.
@@ -42,6 +46,9 @@
         Way to the other entry VMs, for callers' requests.
     statement : callable
         Returns the statement in force, None before the first is known.
+    announce : callable, optional
+        Called when the prefix of request keys has changed, so that look-ups
+        hear of it at once.
 
     """
 
@@ -52,6 +59,7 @@
     members: Members
     entries: EntryRelay
     statement: Callable[[], Statement | None]
+    announce: Callable[[], None] = _announce_nothing
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +85,7 @@
     """Return the parts of one entry process; nothing runs yet."""
     clock, peers = ports.clock, ports.peers
     record = Record(limits, make_event)
-    keeper = EpochKeeper(identity, ports.members, record, clock)
+    keeper = EpochKeeper(identity, ports.members, record, clock, ports.announce)
     quarantine = Quarantine(identity.vm, clock, peers)
     witness = Witness(identity, clock)
     attempt = Attempt(clock, ports.steering, ports.upstreams, quarantine)
--- a/sesameroute/delivery/_stop.py
+++ b/sesameroute/delivery/_stop.py
@@ -94,7 +94,7 @@
             tried - handed,
             self._count_running(),
         )
-        _LOG.info('delivery stopped', extra={'handed': handed})
+        _LOG.info('delivery-stopped', extra={'handed': handed})
         return report
 
     def _count_running(self) -> int:
--- a/sesameroute/programs/_entry_parts.py
+++ b/sesameroute/programs/_entry_parts.py
@@ -117,6 +117,7 @@
         members,
         ObservedRelay(relay, observers.tracer, observers.meter),
         lambda: membership.statement,
+        membership.announce,
     )
     pipeline = Pipeline(
         Identity(settings.vm.name, network.identity.incarnation),
