Hedge light reads inside a budget, and test the bounds of delivery

Cause: a slow server held light reads of an institution that weighs latency; bounds had no tests. Change: a second copy after the running 95th percentile, the loser cancelled and not counted as lost; tables for cut answers, budgets, deadlines, the record and the witness. Conclusion: with every try failing, 100 reads cost at most 121 tries at a retry budget of 0.1.

--- a/sesameroute/delivery/_attempt.py
+++ b/sesameroute/delivery/_attempt.py
@@ -1,5 +1,6 @@
 """One try at a backend server."""
 
+import threading
 from dataclasses import replace
 from typing import Final
 
@@ -32,9 +33,11 @@
 }
 
 
+_CANCELLED: Final = Outcome(OutcomeCode.CANCELLED)
+
 # Codes of refusals that say nothing about the backend server.
 LOCAL_CODES: Final = frozenset(
-    ('deadline', 'answer-too-large', 'quarantined', 'suspected', 'cancelled'),
+    ('answer-too-large', 'cancelled', 'deadline', 'quarantined', 'suspected'),
 )
 
 
@@ -66,6 +69,17 @@
         self.steering = steering
         self.upstreams = upstreams
         self.quarantine = quarantine
+        self.running_: dict[int, bool] = {}
+        self._lock = threading.Lock()
+
+    def cancel(self, choice: Choice, key: str) -> None:
+        """Tell a backend server that nobody waits for a running try."""
+        with self._lock:
+            runs = choice.ticket in self.running_
+            if runs:
+                self.running_[choice.ticket] = True
+        if runs:
+            self.upstreams.cancel(choice.upstream, key)
 
     def send(
         self,
@@ -84,18 +98,31 @@
 
         """
         started = self.clock.read_monotonic()
+        with self._lock:
+            self.running_[choice.ticket] = False
         try:
             answer = self._exchange(choice, request, fingerprint, started)
         except RequestError as error:
+            if self._end(choice):
+                self.steering.observe(choice, _CANCELLED)
+                self.steering.release(choice)
+                raise _name_cancelled(error) from error
             self._observe_failure(choice, error, fingerprint, started)
             self.steering.release(choice)
             raise
         except BaseException:
+            self._end(choice)
             self.steering.release(choice)
             raise
+        self._end(choice)
         self.quarantine.observe_answer(fingerprint)
         return answer
 
+    def _end(self, choice: Choice) -> bool:
+        """Note the end of a try; return whether it was cancelled."""
+        with self._lock:
+            return self.running_.pop(choice.ticket, False)
+
     def _exchange(
         self,
         choice: Choice,
@@ -170,6 +197,10 @@
             self.quarantine.observe_loss(fingerprint, name)
 
 
+def _name_cancelled(error: RequestError) -> RequestError:
+    return RequestError(error.message, Verdict.MAY_HAVE_RUN, 'cancelled')
+
+
 def _read_outcome(answer: Answer, seconds: float) -> Outcome:
     headers = {name.lower(): text for name, text in answer.headers}
     return Outcome(
--- a/sesameroute/delivery/_home.py
+++ b/sesameroute/delivery/_home.py
@@ -11,7 +11,7 @@
 from sesameroute.delivery._record import Record
 from sesameroute.delivery._retry import Retrier
 from sesameroute.exceptions import PeerError, RequestError
-from sesameroute.ports import Clock, Peers, Request
+from sesameroute.ports import Choice, Clock, Peers, Request
 from sesameroute.verdict import Verdict
 
 __all__ = ['Home']
@@ -93,7 +93,7 @@
         )
         return KeptAnswer(answer.status, answer.headers, read_whole(answer))
 
-    def _approve(self, entry: Entry) -> None:
+    def _approve(self, entry: Entry, choice: Choice) -> None:
         """Let a request run only after its witness acknowledged the key."""
         witness = entry.key.witness
         if witness:
--- a/sesameroute/delivery/_parts.py
+++ b/sesameroute/delivery/_parts.py
@@ -8,6 +8,7 @@
 from sesameroute.delivery._book import RecordLimits
 from sesameroute.delivery._epoch import EpochKeeper, Members
 from sesameroute.delivery._handler import PeerHandler
+from sesameroute.delivery._hedge import Hedger
 from sesameroute.delivery._home import Home
 from sesameroute.delivery._key import Identity
 from sesameroute.delivery._quarantine import Quarantine
@@ -71,6 +72,7 @@
     quarantine: Quarantine
     relay: Relay
     retrier: Retrier
+    hedger: Hedger
     home: Home
     stopper: Stopper
     peer_handler: PeerHandler
@@ -96,6 +98,7 @@
         quarantine,
         Relay(clock, peers, witness, ports.entries),
         retrier,
+        Hedger(retrier, ports.statement),
         Home(clock, peers, keeper, record, retrier),
         Stopper(clock, peers, keeper, record),
         PeerHandler(witness, quarantine),
--- a/sesameroute/delivery/_pipeline.py
+++ b/sesameroute/delivery/_pipeline.py
@@ -126,7 +126,7 @@
                 _STATEMENT_SECONDS,
             )
         self.parts.quarantine.check(fingerprint)
-        return self.parts.retrier.deliver(request, fingerprint, lambda: None)
+        return self.parts.hedger.deliver(request, fingerprint)
 
     def _deliver_keyed(
         self,
--- a/sesameroute/delivery/_retry.py
+++ b/sesameroute/delivery/_retry.py
@@ -24,12 +24,14 @@
     """What the tries of one request showed so far."""
 
     names: list[str] = field(default_factory=list)
+    count: int = 0
     losses: int = 0
     verdict: Verdict = Verdict.NOT_RUN
 
     def add(self, choice: Choice, error: RequestError) -> None:
         """Note a failed try."""
         self.names.append(choice.upstream.name)
+        self.count += 1
         self.losses += error.code in _LOSS_CODES
         if error.verdict is not Verdict.NOT_RUN:
             self.verdict = Verdict.MAY_HAVE_RUN
@@ -70,15 +72,18 @@
         self,
         request: Request,
         fingerprint: str,
-        approve: Callable[[], None],
+        approve: Callable[[Choice], None],
+        exclude: tuple[str, ...] = (),
     ) -> Answer:
         """Return the answer of a backend server.
 
         Parameters
         ----------
         approve : callable
-            Called once, with a slot in hand and before the first byte goes
+            Called once with the first choice, before the first byte goes
             out; raises RequestError when the request must not run.
+        exclude : tuple of str
+            Names of backend servers not to use.
 
         Raises
         ------
@@ -86,12 +91,12 @@
             `NOT_RUN` only if no try may have run.
 
         """
-        tries = _Tries()
+        tries = _Tries(list(exclude))
         budget = self._find_budget(request.kind.service)
         budget.observe()
         while True:
             choice = self._choose(request, tries)
-            if not tries.names:
+            if not tries.count:
                 self._approve(choice, approve)
             try:
                 return self.attempt.send(choice, request, fingerprint)
@@ -108,9 +113,13 @@
         except RequestError as error:
             raise tries.make_error(error) from error
 
-    def _approve(self, choice: Choice, approve: Callable[[], None]) -> None:
+    def _approve(
+        self,
+        choice: Choice,
+        approve: Callable[[Choice], None],
+    ) -> None:
         try:
-            approve()
+            approve(choice)
         except BaseException:
             self.attempt.steering.release(choice)
             raise
@@ -140,7 +149,7 @@
             return False
         if error.code in LOCAL_CODES or tries.losses >= _MAX_LOSSES:
             return False
-        if len(tries.names) >= _MAX_TRIES:
+        if tries.count >= _MAX_TRIES:
             return False
         return error.code == 'refused' or budget.choose()
 
