Measure what delivery costs, and send the stand-in's answers undelayed

Cause: no figure showed what the entry adds. The stand-in server wrote an answer in two pieces without TCP_NODELAY: 40 ms more on kept connections.

--- /dev/null
+++ b/benchmarks/_delivery_rig.py
@@ -0,0 +1,239 @@
+"""A small deployment of real parts for the benchmark of delivery."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from http.client import HTTPConnection
+from itertools import count
+from types import MappingProxyType
+
+from sesameroute.adapters import (
+    EntryApplication,
+    HttpServer,
+    HttpUpstreams,
+    PeerNetwork,
+)
+from sesameroute.delivery import DeliveryPorts, Identity, Pipeline
+from sesameroute.exceptions import PeerError
+from sesameroute.fakes import FakeUpstream, Journal, WorkKind
+from sesameroute.ports import (
+    Choice,
+    PeerIdentity,
+    PeerRole,
+    SystemClock,
+    TcpWire,
+)
+from sesameroute.statement import (
+    Kind,
+    Places,
+    Policy,
+    Service,
+    Statement,
+    Upstream,
+    Vm,
+)
+
+__all__ = ['DRAWING_BYTES', 'Client', 'Rig', 'build_statement']
+
+DRAWING_BYTES = 20_000_000
+_KEY = b'a key of this benchmark only'
+_KINDS = (
+    Kind('check', 'desk', deadline_ms=5000),
+    Kind('place', 'desk', idempotent=False, deadline_ms=5000),
+    Kind('draw', 'desk', heavy=True, deadline_ms=30_000),
+)
+_WORK = MappingProxyType(
+    {
+        'check': WorkKind(0.001, 1000),
+        'place': WorkKind(0.001, 300),
+        'draw': WorkKind(0.001, DRAWING_BYTES),
+    }
+)
+
+
+def find_free_port(address: str) -> int:
+    """Return a TCP port that nobody listens on."""
+    with socket.create_server((address, 0)) as probe:
+        return probe.getsockname()[1]
+
+
+def build_statement(port: int, **policy: object) -> Statement:
+    """Return one service with two upstreams on one address."""
+    policy.setdefault('hedge_budget', 0)
+    names = ('u1', 'u2')
+    return Statement(
+        institution='bench',
+        places=Places({'a': ('a',)}, 'a', 1, 10, 1),
+        policy=Policy(**policy),
+        vms={'a1': Vm('a1', 'a', '127.61.0.1')},
+        services={'desk': Service('desk')},
+        kinds={kind.name: kind for kind in _KINDS},
+        upstreams={
+            name: Upstream(name, 'desk', 'a', '127.61.2.1', port, 64, 400)
+            for name in names
+        },
+    )
+
+
+class FirstSteering:
+    """Chooses the first upstream not tried yet, without counting slots."""
+
+    def __init__(self, statement: Statement) -> None:
+        """Store the statement."""
+        self.upstreams = tuple(statement.upstreams.values())
+        self.tickets = count()
+
+    def choose(self, request, exclude=()):
+        """Return the first upstream that isn't excluded."""
+        for upstream in self.upstreams:
+            if upstream.name not in exclude:
+                return Choice(upstream, next(self.tickets))
+        raise AssertionError('no upstream is left')
+
+    def observe(self, choice, outcome):
+        """Learn nothing."""
+
+    def release(self, choice):
+        """Hold nothing."""
+
+    def charge(self, choice, body_bytes):
+        """Charge nothing."""
+
+
+@dataclass
+class FixedMembers:
+    """Witnesses that never change."""
+
+    witnesses: tuple[tuple[str, str], ...]
+
+    def find_incarnation(self, vm):
+        """Return the incarnation of a witness."""
+        return dict(self.witnesses).get(vm)
+
+    def list_witnesses(self):
+        """Return the fixed witnesses."""
+        return self.witnesses
+
+
+class NoEntries:
+    """No other entry is ever reached."""
+
+    def send(self, vm, request, timeout):
+        """Reach nobody."""
+        raise PeerError('no relay in this benchmark')
+
+
+class Client:
+    """A caller with one kept connection, or a new one for each request."""
+
+    def __init__(self, address: tuple[str, int], *, fresh: bool) -> None:
+        """Store the parameters."""
+        self.address = address
+        self.fresh = fresh
+        self._line = HTTPConnection(*address, timeout=30)
+
+    def fetch(self, method: str, path: str, key: str = '') -> int:
+        """Send a request and return the bytes of the answer."""
+        headers = {'Sesame-Key': key} if key else {}
+        body = b'9 pallets' if method == 'POST' else None
+        self._line.request(method, path, body, headers)
+        answer = self._line.getresponse()
+        size = 0
+        while chunk := answer.read(65_536):
+            size += len(chunk)
+        if answer.status != HTTPStatus.OK:
+            raise AssertionError(f'status {answer.status}')
+        if self.fresh:
+            self._line.close()
+        return size
+
+
+class Rig:
+    """An upstream, a witness and entries, all over real sockets.
+
+    Attributes
+    ----------
+    upstream : tuple of (str, int)
+        Address of the stand-in.
+
+    """
+
+    def __init__(self) -> None:
+        """Find ports; `start` opens them."""
+        self.port = find_free_port('127.61.2.1')
+        self.statement = build_statement(self.port)
+        self.upstream = ('127.61.2.1', self.port)
+        first = next(iter(self.statement.upstreams.values()))
+        self._stand_in = FakeUpstream(first, _WORK, Journal())
+        self._networks: list[PeerNetwork] = []
+        self._servers: list[HttpServer] = []
+
+    def start(self) -> None:
+        """Start the upstream and the witness."""
+        self._stand_in.start()
+        self.home_peers = self._build_network('a1')
+        self.witness_peers = self._build_network('a2')
+        witness = self.build_pipeline('a2', self.witness_peers, ())
+        self.witness_peers.start(witness.peer_handler.handle)
+        self.home_peers.start(lambda _sender, _message: None)
+        self.home_peers.set_targets({'a2': self.witness_peers.listen})
+        while not self.home_peers.list_connected():
+            SystemClock().sleep(0.01)
+
+    def stop(self) -> None:
+        """Close everything."""
+        for server in self._servers:
+            server.stop()
+        for network in self._networks:
+            network.stop()
+        self._stand_in.crash()
+
+    def build_pipeline(self, vm, peers, witnesses, upstreams=None):
+        """Return a pipeline of one VM."""
+        ports = DeliveryPorts(
+            SystemClock(),
+            FirstSteering(self.statement),
+            upstreams or HttpUpstreams(TcpWire(), '127.61.0.1', SystemClock()),
+            peers,
+            FixedMembers(witnesses),
+            NoEntries(),
+            lambda: self.statement,
+        )
+        return Pipeline(Identity(vm, peers.identity.incarnation), ports)
+
+    def open_entry(self, *, witness: bool, upstreams=None):
+        """Start an entry; return its address and a maker of keys."""
+        life = self.witness_peers.identity.incarnation
+        pipeline = self.build_pipeline(
+            'a1',
+            self.home_peers,
+            (('a2', life),) if witness else (),
+            upstreams,
+        )
+        application = EntryApplication(
+            pipeline.deliver,
+            lambda: self.statement,
+            SystemClock(),
+        )
+        address = ('127.61.0.1', find_free_port('127.61.0.1'))
+        server = HttpServer(address, application)
+        server.start()
+        self._servers.append(server)
+        return address, _make_keys(pipeline)
+
+    def _build_network(self, vm: str) -> PeerNetwork:
+        network = PeerNetwork(
+            PeerIdentity(vm, f'life{vm}', PeerRole.ENTRY),
+            _KEY,
+            TcpWire(),
+            SystemClock(),
+            ('127.61.1.1', find_free_port('127.61.1.1')),
+        )
+        self._networks.append(network)
+        return network
+
+
+def _make_keys(pipeline: Pipeline) -> Callable[[], str]:
+    numbers = count()
+    return lambda: f'{pipeline.prefix}.n{next(numbers)}'
--- a/sesameroute/fakes/_connection.py
+++ b/sesameroute/fakes/_connection.py
@@ -55,6 +55,8 @@
 
     def start(self, seconds: float) -> None:
         """Serve in a thread after the time that a new connection costs."""
+        # Else the second piece of an answer waits for a delayed ACK.
+        self.accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         Thread(target=self._serve, args=(seconds,), daemon=True).start()
 
     def reset(self) -> None:
