--- a/benchmarks/bench_delivery.py
+++ b/benchmarks/bench_delivery.py
@@ -14,6 +14,7 @@
 import tracemalloc
 from collections.abc import Callable
 from contextlib import ExitStack
+from dataclasses import replace
 
 from benchmarks._delivery_rig import (
     DRAWING_BYTES,
@@ -42,6 +43,7 @@
 _USUAL_SECONDS = 0.004
 _SLOW_PART = 0.03
 _HEDGE_REQUESTS = 400
+_STOP_ANSWERS = 1000
 
 
 class KeptUpstreams(HttpUpstreams):
@@ -55,16 +57,17 @@
 class UnevenUpstreams:
     """Answers after a usual time, some requests after a long one."""
 
-    def __init__(self, seed: int) -> None:
-        """Store the seed."""
+    def __init__(self, seed: int, usual: float = _USUAL_SECONDS) -> None:
+        """Store the parameters; without a usual time none is slow."""
         self.rng = random.Random(seed)
+        self.usual = usual
         self.sent = 0
 
     def send(self, upstream, request, *, fresh):
         """Sleep and answer."""
         self.sent += 1
-        slow = self.rng.random() < _SLOW_PART
-        time.sleep(_SLOW_SECONDS if slow else _USUAL_SECONDS)
+        slow = self.usual and self.rng.random() < _SLOW_PART
+        time.sleep(_SLOW_SECONDS if slow else self.usual)
         return Answer(200, (), iter((b'ok',)), 2)
 
     def cancel(self, upstream, key):
@@ -91,6 +94,7 @@
         figures += _measure_drawing(rig)
         figures += _measure_rate(rig, seconds)
         figures += _measure_hedging(rig, seed)
+        figures += _measure_stop(rig)
     return figures + _measure_memory()
 
 
@@ -258,6 +262,26 @@
     return time.perf_counter() - started
 
 
+def _measure_stop(rig: Rig) -> list[Figure]:
+    """Time a planned stop that hands a thousand answers over."""
+    life = rig.witness_peers.identity.incarnation
+    pipeline = rig.build_pipeline(
+        'a1',
+        rig.home_peers,
+        (('a2', life),),
+        UnevenUpstreams(0, usual=0),
+    )
+    kind = rig.statement.kinds['place']
+    for number in range(_STOP_ANSWERS):
+        request = Request(kind, *_ORDER, body=b'%d' % number)
+        pipeline.deliver(replace(request, deadline=time.monotonic() + 5))
+    report = pipeline.stop(time.monotonic() + 5)
+    return [
+        Figure('delivery/stop/seconds', report.seconds, 's', 2),
+        Figure('delivery/stop/handed', report.handed, ''),
+    ]
+
+
 def _measure_memory() -> list[Figure]:
     own = Identity('a2', 'life2')
     words = [
--- a/sesameroute/delivery/_attempt.py
+++ b/sesameroute/delivery/_attempt.py
@@ -107,7 +107,7 @@
                 self.steering.observe(choice, _CANCELLED)
                 self.steering.release(choice)
                 raise _name_cancelled(error) from error
-            self._observe_failure(choice, error, fingerprint, started)
+            self._observe_failure(choice, request, error, fingerprint, started)
             self.steering.release(choice)
             raise
         except BaseException:
@@ -183,10 +183,14 @@
     def _observe_failure(
         self,
         choice: Choice,
+        request: Request,
         error: RequestError,
         fingerprint: str,
         started: float,
     ) -> None:
+        if error.code == 'cancelled':
+            self.upstreams.cancel(choice.upstream, request.key)
+            self.steering.observe(choice, _CANCELLED)
         if error.code in LOCAL_CODES:
             return
         code = _OUTCOMES.get(error.code, OutcomeCode.LOST)
--- a/sesameroute/delivery/_handler.py
+++ b/sesameroute/delivery/_handler.py
@@ -57,7 +57,8 @@
 
     @_handle.register
     def _handle_handover(self, message: Handover, sender: str) -> HandoverReply:
-        return HandoverReply(self.witness.keep(message))
+        kept = sum(self.witness.keep(word) for word in message.words)
+        return HandoverReply(kept)
 
     @_handle.register
     def _handle_loss(self, message: LossReport, sender: str) -> None:
--- a/sesameroute/delivery/_hedge.py
+++ b/sesameroute/delivery/_hedge.py
@@ -125,7 +125,7 @@
         """Start a second copy after `patience` seconds without an answer."""
         budget = self._find_budget(request.kind.service)
         budget.observe()
-        first = _Copy(replace(request, key=request.key or make_nonce()))
+        first = _Copy(request)
         running = {self._start(first, fingerprint): first}
         done, _ = wait(running, timeout=patience)
         if not done and first.choice and budget.choose():
--- a/sesameroute/delivery/_message.py
+++ b/sesameroute/delivery/_message.py
@@ -10,6 +10,7 @@
     'FenceAsk',
     'Handover',
     'HandoverReply',
+    'KeptWord',
     'LossReport',
     'RecordAsk',
     'TrialAsk',
@@ -81,9 +82,8 @@
     fingerprint: str = ''
 
 
-@register_message('handover')
 @dataclass(frozen=True, slots=True)
-class Handover:
+class KeptWord:
     """One entry of a stopping home's record.
 
     Attributes
@@ -101,12 +101,20 @@
     body: bytes = b''
 
 
+@register_message('handover')
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """Entries of a stopping home's record, for their witness."""
+
+    words: tuple[KeptWord, ...]
+
+
 @register_message('handover-reply')
 @dataclass(frozen=True, slots=True)
 class HandoverReply:
-    """Whether the witness kept the entry."""
+    """How many of the entries the witness kept."""
 
-    kept: bool
+    kept: int
 
 
 @register_message('loss-report')
--- a/sesameroute/delivery/_pipeline.py
+++ b/sesameroute/delivery/_pipeline.py
@@ -12,7 +12,7 @@
 from sesameroute.delivery._entry import KeptAnswer
 from sesameroute.delivery._fingerprint import compute_fingerprint
 from sesameroute.delivery._handler import PeerHandler
-from sesameroute.delivery._key import Identity, RequestKey
+from sesameroute.delivery._key import Identity, RequestKey, make_nonce
 from sesameroute.delivery._parts import DeliveryPorts, assemble_parts
 from sesameroute.delivery._stop import StopReport
 from sesameroute.exceptions import RequestError
@@ -126,7 +126,9 @@
                 _STATEMENT_SECONDS,
             )
         self.parts.quarantine.check(fingerprint)
-        return self.parts.hedger.deliver(request, fingerprint)
+        # A key lets the backend server be told when nobody waits any more.
+        keyed = replace(request, key=request.key or make_nonce())
+        return self.parts.hedger.deliver(keyed, fingerprint)
 
     def _deliver_keyed(
         self,
--- a/sesameroute/delivery/_stop.py
+++ b/sesameroute/delivery/_stop.py
@@ -1,12 +1,15 @@
 """The planned stop: requests end, then answers go to the witness."""
 
 import logging
+from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import partial
+from itertools import groupby, islice
 from typing import Final
 
 from sesameroute.delivery._entry import Entry
 from sesameroute.delivery._epoch import EpochKeeper
-from sesameroute.delivery._message import Handover, WitnessStatus
+from sesameroute.delivery._message import Handover, KeptWord, WitnessStatus
 from sesameroute.delivery._record import Record
 from sesameroute.exceptions import PeerError
 from sesameroute.ports import Clock, Peers
@@ -16,7 +19,12 @@
 
 _LOG = logging.getLogger(__name__)
 _POLL_SECONDS: Final = 0.02
-_HANDOVER_SECONDS: Final = 1.0  # for one entry
+_HANDOVER_SECONDS: Final = 1.0  # for one piece
+_PIECE_ENTRIES: Final = 50
+_PIECE_BODY_BYTES: Final = 20_000  # of one answer; larger ones are not handed
+
+# A witness's name and entries for it.
+_Piece = tuple[str, tuple[KeptWord, ...]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,10 +92,10 @@
             self.clock.sleep(_POLL_SECONDS)
         tried = 0
         handed = 0
-        for entry in self.record.list_entries():
-            if _needs_handover(entry) and self._has_time(deadline):
-                tried += 1
-                handed += self._hand_over(entry)
+        for witness, words in self._list_pieces():
+            if self._has_time(deadline):
+                handed += self._hand_over(witness, words)
+            tried += len(words)
         report = StopReport(
             self.clock.read_monotonic() - started,
             handed,
@@ -103,38 +111,45 @@
     def _has_time(self, deadline: float) -> bool:
         return self.clock.read_monotonic() < deadline
 
-    def _hand_over(self, entry: Entry) -> bool:
+    def _list_pieces(self) -> Iterator[_Piece]:
+        """Iterate over witnesses and what to hand to each, newest first."""
+        entries = filter(_needs_handover, self.record.list_entries()[::-1])
+        for witness, group in groupby(entries, _name_witness):
+            words = map(_make_word, group)
+            while piece := tuple(islice(words, _PIECE_ENTRIES)):
+                yield witness, piece
+
+    def _hand_over(self, witness: str, words: tuple[KeptWord, ...]) -> int:
         try:
             reply = self.peers.call(
-                entry.key.witness.vm,
-                _make_handover(entry),
+                witness,
+                Handover(words),
                 _HANDOVER_SECONDS,
             )
         except PeerError:
-            return False
+            return 0
         return reply.kept
 
 
+def _name_witness(entry: Entry) -> str:
+    return entry.key.witness.vm
+
+
 def _needs_handover(entry: Entry) -> bool:
     """Whether the witness doesn't know the final word by itself."""
     if entry.key.witness is None or entry.refused:
         return False
     if entry.kept:
-        return True
+        return len(entry.kept.body) <= _PIECE_BODY_BYTES
     failure = entry.failure
     return failure is not None and failure.verdict is Verdict.NOT_RUN
 
 
-def _make_handover(entry: Entry) -> Handover:
+def _make_word(entry: Entry) -> KeptWord:
+    word = partial(KeptWord, str(entry.key), entry.fingerprint)
     if entry.kept is None:
-        return Handover(
-            str(entry.key),
-            entry.fingerprint,
-            WitnessStatus.SEALED,
-        )
-    return Handover(
-        str(entry.key),
-        entry.fingerprint,
+        return word(WitnessStatus.SEALED)
+    return word(
         WitnessStatus.ANSWERED,
         entry.kept.status,
         entry.kept.headers,
--- a/sesameroute/delivery/_witness.py
+++ b/sesameroute/delivery/_witness.py
@@ -6,7 +6,7 @@
 
 from sesameroute.delivery._key import Identity, RequestKey
 from sesameroute.delivery._message import (
-    Handover,
+    KeptWord,
     WitnessReply,
     WitnessStatus,
 )
@@ -50,7 +50,7 @@
 
     changed: float
     fenced: bool = False
-    nonces: dict[str, Handover | None] = field(default_factory=dict)
+    nonces: dict[str, KeptWord | None] = field(default_factory=dict)
 
 
 _LedgerKey = tuple[Identity, int]
@@ -119,18 +119,18 @@
                 return WitnessReply(WitnessStatus.SEALED)
             return _describe(ledger.nonces[key.nonce])
 
-    def keep(self, handover: Handover) -> bool:
+    def keep(self, word: KeptWord) -> bool:
         """Keep the word of a stopping home on a key; return whether kept."""
-        key = RequestKey.parse(handover.key)
+        key = RequestKey.parse(word.key)
         with self._lock:
             ledger = self._find_ledger(key)
-            size = self.body_bytes_ + len(handover.body)
+            size = self.body_bytes_ + len(word.body)
             if ledger is None or size > self.limits.body_bytes:
                 return False
             if ledger.nonces.get(key.nonce) is None:
                 self.keys_ += key.nonce not in ledger.nonces
                 self.body_bytes_ = size
-                ledger.nonces[key.nonce] = handover
+                ledger.nonces[key.nonce] = word
             return True
 
     def _find_ledger(self, key: RequestKey) -> _Ledger | None:
@@ -175,9 +175,7 @@
         ledger = self.ledgers_.pop((home, epoch))
         self.keys_ -= len(ledger.nonces)
         self.body_bytes_ -= sum(
-            len(handover.body)
-            for handover in ledger.nonces.values()
-            if handover
+            len(word.body) for word in ledger.nonces.values() if word
         )
         self.floors_[home] = max(epoch, self.floors_.get(home, 0))
         if len(self.floors_) > self.limits.homes:
@@ -191,13 +189,13 @@
     return len(home.incarnation), home.incarnation
 
 
-def _describe(handover: Handover | None) -> WitnessReply:
-    if handover is None:
+def _describe(word: KeptWord | None) -> WitnessReply:
+    if word is None:
         return WitnessReply(WitnessStatus.RECORDED)
     return WitnessReply(
-        handover.status,
-        handover.answer_status,
-        handover.headers,
-        handover.body,
-        handover.fingerprint,
+        word.status,
+        word.answer_status,
+        word.headers,
+        word.body,
+        word.fingerprint,
     )
--- a/sesameroute/delivery/tests/test_bounds.py
+++ b/sesameroute/delivery/tests/test_bounds.py
@@ -63,6 +63,16 @@
     assert [name for name, _ in fleet.cancelled] == ['u1']
 
 
+@pytest.mark.parametrize('kind', [READ, DRAWING])
+def test_server_hears_that_the_caller_left_early(kind):
+    fleet = Fleet(script=[fail('cancelled')])
+    word = fleet.deliver('a1', fleet.build_request(kind))
+    assert word.code == 'cancelled'
+    assert not fleet.steering['a1'].held
+    assert all(key for _, key in fleet.cancelled)
+    assert len(fleet.cancelled) == 1
+
+
 @pytest.mark.parametrize(('ratio', 'most'), [(0, 100), (0.1, 121), (0.5, 161)])
 def test_retries_never_multiply_load(ratio, most):
     fleet = Fleet(statement=build_statement(retry_budget=ratio))
