--- a/sesameroute/delivery/_stop.py
+++ b/sesameroute/delivery/_stop.py
@@ -113,8 +113,9 @@
 
     def _list_pieces(self) -> Iterator[_Piece]:
         """Iterate over witnesses and what to hand to each, newest first."""
-        entries = filter(_needs_handover, self.record.list_entries()[::-1])
-        for witness, group in groupby(entries, _name_witness):
+        entries = reversed(self.record.list_entries())
+        needed = filter(_needs_handover, entries)
+        for witness, group in groupby(needed, _name_witness):
             words = map(_make_word, group)
             while piece := tuple(islice(words, _PIECE_ENTRIES)):
                 yield witness, piece
