Draw runs, start load on a ready deployment, describe run and signals

Cause: load met a deployment whose VMs did not know each other yet, and on a busy machine its retries kept it from recovering; metrics were named that nobody fills. The drawing itself has not been run: matplotlib is not installed here.

--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -172,7 +172,8 @@
 
 def main(_arguments: list[str]) -> int:
     """Run what the flags choose."""
-    logging.disable(logging.WARNING)
+    for name in ('sesameroute', 'urllib3'):
+        logging.getLogger(name).setLevel(logging.ERROR)
     broken = 0
     chosen = flags.FLAGS.institution
     for institution in (chosen,) if chosen else _INSTITUTIONS:
--- a/sesameroute/fakes/_pump.py
+++ b/sesameroute/fakes/_pump.py
@@ -57,17 +57,23 @@
         self.close(lambda _lane: True)
 
     def add(self, there: Lane, back: Lane) -> None:
-        """Take a new connection."""
-        with self._lock:
-            self._partners.update({there: back, back: there})
-            for lane in (there, back):
-                self._lanes[lane.reader.fileno()] = lane
+        """Take a new connection.
+
+        No lock is needed: each step is a single one of the interpreter, and
+        nothing is read before the poll object knows of it.
+        """
+        self._partners.update({there: back, back: there})
+        for lane in (there, back):
+            self._lanes[lane.reader.fileno()] = lane
+        for lane in (there, back):
+            # A reset may have closed it by now.
+            with suppress(OSError, ValueError):
                 self._poll.register(lane.reader.fileno(), select.EPOLLIN)
 
     def silence(self, selects: Callable[[Lane], bool]) -> int:
         """Let all bytes of the selected lanes vanish from now on."""
         with self._lock:
-            chosen = [lane for lane in self._lanes.values() if selects(lane)]
+            chosen = list(filter(selects, tuple(self._lanes.values())))
             for lane in chosen:
                 lane.is_dead = True
                 lane.pieces.clear()
@@ -76,15 +82,15 @@
     def close(self, selects: Callable[[Lane], bool]) -> None:
         """Reset the selected connections."""
         with self._lock:
-            for lane in tuple(filter(selects, self._lanes.values())):
+            for lane in filter(selects, tuple(self._lanes.values())):
                 self._drop(lane, _reset)
 
     def _move(self) -> None:
         while self._runs:
             for number, _events in self._poll.poll(self._agenda.find_pause()):
                 self._handle(number)
-            with self._lock:
-                for lane in self._agenda.pop_due():
+            for lane in self._agenda.pop_due():
+                with self._lock:
                     self._deliver(lane)
 
     def _handle(self, number: int) -> None:
--- a/sesameroute/local/_deployment.py
+++ b/sesameroute/local/_deployment.py
@@ -1,5 +1,6 @@
 """A whole deployment of one institution in one process."""
 
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -43,6 +44,8 @@
 _PEER_KEY = 'a-key-for-local-runs-only'
 _MILLISECONDS = 1000
 _STORE_SECONDS = 2.0
+_READY_SECONDS = 20.0
+_POLL_SECONDS = 0.05
 
 
 class Deployment:
@@ -100,6 +103,7 @@
         Submitter(self.open_desk()).submit(self.statement)
         for vm in self.vms.values():
             vm.start()
+        _wait_ready(tuple(self.vms.values()), tuple(self.statement.services))
 
     def stop(self) -> None:
         """Stop all at once."""
@@ -196,7 +200,9 @@
                 statement.lookup_port,
                 statement.peer_port,
             ),
-            log=LogSettings(level=LogLevel.WARNING),
+            log=LogSettings(
+                level=LogLevel.INFO if sample else LogLevel.WARNING,
+            ),
             trace=TraceSettings(
                 sample,
                 TraceExport.LINES if sample else TraceExport.NONE,
@@ -206,3 +212,12 @@
 
 def _call(action: Callable[[], object]) -> None:
     action()
+
+
+def _wait_ready(vms: tuple[LocalVm, ...], services: tuple[str, ...]) -> None:
+    """Wait until every VM can serve: callers come to a running system."""
+    ends = time.monotonic() + _READY_SECONDS
+    while not all(vm.is_ready(services) for vm in vms):
+        if time.monotonic() > ends:
+            return
+        time.sleep(_POLL_SECONDS)
--- a/sesameroute/local/_vm.py
+++ b/sesameroute/local/_vm.py
@@ -1,5 +1,7 @@
 """One entry VM of a local run: its entry and its look-up process."""
 
+from collections.abc import Iterable
+
 from sesameroute.fakes import FakeWire
 from sesameroute.local._process import LocalProcess
 from sesameroute.programs._entry_node import EntryNode
@@ -89,3 +91,15 @@
         if lookup is not None:
             versions.append((id(lookup), lookup.membership.version))
         return tuple(versions)
+
+    def is_ready(self, services: Iterable[str]) -> bool:
+        """Return whether its look-up names an entry VM for each service."""
+        lookup = self.lookup.node
+        if not all(version for _, version in self.list_versions()):
+            return False
+        answers = (lookup.find_entries(each, self.domain) for each in services)
+        return all(
+            answer['entries']
+            and all(each['prefix'] for each in answer['entries'])
+            for answer in answers
+        )
--- a/sesameroute/programs/_entry_pages.py
+++ b/sesameroute/programs/_entry_pages.py
@@ -66,6 +66,8 @@
         membership = self.parts.membership
         meter.set(Metric.CONFIGURATION_VERSION, membership.version)
         meter.set(Metric.PEERS, len(membership.members.list_live()))
+        for service, slots in self.parts.steering.report_headroom().items():
+            meter.set(Metric.SLOTS_FREE, slots[0], service=service)
         return meter.render()
 
 
--- a/sesameroute/programs/local.py
+++ b/sesameroute/programs/local.py
@@ -2,12 +2,15 @@
 
 import logging
 import sys
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 from absl import app, flags
 
 from sesameroute.exceptions import ExitCode, InputError, SesameError
 from sesameroute.local import (
+    Result,
     RunOptions,
     build_report,
     claim_offset,
@@ -18,6 +21,7 @@
     relocate,
     run_session,
 )
+from sesameroute.local.plot import draw_result, import_figure
 from sesameroute.statement import read_statement
 
 __all__ = ['run']
@@ -74,7 +78,8 @@
 def _run_and_print() -> int:
     draw = _find_drawing()
     # Pools and parts log through the standard library; the report counts.
-    logging.disable(logging.WARNING)
+    for name in ('sesameroute', 'urllib3'):
+        logging.getLogger(name).setLevel(logging.ERROR)
     options = RunOptions(
         seconds=flags.FLAGS.seconds,
         seed=flags.FLAGS.seed,
@@ -103,13 +108,13 @@
         raise InputError(f'--config {flags.FLAGS.config!r}: {error}') from error
 
 
-def _find_drawing():
+def _find_drawing() -> Callable[[Result], None]:
     """Return what draws a result; fails before the run, not after it."""
-    if not flags.FLAGS.plot:
+    path = flags.FLAGS.plot
+    if not path:
         return lambda _result: None
-    from sesameroute.local.plot import draw_result  # noqa: PLC0415
-
-    return lambda result: draw_result(result, flags.FLAGS.plot)
+    import_figure()
+    return partial(draw_result, path=path)
 
 
 if __name__ == '__main__':
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -40,7 +40,7 @@
     REQUESTS = _Specification(
         Counter,
         'sesame_requests_total',
-        'Requests of callers by service, kind and verdict.',
+        'Requests of callers by service, kind and outcome.',
     )
     REQUEST_SECONDS = _Specification(
         Histogram,
@@ -52,51 +52,26 @@
         'sesame_upstream_tries_total',
         'Tries at backend servers by service and outcome.',
     )
-    TRY_SECONDS = _Specification(
-        Histogram,
-        'sesame_upstream_try_seconds',
-        'Seconds from sending to the first byte of an answer, by service.',
-    )
     RELAYS = _Specification(
         Counter,
         'sesame_relays_total',
-        'Requests passed on to their home VM, by outcome.',
+        'Requests passed on to their home VM.',
     )
     LOOKUPS = _Specification(
         Counter,
         'sesame_lookups_total',
         'Look-ups answered, by service.',
     )
-    SLOTS_HELD = _Specification(
-        Gauge,
-        'sesame_slots_held',
-        'Slots of backend servers held by this VM, by service.',
-    )
-    WAITING = _Specification(
-        Gauge,
-        'sesame_requests_waiting',
-        'Requests that wait for a slot, by service.',
-    )
-    LINK_BYTES = _Specification(
-        Counter,
-        'sesame_link_bytes_total',
-        'Bytes charged to a pair of regions, by source and target.',
-    )
-    RECORDS = _Specification(
+    SLOTS_FREE = _Specification(
         Gauge,
-        'sesame_request_records',
-        'Request keys kept in the record.',
+        'sesame_slots_free',
+        'Slots of backend servers that this VM may still use, by service.',
     )
     CONFIGURATION_VERSION = _Specification(
         Gauge,
         'sesame_configuration_version',
         'Version of the statement in force.',
     )
-    STORE_CALLS = _Specification(
-        Counter,
-        'sesame_store_calls_total',
-        'Calls of the key-value service, by operation and outcome.',
-    )
     PEERS = _Specification(
         Gauge,
         'sesame_peers_connected',
