--- a/sesameroute/programs/_entry_pages.py
+++ b/sesameroute/programs/_entry_pages.py
@@ -10,6 +10,7 @@
 from sesameroute.delivery import explain_key
 from sesameroute.programs._entry_parts import EntryParts
 from sesameroute.programs._observers import Observers
+from sesameroute.routing import is_drained
 from sesameroute.telemetry import Metric
 
 __all__ = ['EntryPages']
@@ -116,7 +117,8 @@
                 'name': upstream.name,
                 'domain': upstream.domain,
                 'slots': upstream.slots,
-                'leaving': upstream.name in leaving,
+                'leaving': upstream.name in leaving
+                or is_drained(statement, upstream.name, upstream.domain),
             }
             for upstream in statement.list_upstreams(service)
         ],
@@ -128,7 +130,6 @@
     report = explain_key(parts.pipeline.parts, key)
     return {
         'vm': parts.membership.around.identity.name,
-        'verdict': report.reason or report.state,
         **asdict(report),
     }
 
