Close a peer stream after two calls into silence

Ruled out: the connections to backend servers, which are fresh for orders. Change: a call without a reply, while nothing else was heard, counts; the second closes the stream, and the dialer replaces it. Conclusion: a peer that is merely slow costs one handshake.

--- a/sesameroute/adapters/_peer_stream.py
+++ b/sesameroute/adapters/_peer_stream.py
@@ -22,6 +22,7 @@
 
 BEAT_SECONDS = 1.0
 SILENCE_SECONDS = 2.8
+MAX_UNANSWERED = 2  # calls in a row, with nothing heard meanwhile
 
 _MAX_PENDING_BYTES = 2 * MAX_FRAME_BYTES
 _CHUNK_BYTES = 65_536
@@ -49,6 +50,8 @@
     is_heard : bool
         Whether a frame has come: only then does the peer hold the key for
         certain and hear this end.
+    heard : float
+        Monotonic time in seconds of the last bytes.
 
     """
 
@@ -64,6 +67,8 @@
         self.clock = clock
         self.is_heard = False
         self.is_closed = False
+        self.heard = clock.read_monotonic()
+        self._unanswered = 0
         connection.setblocking(False)
         self._sealer = FrameSealer(session.sending_key)
         self._pending = bytearray()
@@ -98,6 +103,8 @@
         with suppress(OSError, PeerError):
             while received := self._read(poller):
                 self.is_heard = True
+                self.heard = self.clock.read_monotonic()
+                self._unanswered = 0
                 yield from reader.feed(received)
         self.close()
 
@@ -112,6 +119,23 @@
         if now - self._sent >= BEAT_SECONDS:
             self.send(Frame(FrameKind.BEAT))
 
+    def blame(self, asked: float) -> None:
+        """Note a call without a reply; close a stream that seems silent.
+
+        Waiting for the missing beat would cost every request its time.
+
+        Parameters
+        ----------
+        asked : float
+            Monotonic time in seconds at which the call was sent.
+
+        """
+        if self.heard >= asked:
+            return
+        self._unanswered += 1
+        if self._unanswered >= MAX_UNANSWERED:
+            self.close()
+
     @property
     def has_pending(self) -> bool:
         """Whether something waits for the kernel."""
--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -175,9 +175,11 @@
             raise PeerError(f'{vm} has no stream')
         with self._calls.open(stream) as call:
             packed = encode_message(message)
+            asked = self.clock.read_monotonic()
             if not stream.send(Frame(FrameKind.CALL, call.number, packed)):
                 raise PeerError(f'{vm} takes no frames', 'peer-silent')
-            call.done.wait(timeout)
+            if not call.done.wait(timeout):
+                stream.blame(asked)
             return _read_reply(vm, call.reply)
 
     def run_stream(self, connection: socket.socket, session: Session) -> None:
--- a/sesameroute/adapters/tests/test_peers.py
+++ b/sesameroute/adapters/tests/test_peers.py
@@ -356,3 +356,20 @@
         one.call('b', Text('x'), 10)
     assert time.monotonic() - started < 5
     stuck.set()
+
+
+def test_unanswered_calls(fleet):
+    """Two calls in a row into silence end the stream before its beat does."""
+    fleet.add('a', 1)
+    two = fleet.add('b', 2)
+    relay = Relay(_target(1))
+    two.set_targets({'a': relay.address})
+    assert _wait(two.list_connected)
+    first = two.streams.find('a')
+    relay.is_silent.update(up=True, down=True)
+    closed = []
+    for _ in range(2):
+        with pytest.raises(PeerError):
+            two.call('a', Text('x'), 0.2)
+        closed.append(first.is_closed)
+    assert closed == [False, True]
