Pass over entry VMs that were not reached, and judge look-ups too

Change: the caller tells its directory whom it did not reach; the verdict on all attempts counts the look-up's failure as one that seals nothing.

--- a/sesameroute/caller/_caller.py
+++ b/sesameroute/caller/_caller.py
@@ -30,6 +30,8 @@
 _BAD_REQUEST = 400
 _NO_VERDICT = 'no-verdict'
 _KEPT_PART = 0.3  # of the time left, before a kept connection is given up
+_UNREACHED = 'unreached'
+_UNSEALED_CODES = frozenset((_UNREACHED, 'no-lookup'))
 _GONE_CODES = frozenset(('silent', 'lost'))
 _FRESH_CODES = frozenset(
     (
@@ -38,8 +40,8 @@
         'no-room',
         'no-statement',
         'record-full',
-        'refused',
         'stopping',
+        _UNREACHED,
         'witness-lost',
     ),
 )
@@ -190,6 +192,12 @@
         return left > 0 and journey.attempts < _MOST_ATTEMPTS
 
     def _attempt(self, journey: _Journey) -> Outcome:
+        try:
+            return self._try_entry(journey)
+        except RequestError as error:
+            raise _judge(journey, error) from error
+
+    def _try_entry(self, journey: _Journey) -> Outcome:
         entry = self.directory.choose(
             journey.request.kind.service,
             self.rng,
@@ -203,9 +211,10 @@
         request = replace(journey.request, key=journey.key)
         try:
             answer = self._exchange(entry, journey, request)
-            return self._read(journey, answer)
-        except RequestError as error:
-            raise _judge(journey, error) from error
+        except RequestError:
+            self.directory.suspect(entry.vm)
+            raise
+        return _read_answer(journey, answer)
 
     def _exchange(
         self,
@@ -263,25 +272,9 @@
             raise RequestError(
                 f'entry VM {target} was not reached: {error}',
                 Verdict.NOT_RUN,
-                'refused',
+                _UNREACHED,
             ) from error
 
-    def _read(self, journey: _Journey, answer: Answer) -> Outcome:
-        body = b''.join(answer.chunks)
-        verdict = find_header(answer.headers, 'Sesame-Verdict')
-        if verdict != Verdict.RAN:
-            error = read_error(answer.status, answer.headers, body)
-            journey.final = _is_final(journey.request, answer.status, error)
-            raise error
-        return Outcome(
-            Verdict.RAN,
-            answer.status,
-            body,
-            answer.headers,
-            key=journey.key,
-            attempts=journey.attempts,
-        )
-
     def _prepare_next(self, journey: _Journey, error: RequestError) -> bool:
         """Return whether another attempt makes sense now."""
         if journey.final:
@@ -303,6 +296,23 @@
         return True
 
 
+def _read_answer(journey: _Journey, answer: Answer) -> Outcome:
+    body = b''.join(answer.chunks)
+    verdict = find_header(answer.headers, 'Sesame-Verdict')
+    if verdict != Verdict.RAN:
+        error = read_error(answer.status, answer.headers, body)
+        journey.final = _is_final(journey.request, answer.status, error)
+        raise error
+    return Outcome(
+        Verdict.RAN,
+        answer.status,
+        body,
+        answer.headers,
+        key=journey.key,
+        attempts=journey.attempts,
+    )
+
+
 def _is_final(request: Request, status: int, error: RequestError) -> bool:
     """Return whether asking again would bring the same word."""
     if status == _BAD_REQUEST:
@@ -314,9 +324,11 @@
 
 def _judge(journey: _Journey, error: RequestError) -> RequestError:
     """Return the error with the verdict on all attempts together."""
-    unreached = error.code == 'refused' and error.verdict.allows_retry
     # A home seals a key for all attempts; without one, nobody does.
-    sealed = not unreached and not journey.request.kind.idempotent
+    sealed = (
+        error.code not in _UNSEALED_CODES
+        and not journey.request.kind.idempotent
+    )
     if error.verdict.allows_retry and journey.ambiguous and not sealed:
         return RequestError(
             error.message,
