Balance slots less often while nobody waits

Ruled out: peers and heartbeats, 1.5% together. Change: live and leaving names are kept for 50 ms, and slots are balanced every 0.2 s unless requests wait.

--- a/sesameroute/programs/_members_view.py
+++ b/sesameroute/programs/_members_view.py
@@ -8,6 +8,9 @@
 
 __all__ = ['DigestView', 'MembersView']
 
+# Each decision asks several times who is live; the answer changes slowly.
+_SIGHT_SECONDS = 0.05
+
 
 @dataclass(frozen=True, slots=True)
 class DigestView:
@@ -17,6 +20,15 @@
     age: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Sight:
+    """Live and leaving names, good until a monotonic time in seconds."""
+
+    until: float = 0
+    live: tuple[str, ...] = ()
+    leaving: frozenset[str] = frozenset()
+
+
 class MembersView:
     """The entry VMs as routing and delivery see them.
 
@@ -30,16 +42,15 @@
     def __init__(self, membership: Membership) -> None:
         """Store the parameters."""
         self.membership = membership
+        self._seen = _Sight()
 
     def list_live(self) -> tuple[str, ...]:
         """Return the VMs with a live stream; an entry VM counts itself."""
-        own = self.membership.around.identity
-        others = self.membership.members.list_live()
-        return (own.name, *others) if own.role is PeerRole.ENTRY else others
+        return self._look().live
 
     def list_leaving(self) -> frozenset[str]:
         """Return VMs and backend servers that some source says leave."""
-        return frozenset(self.membership.members.list_leaving())
+        return self._look().leaving
 
     def find_digest(self, vm: str) -> DigestView | None:
         """Return the last digest of a VM, None if there is none."""
@@ -63,3 +74,16 @@
             for vm in self.membership.list_witnesses()
         )
         return tuple((vm, life) for vm, life in named if life)
+
+    def _look(self) -> '_Sight':
+        """Return a view of the members that is a moment old at most."""
+        now = self.membership.around.clock.read_monotonic()
+        if now >= self._seen.until:
+            members = self.membership.members
+            own = self.membership.around.identity
+            live = members.list_live()
+            if own.role is PeerRole.ENTRY:
+                live = (own.name, *live)
+            leaving = frozenset(members.list_leaving())
+            self._seen = _Sight(now + _SIGHT_SECONDS, live, leaving)
+        return self._seen
--- a/sesameroute/routing/_steering.py
+++ b/sesameroute/routing/_steering.py
@@ -21,7 +21,8 @@
 __all__ = ['SlotSteering']
 
 _PUMP_INTERVAL = 0.02  # seconds between looks at a waiting request
-_TICK_INTERVAL = 0.05  # seconds between balancing with other VMs
+_TICK_INTERVAL = 0.05  # seconds between looks at those who wait
+_BALANCE_INTERVAL = 0.2  # seconds between balancing while nobody waits
 
 
 class SlotSteering:
@@ -65,6 +66,7 @@
             self.picker_.pop_wishes,
         )
         self.admission_ = Admission(self.book_, self.try_choose, rng)
+        self._balance_due: float = 0
         self._lock = threading.RLock()
         self._ticker = Ticker(self.tick, _TICK_INTERVAL)
 
@@ -146,13 +148,18 @@
 
     def tick(self) -> None:
         """Balance slots with the other VMs; call it often."""
+        now = self.clock.read_monotonic()
         with self._lock:
             geography = self.book_.read_geography()
             services = geography.statement.services if geography else ()
+            is_due = now >= self._balance_due
+            if is_due:
+                self._balance_due = now + _BALANCE_INTERVAL
             for service in services:
                 waiting = self.admission_.count_waiting(service)
-                self.exchange_.balance(service, waiting)
-                self.admission_.pump(service)
+                if waiting or is_due:
+                    self.exchange_.balance(service, waiting)
+                    self.admission_.pump(service)
 
     def observe(self, choice: Choice, outcome: Outcome) -> None:
         """Learn from a try."""
