Show the statement in force while the store is down

Cause: sesamectl show could print nothing in an outage, when operators want to know most. Change: a page with the configuration in force, and show falls back to it.

--- a/sesameroute/programs/_control_fleet.py
+++ b/sesameroute/programs/_control_fleet.py
@@ -108,6 +108,10 @@
         """Return what some or all VMs believe."""
         return self.fetch('/-/status', vms)
 
+    def fetch_configurations(self) -> FleetView:
+        """Return the configuration that each VM has in force."""
+        return self.fetch('/-/configuration')
+
     def explain(self, subject: str) -> FleetView:
         """Return why decisions about a service or request key fell."""
         return self.fetch(f'/-/explain?subject={quote(subject, safe="")}')
--- a/sesameroute/programs/_control_statement.py
+++ b/sesameroute/programs/_control_statement.py
@@ -1,8 +1,10 @@
 """Commands of `sesamectl` about whole statements."""
 
 import re
+from collections.abc import Mapping
+from typing import Any
 
-from sesameroute.exceptions import ExitCode, InputError
+from sesameroute.exceptions import ExitCode, InputError, StoreDownError
 from sesameroute.programs._control_context import Context
 from sesameroute.statement import (
     Severity,
@@ -44,8 +46,14 @@
 
 
 def show(context: Context) -> ExitCode:
-    """Print the stored statement with its version in a comment."""
-    base = context.configurations.read()
+    """Print the statement with its version in a comment.
+
+    With the store down it is the newest that the entry VMs have in force.
+    """
+    try:
+        base = context.configurations.read()
+    except StoreDownError as error:
+        return _show_in_force(context, error)
     if base.configuration is None:
         raise InputError(
             f'no statement is stored under {context.configurations.key}',
@@ -55,6 +63,21 @@
     return ExitCode.OK
 
 
+def _show_in_force(context: Context, error: StoreDownError) -> ExitCode:
+    known = context.fleet.fetch_configurations().answers
+    with_text = [page for page in known if page.get('text')]
+    if not with_text:
+        raise error
+    newest = max(with_text, key=_read_page_version)
+    print('# version {version} {submission}'.format(**newest))
+    print(newest['text'], end='')
+    return ExitCode.OK
+
+
+def _read_page_version(page: Mapping[str, Any]) -> int:
+    return page.get('version', 0)
+
+
 def submit(context: Context, path: str) -> ExitCode:
     """Check a statement and put it into the store."""
     text = context.read_text(path)
--- a/sesameroute/programs/_entry_pages.py
+++ b/sesameroute/programs/_entry_pages.py
@@ -59,6 +59,13 @@
             return _render_json(describe_service(self.parts, subject))
         return _render_json(describe_key(self.parts, subject))
 
+    @cherrypy.expose
+    def configuration(self) -> bytes:
+        """Return the configuration in force, for when the store is down."""
+        require_token(self.token)
+        current = self.parts.membership.keeper.current
+        return _render_json(asdict(current) if current else {})
+
     @cherrypy.expose
     def metrics(self) -> bytes:
         """Return the metrics in the text form of Prometheus."""
--- a/sesameroute/programs/tests/test_control.py
+++ b/sesameroute/programs/tests/test_control.py
@@ -240,6 +240,18 @@
     assert 'asking the URLs of the settings' in printed
 
 
+def test_statement_in_force(desk):
+    """With the store down, the statement of the settings' VM is shown."""
+    desk.run('submit', 'small.ini')
+    desk.open_pages()
+    desk.store.faults.outage = StoreOutage.REFUSE
+    text = '[institution]\nname = in-force\n'
+    desk.pages[0].page = {'version': 7, 'submission': 'x', 'text': text}
+    code, printed = desk.run('show', PATIENCE)
+    assert code == ExitCode.OK
+    assert '# version 7 x\n[institution]\nname = in-force' in printed
+
+
 def test_fleet_pages(desk):
     """Pages become tables; who is behind or missing is named."""
     desk.open_pages()
