Fuzz the HTTP side and the answers of the platform

Cause: only chosen garbage was tried. Change: hypothesis cuts, doubles and replaces bytes of requests and of the store's and the list's answers, from a fixed seed.

--- a/sesameroute/adapters/tests/scripted.py
+++ b/sesameroute/adapters/tests/scripted.py
@@ -1,5 +1,6 @@
 """A TCP server whose connections follow a script, for these tests."""
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable
@@ -57,7 +58,7 @@
 
     def _serve(self, connection, number):
         count = 0
-        with connection:
+        with connection, contextlib.suppress(OSError):
             while connection.recv(_RECEIVE_BYTES):
                 count += 1
                 self.requests.append((number, count))
--- /dev/null
+++ b/sesameroute/adapters/tests/test_fuzz.py
@@ -0,0 +1,117 @@
+"""Bytes that nobody should send: nothing crashes, the next one is served."""
+
+import contextlib
+import socket
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from sesameroute.adapters import (
+    EntryApplication,
+    HttpServer,
+    HttpStore,
+    HttpVmList,
+    ServerLimits,
+)
+from sesameroute.adapters.tests.scripted import ScriptedServer, answer_whole
+from sesameroute.exceptions import SesameError
+from sesameroute.ports import Answer, SystemClock, TcpWire
+from sesameroute.statement import Kind, Places, Policy, Statement
+
+_ADDRESS = ('127.31.0.4', 18_400)
+_CLIENT = '127.31.0.5'
+_REQUEST = (
+    b'POST /desk/order/1 HTTP/1.1\r\nHost: x\r\nSesame-Key: a.b.1.-.-.c\r\n'
+    b'Content-Length: 4\r\nConnection: close\r\n\r\nbody'
+)
+_STATEMENT = Statement(
+    'sample',
+    Places({'r': ('d',)}, 'r', 1, 1, 1),
+    Policy(),
+    vms={},
+    services={},
+    kinds={'order': Kind('order', 'desk', idempotent=False)},
+    upstreams={},
+)
+_FUZZ = settings(
+    max_examples=60,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+
+
+@st.composite
+def mutate(draw, whole):
+    """Return bytes with some of them cut out, doubled or replaced."""
+    sent = whole
+    for _ in range(draw(st.integers(1, 4))):
+        start = draw(st.integers(0, len(sent)))
+        end = draw(st.integers(start, min(len(sent), start + 12)))
+        inserted = draw(st.binary(max_size=12))
+        sent = b''.join((sent[:start], inserted, sent[end:]))
+    return sent
+
+
+@pytest.fixture(scope='module', autouse=True)
+def server():
+    """Serve an application that echoes bodies."""
+
+    def echo(request):
+        return Answer(200, (), iter((request.body,)), len(request.body))
+
+    application = EntryApplication(echo, lambda: _STATEMENT, SystemClock())
+    limits = ServerLimits(threads=4, header_bytes=2048, read_seconds=0.2)
+    running = HttpServer(_ADDRESS, application, limits=limits)
+    running.start()
+    yield running
+    running.stop()
+
+
+def talk(sent):
+    """Send raw bytes and return what comes back."""
+    with socket.create_connection(_ADDRESS, 3) as connection:
+        with contextlib.suppress(OSError):
+            connection.sendall(sent)
+            connection.shutdown(socket.SHUT_WR)
+            return b''.join(iter(lambda: connection.recv(4096), b''))
+    return b''
+
+
+@_FUZZ
+@given(mutate(_REQUEST))
+def test_http_requests(sent):
+    """Each request is answered or cut; a good one after it is answered."""
+    seen = talk(sent)
+    assert not seen or seen.startswith(b'HTTP/1.1 ')
+    assert b' 500 ' not in seen[:16]
+    assert talk(_REQUEST).endswith(b'body')
+
+
+_STORED = answer_whole(b'value', 'Store-Revision: 3\r\n')
+_LISTED = answer_whole(b'[{"name": "a", "address": "1", "leaving": true}]')
+
+
+@_FUZZ
+@given(mutate(_STORED))
+def test_store_answers(sent):
+    """The store's client raises its own errors only."""
+    with ScriptedServer(lambda *_request: sent, _CLIENT) as scripted:
+        url = f'http://{_CLIENT}:{scripted.port}'
+        store = HttpStore(url, TcpWire(), _CLIENT, 0.05)
+        with contextlib.suppress(SesameError):
+            store.read('key')
+        with contextlib.suppress(SesameError):
+            store.swap('key', b'new', 3)
+
+
+@_FUZZ
+@given(mutate(_LISTED))
+def test_list_answers(sent):
+    """The VM list's client raises its own errors only."""
+    with ScriptedServer(lambda *_request: sent, _CLIENT) as scripted:
+        url = f'http://{_CLIENT}:{scripted.port}/vms'
+        with contextlib.suppress(SesameError):
+            HttpVmList(url, TcpWire(), _CLIENT, 0.05).fetch()
