Let waiting requests sleep until their time is over

Cause: each waiting request looked for a slot every 20 ms, so that the cost of a queue grew with its length while releases and ticks look anyway. Change: it sleeps until its own limit.

--- a/sesameroute/routing/_admission.py
+++ b/sesameroute/routing/_admission.py
@@ -14,6 +14,7 @@
 _MILLISECONDS = 1000  # in a second
 _QUEUE_LIMIT = 256  # requests a service
 _MIN_RETRY_AFTER = 0.05  # seconds
+_MIN_LEFT = 0.02  # seconds
 
 # Takes a slot for a request, or returns None.
 Place = Callable[[Request, tuple[str, ...]], Choice | None]
@@ -61,6 +62,15 @@
         self.pump(service)
         return waiter
 
+    def measure_left(self, waiter: Waiter) -> float:
+        """Return the seconds until a waiting request has to look itself.
+
+        Releases, grants and ticks hand out slots; one that waits looks only
+        when its time is over, so that a long queue costs no more.
+        """
+        left = waiter.latest - self.book.clock.read_monotonic()
+        return max(_MIN_LEFT, left)
+
     def pump(self, service: str) -> None:
         """Hand free slots to those who wait and refuse those too late."""
         queue = self._find_queue(service)
--- a/sesameroute/routing/_steering.py
+++ b/sesameroute/routing/_steering.py
@@ -20,7 +20,6 @@
 
 __all__ = ['SlotSteering']
 
-_PUMP_INTERVAL = 0.02  # seconds between looks at a waiting request
 _TICK_INTERVAL = 0.05  # seconds between looks at those who wait
 _BALANCE_INTERVAL = 0.2  # seconds between balancing while nobody waits
 
@@ -104,7 +103,7 @@
 
         """
         waiter = self.submit(request, exclude)
-        while not waiter.done.wait(_PUMP_INTERVAL):
+        while not waiter.done.wait(self.admission_.measure_left(waiter)):
             with self._lock:
                 self.admission_.pump(request.kind.service)
         if waiter.choice is None:
