--- a/sesameroute/fakes/tests/test_fleet.py
+++ b/sesameroute/fakes/tests/test_fleet.py
@@ -170,3 +170,18 @@
     fleet.wait(3, 15)
     node = fleet.nodes['vm1']
     _wait_until(lambda: node.list_witnesses() == ('vm0', 'vm2'))
+
+
+def test_restart_of_all(fleet):
+    """Without the store nobody knows a statement; its return brings it."""
+    fleet.submit(1)
+    fleet.wait(1, 15)
+    fleet.store.faults.outage = StoreOutage.REFUSE
+    for sender in list(fleet.nodes):
+        fleet.stop(sender)
+    for name in _VMS:
+        fleet.start(name)
+    time.sleep(1)
+    assert {node.version for node in fleet.nodes.values()} == {0}
+    fleet.store.faults.outage = StoreOutage.NONE
+    fleet.wait(1, 15)
