Let the replay test meet an end that was closed

Cause: test_replay failed once with a broken pipe: the accepter had closed the replayed handshake before the intruder's next part, which is what the test asks for. Change: the close is no failure of the test; that nobody gets in is still asserted. Conclusion: the check is as strict.

--- a/sesameroute/adapters/tests/test_peers.py
+++ b/sesameroute/adapters/tests/test_peers.py
@@ -268,8 +268,8 @@
     assert _wait(lambda: not one.list_connected())
     recorded = list(relay.recorded)
     with socket.create_connection(_target(1)) as intruder:
-        for part in recorded:
-            intruder.sendall(part)
+        with suppress(OSError):  # closed by the accepter already
+            intruder.sendall(b''.join(recorded))
         time.sleep(0.3)
         assert not one.list_connected()
 
