Believe a backend server's word on a whole answer, tell it on, rank once

Change: health marks it as leaving, the digest names it, the order of VMs is kept per statement, service and failure domain.

--- a/sesameroute/adapters/_lookup_http.py
+++ b/sesameroute/adapters/_lookup_http.py
@@ -18,7 +18,7 @@
 FindEntries = Callable[[str, str], dict[str, Any]]
 
 _LOOKUP_PATH = '/lookup/'
-_KEPT_SECONDS = 0.05
+_KEPT_SECONDS = 0.1
 _MOST_KEPT = 4096
 _OK = '200 OK'
 
--- a/sesameroute/programs/_entry_node.py
+++ b/sesameroute/programs/_entry_node.py
@@ -147,6 +147,7 @@
                 ServiceHeadroom(service, *slots)
                 for service, slots in headroom.items()
             ),
+            leaving=self.parts.steering.book_.list_leaving(),
             draining=self.is_draining,
         )
 
--- a/sesameroute/routing/_book.py
+++ b/sesameroute/routing/_book.py
@@ -68,6 +68,10 @@
             return 0
         return geography.statement.policy.queue_ms / _MILLISECONDS
 
+    def list_leaving(self) -> tuple[str, ...]:
+        """Return backend servers that told this VM that they leave."""
+        return self.health_.list_leaving(self.clock.read_monotonic())
+
     def count_free(self, upstream: Upstream) -> int:
         """Return the slots of a backend server that may be taken now."""
         ledger = self.ledgers_[upstream.name]
--- a/sesameroute/routing/_health.py
+++ b/sesameroute/routing/_health.py
@@ -77,17 +77,28 @@
 
         """
         record = self.records_.setdefault(upstream.name, _Record())
-        if outcome.code is OutcomeCode.ANSWERED:
-            self._observe_answer(record, outcome, slowness, now)
-        elif outcome.code is OutcomeCode.SHED:
-            self._observe_shed(record, now)
-        elif outcome.code is OutcomeCode.DRAINING:
+        if outcome.draining or outcome.code is OutcomeCode.DRAINING:
             record.leaving = now + _LEAVING_PAUSE
             record.cold = True
             record.successes = 0
+        elif outcome.code is OutcomeCode.ANSWERED:
+            self._observe_answer(record, outcome, slowness, now)
+        elif outcome.code is OutcomeCode.SHED:
+            self._observe_shed(record, now)
         elif outcome.code in _BAD_CODES:
             self._observe_loss(record, now)
 
+    def list_leaving(self, now: float) -> tuple[str, ...]:
+        """Return those that said themselves that they leave.
+
+        Any thread may call it: it reads a copy made at once.
+        """
+        return tuple(
+            name
+            for name, record in tuple(self.records_.items())
+            if record.leaving > now
+        )
+
     def list_out(
         self,
         upstreams: Iterable[Upstream],
--- a/sesameroute/routing/_lookup.py
+++ b/sesameroute/routing/_lookup.py
@@ -1,13 +1,12 @@
 """Answers to callers: which entry VM to use for a service."""
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from sesameroute.exceptions import InputError
 from sesameroute.ports import Clock
-from sesameroute.routing._geography import is_drained
-from sesameroute.routing._rendezvous import rank_names
+from sesameroute.routing._order import VmOrders
 from sesameroute.routing._view import Members
 from sesameroute.routing._weights import Weights, aim_weights
 from sesameroute.statement import Statement, Vm
@@ -68,6 +67,7 @@
         self.members = members
         self.clock = clock
         self.weights_: dict[tuple[str, str], Weights] = {}
+        self._orders = VmOrders()
         self._lock = threading.Lock()
 
     def answer(self, service: str, domain: str = '') -> LookupAnswer:
@@ -108,30 +108,10 @@
         service: str,
         domain: str,
     ) -> list[Vm]:
-        places = statement.places
-        usable = self._list_usable(statement)
-        if domain not in places.domains:
-            return usable
-        order = rank_names(f'{service}/{domain}', statement.vms)
-        return sorted(
-            usable,
-            key=lambda vm: (
-                places.measure_delay(domain, vm.domain),
-                order.index(vm.name),
-            ),
-        )
-
-    def _list_usable(self, statement: Statement) -> list[Vm]:
+        """Return usable VMs, nearest first; rather any than none."""
+        order = self._orders.rank(statement, service, domain)
         leaving = self.members.list_leaving()
-        staying = [
-            vm
-            for vm in statement.vms.values()
-            if vm.name not in leaving
-            and not is_drained(statement, vm.name, vm.domain)
-        ]
+        staying = [vm for vm in order if vm.name not in leaving]
         live = set(self.members.list_live())
-        return _narrow(staying, live) or staying or list(statement.vms.values())
-
-
-def _narrow(vms: Iterable[Vm], names: set[str]) -> list[Vm]:
-    return [vm for vm in vms if vm.name in names]
+        alive = [vm for vm in staying if vm.name in live]
+        return alive or staying or list(statement.vms.values())
--- a/sesameroute/routing/tests/test_health.py
+++ b/sesameroute/routing/tests/test_health.py
@@ -68,3 +68,27 @@
         before = before or health.rate(FIRST, 0)
     assert health.rate(FIRST, 0) < before
     assert health.rate(FIRST, 9) < health.rate(FIRST, 0)
+
+
+@pytest.mark.parametrize(
+    ('codes', 'later', 'names'),
+    [
+        (['draining'], 29, (FIRST.name,)),
+        (['draining'], 31, ()),
+        (['shed', 'lost', 'lost'], 0, ()),
+    ],
+)
+def test_leaving_is_told_on(codes, later, names):
+    """Only a backend server's own word makes it leave everywhere."""
+    health = Health()
+    observe(health, codes)
+    assert health.list_leaving(later) == names
+
+
+def test_whole_answer_may_tell_of_leaving():
+    """An answer that says that its server leaves is its last one."""
+    health = Health()
+    outcome = Outcome(OutcomeCode.ANSWERED, draining=True)
+    health.observe(FIRST, outcome, slowness=1, now=0)
+    assert health.list_leaving(0) == (FIRST.name,)
+    assert FIRST.name in health.list_out(UPSTREAMS, 0)
