--- a/benchmarks/bench_delivery.py
+++ b/benchmarks/bench_delivery.py
@@ -36,6 +36,8 @@
 _ORDER = ('POST', '/desk/place/1')
 _DRAWING = ('GET', '/desk/draw/1')
 _MILLISECONDS = 1000
+_SECONDS = 3  # for each comparison
+_QUICK_SECONDS = 1
 _MEGABYTE = 1_000_000
 _CALLERS = 4
 _KEYS = 20_000
@@ -74,17 +76,18 @@
         """Let the loser sleep on."""
 
 
-def run(seconds: float = 3, seed: int = 1) -> list[Figure]:
+def run(seed: int = 1, *, quick: bool = False) -> list[Figure]:
     """Return the figures of delivery.
 
     Parameters
     ----------
-    seconds : float
-        Time for each comparison.
     seed : int
         Seed of slow answers.
+    quick : bool
+        Whether each comparison takes a shorter time.
 
     """
+    seconds = _QUICK_SECONDS if quick else _SECONDS
     rig = Rig()
     rig.start()
     figures: list[Figure] = []
--- a/sesameroute/local/_session.py
+++ b/sesameroute/local/_session.py
@@ -12,7 +12,7 @@
 from sesameroute.local._load import Load
 from sesameroute.local._options import RunOptions
 from sesameroute.local._order import plan_orders
-from sesameroute.local._processor import keep_processor
+from sesameroute.local._processor import keep_processors
 from sesameroute.local._sampler import Sampler
 from sesameroute.local._scene import Scene
 from sesameroute.statement import Statement
@@ -78,7 +78,7 @@
     spans = _plan_spans(options)
     deployment = Deployment(statement, options)
     with ExitStack() as stack:
-        stack.enter_context(keep_processor())
+        stack.enter_context(keep_processors())
         stack.callback(deployment.stop)
         costs = CostMeter(deployment).start_all()
         load = Load(plan_orders(statement, deployment.callers, options))
