Show pauses, failed steps and configuration faults in the status

Cause: membership counted them and nobody could read them. Change: three fields of the status page, and a test of the page with and without token.

--- a/sesameroute/programs/_entry_pages.py
+++ b/sesameroute/programs/_entry_pages.py
@@ -106,6 +106,9 @@
             for service, slots in parts.steering.report_headroom().items()
         },
         'running': parts.application.running,
+        'pauses': membership.freshness.pauses,
+        'failed_steps': membership.threads.failures.total(),
+        'configuration_faults': membership.keeper.faults.total(),
     }
 
 
--- a/sesameroute/programs/tests/test_processes.py
+++ b/sesameroute/programs/tests/test_processes.py
@@ -6,9 +6,11 @@
 import subprocess
 import sys
 import time
+from http import HTTPStatus
 from pathlib import Path
 
 import pytest
+import urllib3
 
 from sesameroute.adapters import HttpStore
 from sesameroute.caller import Caller, Directory
@@ -166,3 +168,15 @@
     path.write_text(text, 'utf-8')
     started = fleet.run(program, '--config', str(path))
     assert started.wait(_WAIT_SECONDS) == code
+
+
+def test_status_page(fleet):
+    """The status page counts faults, and asks for the operators' token."""
+    address = fleet.statement.vms['plovdiv-a-1'].address
+    url = f'http://{address}:{fleet.statement.entry_port}/-/status'
+    token = {'Authorization': 'Bearer only-for-trying-out'}
+    answer = urllib3.request('GET', url, headers=token)
+    fields = answer.json()
+    assert (fields['vm'], fields['version']) == ('plovdiv-a-1', 1)
+    assert fields['configuration_faults'] == 0
+    assert urllib3.request('GET', url).status == HTTPStatus.UNAUTHORIZED
