--- a/sesameroute/programs/_entry_pages.py
+++ b/sesameroute/programs/_entry_pages.py
@@ -9,6 +9,7 @@
 
 from sesameroute.delivery import explain_key
 from sesameroute.programs._entry_parts import EntryParts
+from sesameroute.programs._metrics_page import render_metrics
 from sesameroute.programs._observers import Observers
 from sesameroute.routing import is_drained
 from sesameroute.telemetry import Metric
@@ -69,14 +70,10 @@
     @cherrypy.expose
     def metrics(self) -> bytes:
         """Return the metrics in the text form of Prometheus."""
-        cherrypy.response.headers['Content-Type'] = 'text/plain; version=0.0.4'
         meter = self.observers.meter
-        membership = self.parts.membership
-        meter.set(Metric.CONFIGURATION_VERSION, membership.version)
-        meter.set(Metric.PEERS, len(membership.members.list_live()))
         for service, slots in self.parts.steering.report_headroom().items():
             meter.set(Metric.SLOTS_FREE, slots[0], service=service)
-        return meter.render()
+        return render_metrics(meter, self.parts.membership)
 
 
 def require_token(token: str) -> None:
--- a/sesameroute/programs/_lookup_pages.py
+++ b/sesameroute/programs/_lookup_pages.py
@@ -3,8 +3,8 @@
 import cherrypy
 
 from sesameroute.membership import Membership
+from sesameroute.programs._metrics_page import render_metrics
 from sesameroute.programs._observers import Observers
-from sesameroute.telemetry import Metric
 
 __all__ = ['LookupPages']
 
@@ -29,8 +29,4 @@
     @cherrypy.expose
     def metrics(self) -> bytes:
         """Return the metrics in the text form of Prometheus."""
-        cherrypy.response.headers['Content-Type'] = 'text/plain; version=0.0.4'
-        meter = self.observers.meter
-        meter.set(Metric.CONFIGURATION_VERSION, self.membership.version)
-        meter.set(Metric.PEERS, len(self.membership.members.list_live()))
-        return meter.render()
+        return render_metrics(self.observers.meter, self.membership)
--- a/sesameroute/programs/_surroundings.py
+++ b/sesameroute/programs/_surroundings.py
@@ -4,12 +4,11 @@
 from dataclasses import dataclass, replace
 
 from sesameroute.adapters import HttpStore, HttpVmList, PeerNetwork
-from sesameroute.exceptions import InputError
-from sesameroute.membership import Membership, Surroundings, make_incarnation
+from sesameroute.membership import Surroundings, make_incarnation
 from sesameroute.ports import Clock, PeerIdentity, PeerRole, Wire
 from sesameroute.settings import Settings
 
-__all__ = ['Outside', 'build_network', 'build_surroundings', 'require_vm']
+__all__ = ['Outside', 'build_network', 'build_surroundings']
 
 _MILLISECONDS = 1000
 
@@ -34,19 +33,12 @@
     rng: random.Random
 
 
-def require_vm(settings: Settings) -> None:
-    """Raise InputError unless the sections of a node are there."""
-    if settings.vm is None or settings.peers is None:
-        raise InputError('settings need the sections [vm] and [peers]')
-
-
 def build_network(
     settings: Settings,
     outside: Outside,
     role: PeerRole,
 ) -> PeerNetwork:
     """Return the peer network of a process, not yet started."""
-    require_vm(settings)
     incarnation = make_incarnation(outside.clock, outside.rng)
     port = settings.ports.peer if role is PeerRole.ENTRY else 0
     return PeerNetwork(
@@ -95,9 +87,3 @@
         listed = HttpVmList(settings.vmlist_url, outside.wire, source)
         around = replace(around, vm_list=listed)
     return around
-
-
-def stop_all(membership: Membership, network: PeerNetwork) -> None:
-    """End the threads of membership and close all peer streams."""
-    membership.stop()
-    network.stop()
