--- a/sesameroute/adapters/tests/test_peers.py
+++ b/sesameroute/adapters/tests/test_peers.py
@@ -145,7 +145,8 @@
     watching.set_targets({'a': _target(1)})
     assert _wait(lambda: one.list_observers() == ('lookup/a',))
     assert not one.list_connected()
-    assert watching.list_connected() == ('a',)
+    # Each end hears the other at a time of its own.
+    assert _wait(lambda: watching.list_connected() == ('a',))
 
 
 def test_restart(fleet):
