Run on the users' platform: adapter, placement by slot pools, node

The path from a caller to a backend server and back runs as one program on each front machine. A pool of slots for each service and region, led by one node, grants every request; the store's items are mirrored by one watch in each region and passed on to peers.

--- a/sesameroute/adapters/_departure.py
+++ b/sesameroute/adapters/_departure.py
@@ -7,7 +7,7 @@
 from sesameroute.exceptions import RequestError
 from sesameroute.verdict import Verdict
 
-__all__ = ['wait_for_answer']
+__all__ = ['has_left', 'wait_for_answer']
 
 _MILLISECONDS = 1000
 _READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
@@ -48,7 +48,7 @@
             return
         if not ready:
             raise TimeoutError(f'no byte in {seconds:.3f} s')
-        if _has_left(caller):
+        if has_left(caller):
             raise RequestError(
                 'the caller closed its connection',
                 Verdict.MAY_HAVE_RUN,
@@ -57,7 +57,12 @@
         poller.unregister(caller)
 
 
-def _has_left(caller: socket.socket) -> bool:
+def has_left(caller: socket.socket) -> bool:
+    """Return whether a caller has closed its connection; never blocks."""
+    poller = select.poll()
+    poller.register(caller, _READABLE)
+    if not poller.poll(0):
+        return False
     flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
     try:
         return not caller.recv(1, flags)
--- /dev/null
+++ b/sesameroute/adapters/_front_server.py
@@ -0,0 +1,225 @@
+"""HTTP server towards callers: cheroot without WSGI.
+
+The target and the headers are passed on as they came, and a caller that
+closes its connection is noticed on its socket; WSGI hides both.
+"""
+
+import contextlib
+import logging
+import threading
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any, Protocol
+
+from cheroot.server import Gateway, HTTPConnection, HTTPServer
+
+from sesameroute.ports import Answer
+
+__all__ = ['FrontHandler', 'FrontServer']
+
+_BACKLOG = 512  # connections that wait to be accepted
+_FIRST_THREADS = 12
+_THREAD_STEP = 8
+_MOST_THREADS = 512
+_SPARE_THREADS = 3
+_GROW_SECONDS = 1.0  # between two looks without a sign of shortage
+_STOP_SECONDS = 0.2
+_IDLE_MARGIN = 3.0  # seconds beyond the idle time that callers are told
+_NO_BODY = frozenset((204, 304))
+
+_logger = logging.getLogger(__name__)
+
+
+class FrontHandler(Protocol):
+    """Answers one request; raises to close the connection."""
+
+    def __call__(self, request: Any) -> Answer:
+        """Return the answer to a cheroot request."""
+
+
+class _Connection(HTTPConnection):
+    """A caller's connection with separate bounds for header and idling."""
+
+    def communicate(self) -> bool:
+        """Serve one request; return whether the connection stays."""
+        self.socket.settimeout(self.server.header_seconds)
+        return super().communicate()
+
+
+class _Gateway(Gateway):
+    """Passes a parsed request to the handler and writes its answer."""
+
+    def respond(self) -> None:
+        """Answer the request."""
+        request = self.req
+        if request.server.requests.idle < _SPARE_THREADS:
+            request.server.is_short.set()
+        if request.server.is_leaving():
+            request.close_connection = True
+        if _is_ambiguous(request):
+            request.close_connection = True
+            request.simple_response('400 Bad Request')
+            request.sent_headers = True
+            return
+        request.conn.socket.settimeout(request.server.timeout)
+        answer = request.server.handler(request)
+        with contextlib.closing(_ChunkSource(answer)):
+            _write(request, answer)
+
+
+class _CallerServer(HTTPServer):
+    """cheroot's server with the handler and bounds of the front."""
+
+    gateway = _Gateway
+    ConnectionClass = _Connection
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handler: FrontHandler,
+        is_leaving: Callable[[], bool],
+        threads: int,
+    ) -> None:
+        super().__init__(
+            address,
+            _Gateway,
+            minthreads=threads,
+            maxthreads=_MOST_THREADS,
+        )
+        self.handler = handler
+        self.is_leaving = is_leaving
+        self.is_short = threading.Event()
+        self.header_seconds = 3.0
+        self.request_queue_size = _BACKLOG
+        self.shutdown_timeout = _STOP_SECONDS
+        self.keep_alive_conn_limit = None
+        self.nodelay = True
+        self.server_name = 'sesameroute'
+
+    def error_log(
+        self,
+        msg: str = '',
+        level: int = logging.INFO,
+        traceback: bool = False,
+    ) -> None:
+        """Log what cheroot says of a connection."""
+        _logger.log(level, 'connection error', extra={'why': msg})
+
+
+class FrontServer:
+    """Listens for callers.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        IP address and port.
+    handler : callable
+        Takes a cheroot request, returns an `Answer`.
+    is_leaving : callable
+        Whether connections should be closed after their answer.
+    threads : int
+        Threads at the start.
+
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handler: FrontHandler,
+        is_leaving: Callable[[], bool] = lambda: False,
+        threads: int = _FIRST_THREADS,
+    ) -> None:
+        """Store the parameters."""
+        self.address = address
+        self._server = _CallerServer(address, handler, is_leaving, threads)
+        self._is_stopped = threading.Event()
+
+    def start(self) -> None:
+        """Listen; raise OSError when the address is taken."""
+        self._server.prepare()
+        threading.Thread(
+            target=self._server.serve,
+            name=f'front-{self.address[1]}',
+            daemon=True,
+        ).start()
+        threading.Thread(
+            target=self._grow,
+            name=f'grow-{self.address[1]}',
+            daemon=True,
+        ).start()
+
+    def stop(self) -> None:
+        """Stop listening and close idle connections."""
+        self._is_stopped.set()
+        self._server.stop()
+
+    def set_limits(
+        self,
+        header_bytes: int,
+        body_bytes: int,
+        header_seconds: float,
+        idle_seconds: float,
+    ) -> None:
+        """Bound what a caller may send and how long it may take."""
+        self._server.max_request_header_size = header_bytes
+        self._server.max_request_body_size = body_bytes
+        self._server.header_seconds = header_seconds
+        self._server.timeout = idle_seconds + _IDLE_MARGIN
+
+    def _grow(self) -> None:
+        """Add threads when few are idle; cheroot waits for each to start."""
+        pool = self._server.requests
+        while not self._is_stopped.is_set():
+            self._server.is_short.wait(_GROW_SECONDS)
+            self._server.is_short.clear()
+            if pool.idle < _SPARE_THREADS + pool.qsize:
+                pool.grow(_THREAD_STEP + pool.qsize)
+
+    def count_connections(self) -> int:
+        """Return the idle connections of callers."""
+        return self._server._connections._num_connections
+
+
+def _is_ambiguous(request: Any) -> bool:
+    headers = request.inheaders
+    return (
+        b'Transfer-Encoding' in headers and b'Content-Length' in headers
+    ) or b',' in headers.get(b'Content-Length', b'')
+
+
+def _write(request: Any, answer: Answer) -> None:
+    request.status = _name_status(answer.status)
+    request.outheaders = [
+        (name.encode('latin-1'), text.encode('latin-1'))
+        for name, text in answer.headers
+    ]
+    if answer.length is not None and answer.status not in _NO_BODY:
+        length = str(answer.length).encode()
+        request.outheaders.append((b'Content-Length', length))
+    request.ensure_headers_sent()
+    if request.method == b'HEAD':
+        return
+    for chunk in answer.chunks:
+        if chunk:
+            request.write(chunk)
+
+
+def _name_status(status: int) -> bytes:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = 'Unknown'
+    return f'{status} {phrase}'.encode()
+
+
+class _ChunkSource:
+    """Closes the source of an answer's body."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+
+    def close(self) -> None:
+        """Close the generator, if it is one."""
+        close = getattr(self.answer.chunks, 'close', None)
+        if close is not None:
+            close()
--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -1,6 +1,8 @@
 """HTTP connections of urllib3 opened through the wire port."""
 
 import socket
+from http.client import HTTPResponse
+from io import BufferedReader
 
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
@@ -14,6 +16,41 @@
 _POOL_SIZE = 8
 
 
+class CheckedResponse(HTTPResponse):
+    """A response that notices bytes behind its end.
+
+    Attributes
+    ----------
+    has_extra : bool
+        Whether there were such bytes as the last byte was read.
+
+    """
+
+    def __init__(self, sock: socket.socket, **options: object) -> None:
+        """Store the socket."""
+        super().__init__(sock, **options)
+        self.has_extra = False
+        self._socket = sock
+
+    def _close_conn(self) -> None:
+        """Look for more bytes before the buffer is dropped."""
+        if self.fp is not None and not self.fp.closed:
+            self.has_extra = _has_bytes(self.fp, self._socket)
+        super()._close_conn()
+
+
+def _has_bytes(reader: BufferedReader, sock: socket.socket) -> bool:
+    """Return whether a reader has bytes now; never blocks."""
+    timeout = sock.gettimeout()
+    try:
+        sock.settimeout(0)
+        return bool(reader.peek(1))
+    except (OSError, ValueError):
+        return True  # a broken connection is not used again either
+    finally:
+        sock.settimeout(timeout)
+
+
 class WireConnection(HTTPConnection):
     """An HTTP connection from one local address.
 
@@ -45,6 +82,21 @@
         super().__init__(host, port, **options)
         self.wire = wire
         self.source = source
+        self.response_class = self._open_response
+        self._last: CheckedResponse | None = None
+
+    @property
+    def has_extra(self) -> bool:
+        """Whether bytes followed the last answer."""
+        return self._last is not None and self._last.has_extra
+
+    def _open_response(
+        self,
+        sock: socket.socket,
+        **options: object,
+    ) -> 'CheckedResponse':
+        self._last = CheckedResponse(sock, **options)
+        return self._last
 
     def _new_conn(self) -> socket.socket:
         seconds = self.timeout
--- a/sesameroute/adapters/_kept_connections.py
+++ b/sesameroute/adapters/_kept_connections.py
@@ -1,5 +1,7 @@
 """Idle HTTP connections, bounded by age, idle time and number."""
 
+import select
+import socket
 import threading
 from collections import defaultdict
 from dataclasses import dataclass
@@ -7,7 +9,7 @@
 from sesameroute.adapters._http_pool import WireConnection
 from sesameroute.ports import Clock, Wire
 
-__all__ = ['KeptConnection', 'KeptConnections']
+__all__ = ['KeptConnection', 'KeptConnections', 'is_quiet']
 
 _AGE_SECONDS = 60.0
 _IDLE_SECONDS = 5.0
@@ -16,13 +18,21 @@
 
 @dataclass(slots=True)
 class KeptConnection:
-    """An open connection and its times in monotonic seconds."""
+    """An open connection and its times in monotonic seconds.
+
+    Attributes
+    ----------
+    idle_seconds : float
+        Longest idle time that its server permits.
+
+    """
 
     target: tuple[str, int]
     line: WireConnection
     opened: float
     used: float
     reused: bool = False
+    idle_seconds: float = _IDLE_SECONDS
 
 
 class KeptConnections:
@@ -131,4 +141,17 @@
     def _is_usable(self, kept: KeptConnection) -> bool:
         now = self.clock.read_monotonic()
         young = now - kept.opened <= self.age_seconds
-        return young and now - kept.used <= self.idle_seconds
+        idle = min(self.idle_seconds, kept.idle_seconds)
+        return young and now - kept.used <= idle and is_quiet(kept.line.sock)
+
+
+def is_quiet(connection: socket.socket | None) -> bool:
+    """Return whether an idle connection is open and has no bytes to read.
+
+    Bytes that nobody asked for belong to no request.
+    """
+    if connection is None:
+        return False
+    poller = select.poll()
+    poller.register(connection, select.POLLIN | select.POLLHUP)
+    return not poller.poll(0)
--- a/sesameroute/adapters/_peer_dispatcher.py
+++ b/sesameroute/adapters/_peer_dispatcher.py
@@ -7,7 +7,12 @@
 from sesameroute.adapters._peer_frames import Frame, FrameKind
 from sesameroute.adapters._peer_stream import PeerStream
 from sesameroute.exceptions import InputError
-from sesameroute.ports import MessageHandler, decode_message, encode_message
+from sesameroute.ports import (
+    DeferredReply,
+    MessageHandler,
+    decode_message,
+    encode_message,
+)
 
 __all__ = ['PeerDispatcher']
 
@@ -57,9 +62,17 @@
         except Exception as error:  # noqa: BLE001
             _fail(stream, frame, repr(error))
             return
-        if frame.kind is FrameKind.CALL:
-            packed = None if reply is None else encode_message(reply)
-            stream.send(Frame(FrameKind.REPLY, frame.number, packed))
+        if frame.kind is not FrameKind.CALL:
+            return
+        if isinstance(reply, DeferredReply):
+            reply.bind(lambda late: _reply(stream, frame, late))
+        else:
+            _reply(stream, frame, reply)
+
+
+def _reply(stream: PeerStream, frame: Frame, reply: Any) -> None:
+    packed = None if reply is None else encode_message(reply)
+    stream.send(Frame(FrameKind.REPLY, frame.number, packed))
 
 
 def _fail(stream: PeerStream, frame: Frame, text: str) -> None:
--- a/sesameroute/adapters/_peer_handshake.py
+++ b/sesameroute/adapters/_peer_handshake.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 import msgpack
-from pydantic import TypeAdapter
+import msgspec
 
 from sesameroute.exceptions import PeerError
 from sesameroute.ports import PeerIdentity, PeerRole
@@ -52,7 +52,6 @@
     receiving_key: bytes
 
 
-_ADAPTER = TypeAdapter(Hello)
 _HELLO_FIELDS = ('protocol', 'name', 'incarnation', 'role', 'nonce')
 
 
@@ -179,7 +178,7 @@
 
 def _parse_hello(fields: Any) -> PeerIdentity:
     named = dict(zip(_HELLO_FIELDS, fields, strict=True))
-    hello = _ADAPTER.validate_python(named)
+    hello = msgspec.convert(named, Hello, builtin_types=(bytes,))
     if hello.protocol != _PROTOCOL:
         raise ValueError(f'protocol {hello.protocol} is not {_PROTOCOL}')
     if len(hello.nonce) != _NONCE_BYTES:
--- /dev/null
+++ b/sesameroute/forward/_retries.py
@@ -0,0 +1,73 @@
+"""Keeps the tries beyond the first under the fleet's budget."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sesameroute.limits import Budget
+
+__all__ = ['RetryBudgets', 'RetryTerms']
+
+_RATIO_PART = 0.8  # of the fleet's ratio: windows of nodes do not line up
+_SLACK_PART = 0.5  # of the fleet's slack that is shared out
+
+
+@dataclass(frozen=True, slots=True)
+class RetryTerms:
+    """The fleet's budget for each service.
+
+    Attributes
+    ----------
+    ratio : float
+        Tries beyond the first per request.
+    slack : float
+        Tries beyond that in a window, over all nodes.
+
+    """
+
+    ratio: float
+    slack: float
+
+
+class RetryBudgets:
+    """One budget for each service.
+
+    Parameters
+    ----------
+    terms : RetryTerms
+        The fleet's budget.
+    count_nodes : callable
+        Returns how many nodes share the slack.
+
+    """
+
+    def __init__(
+        self,
+        terms: RetryTerms,
+        count_nodes: Callable[[], int],
+    ) -> None:
+        """Store the parameters."""
+        self.terms = terms
+        self.count_nodes = count_nodes
+        self._budgets: dict[str, Budget] = {}
+        self._lock = threading.Lock()
+
+    def observe(self, service: str) -> None:
+        """Count a request's first try."""
+        self._find(service).observe()
+
+    def choose(self, service: str) -> bool:
+        """Take leave for one more try; return whether it is permitted."""
+        return self._find(service).choose()
+
+    def _find(self, service: str) -> Budget:
+        with self._lock:
+            budget = self._budgets.get(service)
+            if budget is None:
+                slack = (
+                    _SLACK_PART * self.terms.slack / max(self.count_nodes(), 1)
+                )
+                ratio = min(_RATIO_PART * self.terms.ratio, 1)
+                budget = Budget(ratio, max(slack, 1))
+                self._budgets[service] = budget
+            return budget
--- a/sesameroute/limits/__init__.py
+++ b/sesameroute/limits/__init__.py
@@ -1,30 +1,25 @@
-"""Slots, links, shift caps and budgets."""
+"""Slots, links, shift caps and budgets.
 
-from sesameroute.limits._budget import Budget
-from sesameroute.limits._ledger import (
-    CLOCK_DRIFT,
-    LEASE_SECONDS,
-    STANDING_SECONDS,
-    Lease,
-    Ledger,
-    Term,
-)
-from sesameroute.limits._link import LinkBudgets, TokenBucket
-from sesameroute.limits._queue import Waiter, WaitQueue, limit_wait
-from sesameroute.limits._window import SlidingWindow
+Submodules load on first use, so that a program only pays for the parts
+that it uses.
+"""
+
+import lazy_loader
 
-__all__ = [
-    'Budget',
-    'CLOCK_DRIFT',
-    'LEASE_SECONDS',
-    'STANDING_SECONDS',
-    'Lease',
-    'Ledger',
-    'LinkBudgets',
-    'SlidingWindow',
-    'Term',
-    'TokenBucket',
-    'WaitQueue',
-    'Waiter',
-    'limit_wait',
-]
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        '_budget': ['Budget'],
+        '_ledger': [
+            'CLOCK_DRIFT',
+            'LEASE_SECONDS',
+            'STANDING_SECONDS',
+            'Lease',
+            'Ledger',
+            'Term',
+        ],
+        '_link': ['LinkBudgets', 'TokenBucket'],
+        '_queue': ['Waiter', 'WaitQueue', 'limit_wait'],
+        '_window': ['SlidingWindow'],
+    },
+)
--- /dev/null
+++ b/sesameroute/node/_settings.py
@@ -0,0 +1,138 @@
+"""Settings of a node: one INI file, checked whole before it is used."""
+
+import os
+from configparser import Error, RawConfigParser
+from pathlib import Path
+
+import msgspec
+
+from sesameroute.exceptions import InputError
+
+__all__ = ['NodeSettings', 'parse_node_settings', 'read_node_settings']
+
+_LIST_KEYS = frozenset(('ports', 'seeds'))
+
+
+class Place(msgspec.Struct, forbid_unknown_fields=True):
+    """Which machine this is."""
+
+    name: str
+    address: str
+    zone: str
+    region: str
+
+
+class Listen(msgspec.Struct, forbid_unknown_fields=True):
+    """Addresses to listen on, each ``IP:PORT``; empty: not served."""
+
+    front: str
+    ready: str
+    directory: str
+
+
+class Peers(msgspec.Struct, forbid_unknown_fields=True):
+    """Streams between nodes."""
+
+    ports: list[int]
+    key: str
+    seeds: list[str] = []
+
+
+class Store(msgspec.Struct, forbid_unknown_fields=True):
+    """The platform's store."""
+
+    address: str
+    shortest_lease: float = 1.0
+
+
+class Bounds(msgspec.Struct, forbid_unknown_fields=True):
+    """What the operators promise; times in seconds."""
+
+    drain: float = 2.0
+    grace: float = 6.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 50
+    longest_ttl: float = 5.0
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=True):
+    """What the machine gives."""
+
+    descriptors: int = 4096
+    memory: float = 300  # MB
+    link: float = 1000  # Mbit/s
+
+
+class Log(msgspec.Struct, forbid_unknown_fields=True):
+    """Event log."""
+
+    level: str = 'info'
+
+
+class NodeSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """All sections of the file."""
+
+    node: Place
+    listen: Listen
+    peers: Peers
+    store: Store
+    zones: dict[str, str]
+    bounds: Bounds = msgspec.field(default_factory=Bounds)
+    limits: Limits = msgspec.field(default_factory=Limits)
+    log: Log = msgspec.field(default_factory=Log)
+
+
+def read_node_settings(path: str | os.PathLike[str]) -> NodeSettings:
+    """Return the settings of a file; raise InputError."""
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, ValueError) as error:
+        raise InputError(f'{path}: {error}') from error
+    return parse_node_settings(text, str(path))
+
+
+def parse_node_settings(text: str, source: str = '<text>') -> NodeSettings:
+    """Return the settings of an INI text.
+
+    Raises
+    ------
+    InputError
+        The text is not INI, or a value is missing, unknown or wrong.
+
+    Examples
+    --------
+    >>> parse_node_settings('[node]')
+    Traceback (most recent call last):
+    sesameroute.exceptions.InputError: <text>: Object missing required ...
+
+    """
+    parser = RawConfigParser(
+        delimiters=('=',),
+        comment_prefixes=('#',),
+        default_section='',
+    )
+    parser.optionxform = str  # zones keep their case
+    try:
+        parser.read_string(text, source)
+    except Error as error:
+        raise InputError(f'{source}: {error.message}') from error
+    sections = {
+        title: dict(_split_lists(parser.items(title)))
+        for title in parser.sections()
+    }
+    try:
+        return msgspec.convert(sections, NodeSettings, strict=False)
+    except msgspec.ValidationError as error:
+        raise InputError(f'{source}: {error}') from error
+
+
+def _split_lists(pairs: list[tuple[str, str]]) -> list[tuple[str, object]]:
+    return [
+        (key, _split(text) if key in _LIST_KEYS else text)
+        for key, text in pairs
+        if text
+    ]
+
+
+def _split(text: str) -> list[str]:
+    return [part.strip() for part in text.split(',') if part.strip()]
--- /dev/null
+++ b/sesameroute/placement/_queue.py
@@ -0,0 +1,78 @@
+"""Requests that wait for a slot."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from sesameroute.placement._ask import Ask, Grant, Refusal
+
+__all__ = ['Settle', 'WaitingRequests', 'Waiter']
+
+Settle = Callable[[Grant | Refusal], None]
+
+
+@dataclass(slots=True)
+class Waiter:
+    """A request in a pool's queue.
+
+    Attributes
+    ----------
+    node : str
+        Who asked.
+    region : str
+        Region whose backend servers it waits for.
+    arrived, on_time_at, ends_at : float
+        Monotonic times in seconds of its arrival, its objective and its
+        deadline.
+
+    """
+
+    ask: Ask
+    node: str
+    settle: Settle
+    region: str
+    arrived: float
+    on_time_at: float
+    ends_at: float
+
+    @property
+    def rank(self) -> tuple[int, bool, float]:
+        """Who comes first: the urgent, the returning, the earliest due."""
+        return self.ask.priority, not self.ask.is_returning, self.on_time_at
+
+
+class WaitingRequests:
+    """Waiters in the order of their rank."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._waiters: list[Waiter] = []
+
+    def add(self, waiter: Waiter) -> None:
+        """Add a waiter."""
+        self._waiters.append(waiter)
+        self._waiters.sort(key=lambda waiting: waiting.rank)
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take a waiter out."""
+        self._waiters.remove(waiter)
+
+    def remove_node(self, node: str) -> None:
+        """Take all waiters of a node out."""
+        self._waiters = [
+            waiter for waiter in self._waiters if waiter.node != node
+        ]
+
+    def count_ahead(self, region: str, rank: tuple[int, bool, float]) -> int:
+        """Return how many waiters of a region come before a rank."""
+        return sum(
+            waiter.region == region and waiter.rank <= rank
+            for waiter in self._waiters
+        )
+
+    def __iter__(self) -> Iterator[Waiter]:
+        """Iterate over a copy in the order of rank."""
+        return iter(tuple(self._waiters))
+
+    def __len__(self) -> int:
+        """Return the number of waiters."""
+        return len(self._waiters)
--- a/sesameroute/ports/__init__.py
+++ b/sesameroute/ports/__init__.py
@@ -1,50 +1,28 @@
-"""Interfaces between the decisions and the outside."""
+"""Interfaces between the decisions and the outside.
 
-from sesameroute.ports._clock import Clock, SystemClock
-from sesameroute.ports._message import (
-    decode_message,
-    encode_message,
-    register_message,
-)
-from sesameroute.ports._peer import (
-    MessageHandler,
-    PeerIdentity,
-    PeerRole,
-    Peers,
-)
-from sesameroute.ports._steering import (
-    Choice,
-    Outcome,
-    OutcomeCode,
-    Steering,
-)
-from sesameroute.ports._store import Store, StoredValue
-from sesameroute.ports._upstream import Answer, Headers, Request, Upstreams
-from sesameroute.ports._vmlist import ListedVm, VmList
-from sesameroute.ports._wire import TcpWire, Wire
+Submodules load on first use, so that a program only pays for the parts
+that it uses.
+"""
 
-__all__ = [
-    'Answer',
-    'Choice',
-    'Clock',
-    'Headers',
-    'ListedVm',
-    'MessageHandler',
-    'Outcome',
-    'OutcomeCode',
-    'PeerIdentity',
-    'PeerRole',
-    'Peers',
-    'Request',
-    'Steering',
-    'Store',
-    'StoredValue',
-    'SystemClock',
-    'TcpWire',
-    'Upstreams',
-    'VmList',
-    'Wire',
-    'decode_message',
-    'encode_message',
-    'register_message',
-]
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        '_clock': ['Clock', 'SystemClock'],
+        '_message': ['decode_message', 'encode_message', 'register_message'],
+        '_peer': [
+            'DeferredReply',
+            'MessageHandler',
+            'PeerIdentity',
+            'PeerRole',
+            'Peers',
+        ],
+        '_steering': ['Choice', 'Outcome', 'OutcomeCode', 'Steering'],
+        '_store': ['Store', 'StoredValue'],
+        '_answer': ['Answer', 'Headers'],
+        '_upstream': ['Request', 'Upstreams'],
+        '_vmlist': ['ListedVm', 'VmList'],
+        '_wire': ['TcpWire', 'Wire'],
+    },
+)
--- a/sesameroute/ports/_message.py
+++ b/sesameroute/ports/_message.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict
 from typing import Any, TypeVar
 
-from pydantic import TypeAdapter
+import msgspec
 
 from sesameroute.exceptions import InputError
 
@@ -12,7 +12,8 @@
 
 MessageType = TypeVar('MessageType', bound=type)
 
-_ADAPTERS: dict[str, TypeAdapter[Any]] = {}  # noqa: WPS407
+_NATIVE = (bytes,)  # msgpack carries them as they are
+_CLASSES: dict[str, type] = {}  # noqa: WPS407
 
 
 def register_message(
@@ -33,7 +34,7 @@
     def decorate(cls: MessageType) -> MessageType:
         cls.wire_tag = tag
         cls.is_quick = quick
-        _ADAPTERS[tag] = TypeAdapter(cls)
+        _CLASSES[tag] = cls
         return cls
 
     return decorate
@@ -55,6 +56,6 @@
     """
     try:
         tag, fields = parts
-        return _ADAPTERS[tag].validate_python(fields)
+        return msgspec.convert(fields, _CLASSES[tag], builtin_types=_NATIVE)
     except (KeyError, TypeError, ValueError) as error:
         raise InputError(f'peer message is not valid: {error}') from error
--- a/sesameroute/ports/_peer.py
+++ b/sesameroute/ports/_peer.py
@@ -1,16 +1,58 @@
 """Peer port: calls between the entry VMs of one institution."""
 
+import threading
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum, unique
 from typing import Any, Protocol
 
-__all__ = ['MessageHandler', 'PeerIdentity', 'PeerRole', 'Peers']
+__all__ = [
+    'DeferredReply',
+    'MessageHandler',
+    'PeerIdentity',
+    'PeerRole',
+    'Peers',
+]
 
 # Takes the sender's id and a message; returns the reply or None.
 MessageHandler = Callable[[str, Any], Any]
 
 
+class DeferredReply:
+    """A reply that a handler gives later, without holding its thread.
+
+    Examples
+    --------
+    >>> reply = DeferredReply()
+    >>> reply.settle('granted')
+    >>> reply.bind(print)
+    granted
+
+    """
+
+    def __init__(self) -> None:
+        """Start without a reply."""
+        self._lock = threading.Lock()
+        self._send: Callable[[Any], None] | None = None
+        self._replies: list[Any] = []
+
+    def settle(self, reply: Any) -> None:
+        """Give the reply; sent now or as soon as the stream is bound."""
+        with self._lock:
+            self._replies.append(reply)
+            self._flush()
+
+    def bind(self, send: Callable[[Any], None]) -> None:
+        """Say how to send the reply."""
+        with self._lock:
+            self._send = send
+            self._flush()
+
+    def _flush(self) -> None:
+        if self._send is not None and self._replies:
+            self._send(self._replies.pop())
+
+
 @unique
 class PeerRole(StrEnum):
     """What a process at the end of a peer stream does."""
--- a/sesameroute/ports/_upstream.py
+++ b/sesameroute/ports/_upstream.py
@@ -1,16 +1,14 @@
 """Upstream port: requests to backend servers."""
 
 import socket
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from sesameroute.ports._answer import Answer, Headers
 from sesameroute.statement import Kind, Upstream
 
 __all__ = ['Answer', 'Headers', 'Request', 'Upstreams']
 
-Headers = tuple[tuple[str, str], ...]
-
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -45,25 +43,6 @@
     )
 
 
-@dataclass(slots=True)
-class Answer:
-    """An answer on its way to the caller.
-
-    Attributes
-    ----------
-    chunks : iterator of bytes
-        The body; raises RequestError when it is cut.
-    length : int or None
-        Length of the body in bytes, if known.
-
-    """
-
-    status: int
-    headers: Headers = ()
-    chunks: Iterator[bytes] = field(default_factory=lambda: iter(()))
-    length: int | None = None
-
-
 class Upstreams(Protocol):
     """Sends requests to backend servers."""
 
--- a/sesameroute/programs/__init__.py
+++ b/sesameroute/programs/__init__.py
@@ -1,7 +1,16 @@
-"""The command line programs and the nodes that they run."""
+"""The command line programs and the nodes that they run.
 
-from sesameroute.programs._entry_node import EntryNode
-from sesameroute.programs._lookup_node import LookupNode
-from sesameroute.programs._surroundings import Outside
+Submodules load on first use, so that a program only pays for the parts
+that it uses.
+"""
 
-__all__ = ['EntryNode', 'LookupNode', 'Outside']
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        '_entry_node': ['EntryNode'],
+        '_lookup_node': ['LookupNode'],
+        '_surroundings': ['Outside'],
+    },
+)
--- a/sesameroute/settings/_model.py
+++ b/sesameroute/settings/_model.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
 
+from sesameroute.telemetry._form import LogFormat
+
 __all__ = [
     'Limits',
     'LogFormat',
@@ -22,14 +24,6 @@
 _RECORD_BYTES = 67_108_864
 
 
-@unique
-class LogFormat(StrEnum):
-    """Form of a log line."""
-
-    KEYVALUE = 'keyvalue'
-    JSON = 'json'
-
-
 @unique
 class LogLevel(StrEnum):
     """Lowest level that is logged."""
--- a/sesameroute/telemetry/__init__.py
+++ b/sesameroute/telemetry/__init__.py
@@ -1,16 +1,17 @@
-"""Metrics, spans and logs."""
+"""Metrics, spans and logs.
 
-from sesameroute.telemetry._bridge import LogBridge
-from sesameroute.telemetry._events import EventLog, PairsFormatter
-from sesameroute.telemetry._meter import Meter, Metric
-from sesameroute.telemetry._tracer import Span, Tracer
+Submodules load on first use, so that a program only pays for the parts
+that it uses.
+"""
 
-__all__ = [
-    'EventLog',
-    'LogBridge',
-    'Meter',
-    'Metric',
-    'PairsFormatter',
-    'Span',
-    'Tracer',
-]
+import lazy_loader
+
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        '_bridge': ['LogBridge'],
+        '_events': ['EventLog', 'PairsFormatter'],
+        '_meter': ['Meter', 'Metric'],
+        '_tracer': ['Span', 'Tracer'],
+    },
+)
