--- /dev/null
+++ b/sesameroute/platform/tests/test_documents.py
@@ -0,0 +1,284 @@
+"""Each mapping from the platform's documents to the product's types."""
+
+import json
+
+import pytest
+
+from sesameroute.exceptions import InputError
+from sesameroute.forward import CallerTerms, Marks
+from sesameroute.mirror import MirrorItem
+from sesameroute.platform import (
+    PlatformDialect,
+    PlatformFeed,
+    read_question,
+    write_places,
+)
+from sesameroute.platform._documents import (
+    decode_backend,
+    decode_configuration,
+)
+from sesameroute.ports import Answer
+from sesameroute.registry import Backend, BackendState
+from sesameroute.routes import RequestKind, SplitPart
+
+ROUTE = {
+    'name': 'r-1',
+    'path_prefix': '/a/',
+    'kind': 'safe',
+    'timeout_ms': 1200,
+    'target_latency_ms': 400,
+    'priority': 2,
+    'max_attempts': 2,
+    'session_affinity': True,
+    'allowed_regions': ['north'],
+    'traffic_split': [
+        {'service': 'one', 'weight': 90},
+        {'service': 'two', 'weight': 10},
+    ],
+}
+SERVICE = {
+    'name': 'one',
+    'health_path': '/health',
+    'max_connections': 390,
+    'protocol': 'h1',
+    'tls': False,
+    'cold_start_s': 3.0,
+    'cold_per_s': 7.2,
+}
+LIMITS = {
+    'max_header_bytes': 16384,
+    'max_body_bytes': 67108864,
+    'header_timeout_ms': 3000,
+    'idle_timeout_ms': 15000,
+}
+ENTRY = {
+    'service': 'one',
+    'address': '10.128.0.9:8080',
+    'zone': 'north-a',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'cold_left_ms': 1500,
+    'sequence': 4,
+    'born': 1772216211000,
+}
+
+
+def write_configuration(version='0000000c', **route):
+    """Return a configuration with one route."""
+    return json.dumps(
+        {
+            'version': version,
+            'services': [SERVICE],
+            'limits': LIMITS,
+            'virtual_hosts': [{'host': 'h.example', 'paths': [ROUTE | route]}],
+        },
+    ).encode()
+
+
+def test_a_configuration_is_decoded_whole():
+    """Times become seconds, the version a number."""
+    found = decode_configuration(write_configuration())
+    route = found.routes[0]
+    assert found.version == 12
+    assert (route.host, route.prefix, route.kind) == (
+        'h.example',
+        '/a/',
+        RequestKind.SAFE,
+    )
+    assert (route.timeout, route.objective) == (1.2, 0.4)
+    assert route.parts == (SplitPart('one', 90), SplitPart('two', 10))
+    assert route.homes == {'north'}
+    assert found.limits.idle_seconds == 15
+    assert found.services['one'].cold_rate == 7.2
+
+
+def test_a_route_to_one_service_has_one_part():
+    """The plain form is a split with one part."""
+    content = write_configuration(service='two', traffic_split=[])
+    assert decode_configuration(content).routes[0].parts == (
+        SplitPart('two', 1),
+    )
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        write_configuration(version='xyz'),
+        write_configuration(timeout_ms='soon'),
+        write_configuration(kind='odd'),
+        write_configuration(traffic_split=[]),
+    ],
+)
+def test_a_configuration_that_is_not_valid_is_an_error(content):
+    """The last good one stays in force."""
+    with pytest.raises(InputError):
+        decode_configuration(content)
+
+
+def test_an_entry_is_decoded_whole():
+    """The time of the start identifies the incarnation."""
+    assert decode_backend('i-1', json.dumps(ENTRY).encode()) == Backend(
+        'i-1',
+        'one',
+        '10.128.0.9',
+        8080,
+        'north-a',
+        4,
+        BackendState.READY,
+        1.5,
+        1772216211000,
+    )
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'slots': 'four'},
+        {'slots': 0},
+        {'slots': True},
+        {'state': 'asleep'},
+        {'address': 'nowhere'},
+        {'address': ':80'},
+        {'born': 'today'},
+        {'born': 1.5},
+        {'cold_left_ms': None},
+        {'zone': 7},
+    ],
+)
+def test_an_entry_of_another_writer_is_an_error(change):
+    """It names no backend server to use."""
+    with pytest.raises(InputError):
+        decode_backend('i-1', json.dumps(ENTRY | change).encode())
+
+
+class Receiver:
+    """Notes what it is given."""
+
+    def __init__(self):
+        """Start empty."""
+        self.notes = []
+
+    def __getattr__(self, name):
+        """Note the call."""
+        return lambda *given: self.notes.append((name, *given))
+
+
+@pytest.mark.parametrize(
+    ('key', 'content', 'note'),
+    [
+        ('op/evacuate/z-1', b'{}', ('set_evacuated', frozenset({'z-1'}))),
+        ('servers/i-1', None, ('remove_backend', 'i-1')),
+        ('servers/i-1', b'junk', None),
+        ('op/config', b'junk', None),
+        ('op/config', None, None),
+        ('elsewhere', b'{}', None),
+        (
+            'sesameroute/members/10.0.0.1',
+            b'{"ip":"10.0.0.1","zone":"z","region":"r"}',
+            ('put_member', '10.0.0.1', 'z', 'r'),
+        ),
+        ('sesameroute/members/10.0.0.1', b'{"ip":1}', None),
+    ],
+)
+def test_items_reach_the_receiver(key, content, note):
+    """What can't be read changes nothing."""
+    receiver = Receiver()
+    PlatformFeed(receiver).take(MirrorItem(key, 1, content))
+    assert receiver.notes == ([note] if note else [])
+
+
+def test_evacuations_add_up_and_end():
+    """Each zone is taken back on its own."""
+    receiver = Receiver()
+    feed = PlatformFeed(receiver)
+    for revision, (zone, content) in enumerate(
+        [('a', b'{}'), ('b', b'{}'), ('a', None)],
+    ):
+        feed.take(MirrorItem(f'op/evacuate/{zone}', revision, content))
+    assert receiver.notes[-1] == ('set_evacuated', frozenset({'b'}))
+
+
+@pytest.mark.parametrize(
+    ('headers', 'terms'),
+    [
+        (
+            (
+                ('Sesameroute-Attempt-Id', 'a'),
+                ('sesameroute-affinity-key', '17'),
+                ('Sesameroute-Deadline-Ms', '1200'),
+            ),
+            CallerTerms('a', '17', 1.2),
+        ),
+        ((('Sesameroute-Deadline-Ms', 'soon'),), CallerTerms('', '', None)),
+        ((), CallerTerms('', '', None)),
+    ],
+)
+def test_terms_are_read(headers, terms):
+    """Names do not depend on case; what can't be read is left out."""
+    assert PlatformDialect().read_terms(headers) == terms
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'marks'),
+    [
+        (
+            421,
+            (),
+            Marks('', is_not_run=True, is_misdirected=True, is_sealed=False),
+        ),
+        (
+            503,
+            (('Sesameroute-Not-Run', '1'),),
+            Marks('', is_not_run=True, is_misdirected=False, is_sealed=False),
+        ),
+        (
+            503,
+            (),
+            Marks('', is_not_run=False, is_misdirected=False, is_sealed=False),
+        ),
+        (
+            200,
+            (
+                ('Sesameroute-Server-Seal', 's'),
+                ('Sesameroute-Attempt-Id', 'a'),
+                ('Sesameroute-Server-Load', '3,2,8'),
+            ),
+            Marks(
+                'a',
+                is_not_run=False,
+                is_misdirected=False,
+                is_sealed=True,
+                waiting=2,
+            ),
+        ),
+    ],
+)
+def test_marks_are_read(status, headers, marks):
+    """Only the platform's mark promises that nothing ran."""
+    assert PlatformDialect().read_marks(Answer(status, headers)) == marks
+
+
+def test_terms_are_written_anew():
+    """The deadline shrinks and the backend server is named."""
+    dialect = PlatformDialect()
+    assert dialect.write_terms(0.7504, 'i-1') == (
+        ('Sesameroute-Deadline-Ms', '750'),
+        ('Sesameroute-Expect-Instance', 'i-1'),
+    )
+    assert dialect.is_own('sesameroute-deadline-ms')
+    assert not dialect.is_own('Sesameroute-Attempt-Id')
+
+
+def test_directory_messages():
+    """Questions and answers of the directory."""
+    question = 'name=h.example&region=north&zone=north-a'
+    assert read_question(question) == ('north', 'north-a')
+    assert read_question('') == ('', '')
+    assert json.loads(write_places(['10.0.0.1:80'], 2)) == {
+        'addresses': ['10.0.0.1:80'],
+        'ttl_s': 2,
+    }
