Place within the cap on shifts, serve waiting requests by slot, stop in two steps

An answer without the backend server's seal counted as whole; a leaving node took requests up to its end.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -13,6 +13,7 @@
 
 from cheroot.server import Gateway, HTTPConnection, HTTPServer
 
+from sesameroute.exceptions import SesameError
 from sesameroute.ports import Answer
 
 __all__ = ['FrontHandler', 'FrontServer']
@@ -31,9 +32,9 @@
 
 
 class FrontHandler(Protocol):
-    """Answers one request; raises to close the connection."""
+    """Answers one request; None closes the connection without an answer."""
 
-    def __call__(self, request: Any) -> Answer:
+    def __call__(self, request: Any) -> Answer | None:
         """Return the answer to a cheroot request."""
 
 
@@ -63,8 +64,15 @@
             return
         request.conn.socket.settimeout(request.server.timeout)
         answer = request.server.handler(request)
+        if answer is None:
+            _end(request)
+            return
         with contextlib.closing(_ChunkSource(answer)):
-            _write(request, answer)
+            try:
+                _write(request, answer)
+            except SesameError:
+                # The body was cut: its end must not look complete.
+                _end(request)
 
 
 class _CallerServer(HTTPServer):
@@ -153,6 +161,10 @@
         self._is_stopped.set()
         self._server.stop()
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections; the open ones are served on."""
+        self._server.socket.close()
+
     def set_limits(
         self,
         header_bytes: int,
@@ -180,6 +192,13 @@
         return self._server._connections._num_connections
 
 
+def _end(request: Any) -> None:
+    """Close the connection without another byte."""
+    request.close_connection = True
+    request.sent_headers = True
+    request.chunked_write = False
+
+
 def _is_ambiguous(request: Any) -> bool:
     headers = request.inheaders
     return (
--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -90,6 +90,11 @@
         """Whether bytes followed the last answer."""
         return self._last is not None and self._last.has_extra
 
+    @property
+    def has_defects(self) -> bool:
+        """Whether the last answer's header could not be read whole."""
+        return self._last is not None and bool(self._last.msg.defects)
+
     def _open_response(
         self,
         sock: socket.socket,
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -164,6 +164,8 @@
         marks = self.dialect.read_marks(answer)
         if marks.identifier and marks.identifier != departure.identifier:
             raise _fail('answer is of another request', Outcome.LOST)
+        if kept.line.has_defects:
+            raise _fail('answer has a broken header', Outcome.LOST)
         body = AnswerBody(response, kept, self.connections, departure.until)
         if marks.is_misdirected or marks.is_not_run:
             body.drain()
@@ -175,6 +177,8 @@
                 outcome,
                 may_have_run=False,
             )
+        if not marks.is_sealed:
+            raise _fail("answer is not the backend server's", Outcome.LOST)
         return Arrival(answer, marks, body)
 
     def _write(self, kept: KeptConnection, departure: Departure) -> None:
--- a/sesameroute/mirror/_mirror.py
+++ b/sesameroute/mirror/_mirror.py
@@ -81,8 +81,12 @@
             elif news.base > self.revision_:
                 return False
             else:
+                known = self.revision_
                 for item in news.items:
-                    self._apply(item)
+                    # All up to `known` is applied: a late copy must not
+                    # bring back what has been removed since.
+                    if item.revision > known:
+                        self._apply(item)
             self.revision_ = max(self.revision_, news.revision)
             if news.revision >= self.revision_:
                 self.fresh_ = max(self.fresh_, now - news.age)
--- a/sesameroute/mirror/tests/test_mirror.py
+++ b/sesameroute/mirror/tests/test_mirror.py
@@ -63,6 +63,18 @@
     assert (changes[-1].key, changes[-1].content) == ('a', None)
 
 
+def test_a_late_copy_does_not_bring_a_removed_item_back():
+    """News are told again after what they wrote has been removed."""
+    mirror, changes = build_mirror()
+    written = build_news(1, 3, ('a', 3, b'x'))
+    mirror.take(build_news(0, 1), 0)
+    mirror.take(written, 1)
+    mirror.take(build_news(3, 5, ('a', 5, None)), 2)
+    mirror.take(written, 3)
+    assert [item.content for item in changes] == [b'x', None]
+    assert mirror.list_items('') == []
+
+
 def test_age_travels_with_the_news():
     """A copy of a stale peer is not fresh."""
     mirror, _changes = build_mirror()
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -20,7 +20,7 @@
 _NOT_READY = 503
 _NOT_FOUND = 404
 _BAD_REQUEST = 400
-_TTL_SECONDS = 2.0  # callers hear of a lost node within some seconds
+_TTL_SECONDS = 1.0  # callers hear of a lost node within some seconds
 _JSON = (('Content-Type', 'application/json'),)
 
 _logger = logging.getLogger(__name__)
@@ -53,8 +53,8 @@
         self.seen = 0.0
         self._lock = threading.Lock()
 
-    def __call__(self, request: Any) -> Answer:
-        """Return the answer to one request."""
+    def __call__(self, request: Any) -> Answer | None:
+        """Return the answer to one request, None if nobody takes it."""
         self._count(1)
         try:
             return self._answer(request)
@@ -66,7 +66,7 @@
             self.running += change
             self.seen = self.clock.read_monotonic()
 
-    def _answer(self, request: Any) -> Answer:
+    def _answer(self, request: Any) -> Answer | None:
         try:
             return self.forwarder.forward(self._read(request))
         except InputError as error:
@@ -75,7 +75,7 @@
             return Answer(_BAD_REQUEST, (), iter(()), 0)
         except SesameError as error:
             _logger.info('request dropped', extra={'why': error.code})
-            raise ConnectionAbortedError(error.message) from error
+            return None
 
     def _read(self, request: Any) -> CallerRequest:
         headers = tuple(
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -39,6 +39,7 @@
 _STATE_SECONDS = 1.0  # between two words about this node
 _STOP_MARGIN = 0.7  # seconds of the grace period left for the end
 _QUIET_SECONDS = 2.5  # after which a leaving node without requests ends
+_STOP_TICK_SECONDS = 0.05
 _SMALL_THREADS = 2  # of the servers for checks and the directory
 
 _logger = logging.getLogger(__name__)
@@ -116,22 +117,32 @@
         self._tell_state()
         self._membership.stop()
         _logger.info('node stopping')
-        self._wait_quiet(began, ends)
-        self._front.stop()
+        # Callers that have not heard yet still connect; the last of their
+        # requests must have time to end.
+        self._wait_quiet(ends - self._find_longest_timeout())
+        self._front.stop_accepting()
+        while self._handler.running and self.clock.read_monotonic() < ends:
+            time.sleep(_STOP_TICK_SECONDS)
         self._is_ended.set()
         self.peers.stop()
-        _logger.info('node stopped')
+        _logger.info('node stopped', extra={'cut': self._handler.running})
 
-    def _wait_quiet(self, began: float, ends: float) -> None:
-        quiet_since = began
-        while self.clock.read_monotonic() < ends:
-            time.sleep(0.05)
+    def _wait_quiet(self, until: float) -> None:
+        quiet_since = self.clock.read_monotonic()
+        while self.clock.read_monotonic() < until:
+            time.sleep(_STOP_TICK_SECONDS)
             now = self.clock.read_monotonic()
             if self._handler.running or self._handler.seen > quiet_since:
                 quiet_since = now
             if now - quiet_since > _QUIET_SECONDS:
                 return
 
+    def _find_longest_timeout(self) -> float:
+        found = self.keeper.configuration
+        routes = found.routes if found else ()
+        longest = max((route.timeout for route in routes), default=0)
+        return min(longest, self.settings.bounds.grace / 2)
+
     def _build_sync(self) -> None:
         self.mirror = Mirror(self._feed.take)
         self._sync = MirrorSync(
--- a/sesameroute/node/_placing.py
+++ b/sesameroute/node/_placing.py
@@ -142,6 +142,7 @@
         for service in tuple(self._pools):
             pool = self._find_pool(service)
             pool.tick(now)
+            pool.refresh(now)
             self._report_pool(service, pool.make_report(now))
             self._report_running(service)
 
--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -4,6 +4,7 @@
 objects: a queue that grows beyond what can be on time serves nobody.
 """
 
+import random
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -16,10 +17,11 @@
 __all__ = ['Admission', 'Decision', 'Verdict']
 
 _SPILL_USE = 0.75  # share of slots in use above which no cold run is begun
-_LATE_USE = 0.95  # share above which no late run is begun
 _SHORTEST_RETRY = 0.05  # seconds
 _RETRY_PART = 1 / 3  # of the time left: callers wait no longer
-_LATE_MARGIN = 0.05  # seconds before the deadline
+_RETRY_SPREAD = 0.5  # least part of the longest pause under overload
+_LATE_PART = 0.5  # of the objective: longest wait of what is late anyway
+_TRAVEL_PART = 0.1  # of the objective: the answer's way to the caller
 
 
 @unique
@@ -33,17 +35,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Decision:
-    """A verdict and what goes with it."""
+    """A verdict and what goes with it.
+
+    Attributes
+    ----------
+    until : float
+        Monotonic time in seconds until which a request may wait.
+    retry_after : float
+        Seconds after which a refused caller should come back.
+
+    """
 
     verdict: Verdict
     state: UpstreamState | None = None
+    until: float = 0
     reason: Reason = Reason.NO_ROOM
     retry_after: float = 0
 
 
-_WAIT = Decision(Verdict.WAIT)
-
-
 class Admission:
     """Decides for one request at one moment.
 
@@ -57,9 +66,10 @@
     def __init__(self, estimates: Estimates) -> None:
         """Store the estimates."""
         self.estimates = estimates
+        self._random = random.Random()
 
     def decide(self, field: Field, waiter: Waiter, ahead: int) -> Decision:
-        """Return what happens to a request.
+        """Return what happens to a request that has just come.
 
         Parameters
         ----------
@@ -72,72 +82,68 @@
 
         """
         if not field.states:
-            return _refuse(waiter, field, Reason.NO_BACKEND, 1.0)
+            return self._refuse(field, waiter, Reason.NO_BACKEND)
+        newcomer = field.pick_newcomer()
+        if newcomer is not None:
+            return Decision(Verdict.GRANT, newcomer)
         homes = field.list_homes()
         warm = field.pick_warm(homes)
         if warm is not None:
             return Decision(Verdict.GRANT, warm)
-        fresh = field.pick_new()
-        use = field.rate_use()
-        if fresh is not None and (not homes or use < _SPILL_USE):
-            return self._start_or_wait(field, waiter, homes, fresh, ahead)
-        if self._can_wait(field, waiter, homes, ahead):
-            return _WAIT
-        last = None if homes else field.pick_any()
-        if last is not None:
-            return Decision(Verdict.GRANT, last)
-        wait = self._expect_wait(waiter, homes or field.states, ahead)
-        return _refuse(waiter, field, Reason.NO_ROOM, wait)
+        until = self._find_limit(waiter, field.now)
+        if homes and self._expect_start(field, waiter, homes, ahead) <= until:
+            return Decision(Verdict.WAIT, until=until)
+        return self.decide_late(field, waiter, homes)
 
-    def _start_or_wait(
+    def decide_late(
         self,
         field: Field,
         waiter: Waiter,
         homes: list[UpstreamState],
-        fresh: UpstreamState,
-        ahead: int,
     ) -> Decision:
-        """Prefer a short wait for a home over a run without the object."""
-        if homes:
-            wait = self._expect_wait(waiter, homes, ahead)
-            run = self.estimates.find_warm(waiter.ask.flow).seconds
-            if field.now + wait + run <= waiter.on_time_at:
-                return _WAIT
-        return Decision(Verdict.GRANT, fresh)
-
-    def _can_wait(
+        """Return what happens to a request that can't wait for its homes."""
+        if not homes or field.rate_use() < _SPILL_USE:
+            fresh = field.pick_new()
+            if fresh is not None:
+                return Decision(Verdict.GRANT, fresh)
+        last = None if homes else field.pick_any()
+        if last is not None:
+            return Decision(Verdict.GRANT, last)
+        return self._refuse(field, waiter, Reason.NO_ROOM)
+
+    def _find_limit(self, waiter: Waiter, now: float) -> float:
+        """Return until when a wait makes sense."""
+        ask = waiter.ask
+        run = self.estimates.find_warm(ask.flow, ask.objective).seconds
+        travel = _TRAVEL_PART * ask.objective
+        on_time = waiter.on_time_at - run - travel
+        if not ask.is_returning:
+            return on_time
+        late = now + _LATE_PART * ask.objective
+        return max(on_time, min(late, waiter.ends_at - run - travel))
+
+    def _expect_start(
         self,
         field: Field,
         waiter: Waiter,
         homes: list[UpstreamState],
         ahead: int,
-    ) -> bool:
-        run = self.estimates.find_warm(waiter.ask.flow).seconds
-        wait = self._expect_wait(waiter, homes or field.states, ahead)
-        if field.now + wait + run <= waiter.on_time_at:
-            return True
-        if not waiter.ask.is_returning:
-            return False
-        return field.now + wait + run + _LATE_MARGIN <= waiter.ends_at
-
-    def _expect_wait(
+    ) -> float:
+        """Return when a slot of a home is likely free."""
+        ask = waiter.ask
+        run = self.estimates.find_warm(ask.flow, ask.objective).seconds
+        slots = sum(state.slots for state in field.states)
+        near = sum(home.slots for home in homes)
+        return field.now + run / max(near, 1) + run * ahead / max(slots, 1)
+
+    def _refuse(
         self,
+        field: Field,
         waiter: Waiter,
-        homes: list[UpstreamState],
-        ahead: int,
-    ) -> float:
-        """Return the seconds until a slot is likely free."""
-        run = self.estimates.find_warm(waiter.ask.flow).seconds
-        slots = sum(home.slots for home in homes)
-        return run * (1 + ahead) / max(slots, 1)
-
-
-def _refuse(
-    waiter: Waiter,
-    field: Field,
-    reason: Reason,
-    wait: float,
-) -> Decision:
-    left = waiter.ends_at - field.now
-    pause = min(max(wait, _SHORTEST_RETRY), max(left * _RETRY_PART, 0))
-    return Decision(Verdict.REFUSE, None, reason, pause)
+        reason: Reason,
+    ) -> Decision:
+        """Spread the return over the time that callers are ready to wait."""
+        left = max(waiter.ends_at - field.now, 0)
+        longest = max(left * _RETRY_PART, _SHORTEST_RETRY)
+        pause = longest * self._random.uniform(_RETRY_SPREAD, 1)
+        return Decision(Verdict.REFUSE, reason=reason, retry_after=pause)
--- a/sesameroute/placement/_ask.py
+++ b/sesameroute/placement/_ask.py
@@ -1,6 +1,6 @@
 """What a node asks of a pool, and what it is told."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum, unique
 
 from sesameroute.ports import register_message
@@ -138,6 +138,8 @@
         Slots that the region's own requests keep busy on average.
     room : float
         Slots of the usable backend servers in the region.
+    shares : dict
+        Shares that regions hand to others, as far as the pool has heard.
 
     """
 
@@ -146,3 +148,4 @@
     held: dict[str, int]
     demand: float
     room: float
+    shares: dict[str, dict[str, float]] = field(default_factory=dict)
--- a/sesameroute/placement/_choice.py
+++ b/sesameroute/placement/_choice.py
@@ -11,6 +11,7 @@
 
 __all__ = ['Field', 'hash_key', 'rank_states']
 
+_FIRST_OBJECTS = 2  # that a newcomer learns even while others are free
 _TROUBLED = 0.8  # penalty at which a backend server gets one try at a time
 
 
@@ -60,6 +61,14 @@
         ranked = rank_states(self.ask.key or str(self.now), well)
         return next(iter(ranked), None)
 
+    def pick_newcomer(self) -> UpstreamState | None:
+        """Return one that has hardly been used, to learn some objects."""
+        for state in self.states:
+            is_unused = not state.held and len(state.recent) < _FIRST_OBJECTS
+            if is_unused and self._is_open(state):
+                return state
+        return None
+
     def pick_any(self) -> UpstreamState | None:
         """Return the least bad one with a free slot."""
         free = [
--- a/sesameroute/placement/_plan.py
+++ b/sesameroute/placement/_plan.py
@@ -7,17 +7,24 @@
 """
 
 import math
-from collections.abc import Mapping
+import random
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 import xxhash
 
+from sesameroute.placement._shift import ShiftGuard
+
 __all__ = ['RegionLoad', 'RegionPlan']
 
 TARGET_UTILIZATION = 0.72  # of a region's slots, before others are used
-_SHARE_RATE = 0.05  # change of the shares per second, under the shift cap
+_SHARE_RATE = 0.045  # change of the shares per second, under the shift cap
+_FIRST_PART = 0.6  # of what even demand would need, before demand is seen
+_ADOPT_SECONDS = 1.0  # after the start, in which a predecessor's shares count
 _JUMP_SECONDS = 1.5  # after a loss of room, in which shares may jump
-_BLEND = 0.2  # width of the band in which an object is split
+_YIELD = 0.04  # of the line, for each request that is owed
+_MOST_YIELD = 0.3  # of the line
+_MOST_OWED = 12  # requests
 _HASH_RANGE = 2.0**64
 
 
@@ -61,7 +68,35 @@
         self._changed = -math.inf
         self._own_room = 0.0
         self._jump_until = -math.inf
-        self._credits: dict[tuple[str, str], float] = {}
+        self._owed: dict[str, float] = {}
+        self._random = random.Random()
+        self._guard = ShiftGuard()
+        self._started = math.inf
+
+    def start(self, rooms: Mapping[str, float], now: float) -> None:
+        """Begin with what even demand of all regions would need."""
+        self._started = now
+        self._changed = now
+        mean = sum(rooms.values()) / max(len(rooms), 1)
+        own = rooms.get(self.region, 0)
+        self._own_room = own
+        surplus = {
+            name: max(room - mean, 0)
+            for name, room in rooms.items()
+            if name != self.region
+        }
+        total = sum(surplus.values())
+        if own >= mean or not total:
+            return
+        moved = _FIRST_PART * (1 - own / mean)
+        self.shares_ = {
+            name: moved * part / total for name, part in surplus.items()
+        }
+
+    def adopt(self, shares: Mapping[str, float], now: float) -> None:
+        """Take over what the region's pool did on another node."""
+        if now - self._started <= _ADOPT_SECONDS:
+            self.shares_ = dict(shares)
 
     def update(self, loads: Mapping[str, RegionLoad], now: float) -> None:
         """Move the shares towards what the loads ask for."""
@@ -77,28 +112,49 @@
             return
         self.shares_ = _step_shares(self.shares_, wanted, step)
 
+    def note(self, region: str, now: float) -> None:
+        """Count a request that runs in a region."""
+        self._guard.note(region, now)
+
+    def choose_within(
+        self,
+        key: str,
+        regions: Collection[str],
+        now: float,
+    ) -> str:
+        """Return the region for a request, within the cap on shifts."""
+        chosen = self.choose(key)
+        if chosen not in regions:
+            chosen = self.region
+        if now < self._jump_until or self._guard.permits(chosen, now):
+            return chosen
+        return self._guard.find_behind(regions, now)
+
     def choose(self, key: str) -> str:
-        """Return the region for a request on an object."""
-        left = 1.0
+        """Return the region for a request on an object.
+
+        Objects lie on a line by their hash; each region has a stretch of
+        it. The ends of the stretches yield a little to keep the shares of
+        any few requests at what is planned, whatever objects they concern.
+        """
+        place = _place_key(key) if key else self._random.random()
+        end = 0.0
+        chosen = self.region
+        is_found = False
         for region, share in sorted(self.shares_.items()):
-            part = min(share / left, 1) if left > 0 else 0
-            if part > 0 and self._take(region, key, part):
-                return region
-            left -= share
-        return self.region
-
-    def _take(self, region: str, key: str, share: float) -> bool:
-        place = _place_key(f'{region}/{key}') if key else 0.5
-        likelihood = (share * (1 + _BLEND) - place) / _BLEND
-        if not key:
-            likelihood = share
-        if likelihood <= 0 or likelihood >= 1:
-            return likelihood >= 1
-        credit_key = (region, key)
-        credit = self._credits.get(credit_key, _place_key(key)) + likelihood
-        is_taken = credit >= 1
-        self._credits[credit_key] = credit - is_taken
-        return is_taken
+            end += share
+            owed = self._owed.get(region, 0) + end
+            if is_found or place < end + _limit_yield(owed):
+                owed -= 1
+                chosen = chosen if is_found else region
+                is_found = True
+            self._owed[region] = min(max(owed, -_MOST_OWED), _MOST_OWED)
+        return chosen
+
+
+def _limit_yield(owed: float) -> float:
+    """Return how far an end moves for requests that are owed."""
+    return min(max(_YIELD * owed, -_MOST_YIELD), _MOST_YIELD)
 
 
 def _compute_shares(
--- a/sesameroute/placement/_pool.py
+++ b/sesameroute/placement/_pool.py
@@ -9,15 +9,15 @@
 
 import itertools
 import threading
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from sesameroute.placement._admission import Admission, Verdict
+from sesameroute.placement._admission import Admission, Decision, Verdict
 from sesameroute.placement._ask import (
     Ask,
     Grant,
     Outcome,
-    Reason,
     Refusal,
     Release,
     Report,
@@ -98,6 +98,8 @@
         self._held: dict[int, _Held] = {}
         self._numbers = itertools.count(1)
         self._loads: dict[str, tuple[RegionLoad, float]] = {}
+        self._shares: dict[str, dict[str, float]] = {}
+        self._is_planned = False
         self._admission = Admission(self.estimates)
 
     def sync(
@@ -118,6 +120,9 @@
                     state = UpstreamState(entry, region, judged=now)
                 state.renew(entry)
                 self._states[name] = state
+            if self._states and not self._is_planned:
+                self._is_planned = True
+                self.plan.start(self._count_rooms(), now)
             self._update_plan(now)
 
     def set_cold_rate(self, rate: float) -> None:
@@ -145,7 +150,7 @@
                 ask,
                 node,
                 settle,
-                self._choose_region(ask),
+                self._choose_region(ask, now),
                 now,
                 now + ask.on_time,
                 now + ask.time_left,
@@ -165,7 +170,7 @@
             held.state.judge(release.outcome, now)
             if release.outcome in _LEARNING:
                 self._learn(held, release.seconds, now)
-            self._serve_waiting(now)
+            self._serve_waiting(held.state, now)
 
     def forget_node(self, node: str, now: float) -> None:
         """Take back what a node that is gone held."""
@@ -175,7 +180,7 @@
                 if held.node == node:
                     self._held.pop(number)
                     held.state.held -= 1
-            self._serve_waiting(now)
+                    self._serve_waiting(held.state, now)
 
     def tick(self, now: float) -> None:
         """Settle waiters whose time is over and drop lost grants."""
@@ -184,8 +189,16 @@
                 if held.expires < now:
                     self._held.pop(number)
                     held.state.held -= 1
+            for waiter in self._waiting:
+                if waiter.until <= now:
+                    self._end_wait(waiter, now)
+
+    def refresh(self, now: float) -> None:
+        """Renew the plan, and look at all that wait for free slots."""
+        with self._lock:
             self._update_plan(now)
-            self._serve_waiting(now)
+            for state in self._states.values():
+                self._serve_waiting(state, now)
 
     def take_report(self, sender: str, report: Report, now: float) -> None:
         """Take what another pool of the service holds."""
@@ -197,6 +210,11 @@
             if report.room and report.region != self.terms.region:
                 load = RegionLoad(report.demand, report.room)
                 self._loads[report.region] = (load, now)
+            for region, shares in report.shares.items():
+                if region == self.terms.region:
+                    self.plan.adopt(shares, now)
+                elif region == report.region or region not in self._shares:
+                    self._shares[region] = shares
 
     def make_report(self, now: float) -> Report:
         """Return what this pool holds."""
@@ -213,6 +231,7 @@
                 held,
                 own.demand,
                 own.room,
+                {**self._shares, self.terms.region: self.plan.shares_},
             )
 
     @property
@@ -224,7 +243,7 @@
         """Return the slots in use by this pool's grants."""
         return len(self._held)
 
-    def _choose_region(self, ask: Ask) -> str:
+    def _choose_region(self, ask: Ask, now: float) -> str:
         own = self.terms.region
         rooms = {state.region for state in self._states.values()}
         if ask.homes:
@@ -232,19 +251,24 @@
             if own in permitted or not permitted:
                 return own
             return permitted[hash_key(ask.key) % len(permitted)]
-        chosen = self.plan.choose(ask.key)
-        if chosen in rooms:
-            return chosen
-        if own in rooms or not rooms:
+        if own in rooms:
+            return self.plan.choose_within(ask.key, rooms, now)
+        if not rooms:
             return own
         ordered = sorted(rooms)
         return ordered[hash_key(ask.key) % len(ordered)]
 
-    def _open_field(self, ask: Ask, region: str, now: float) -> Field:
+    def _open_field(
+        self,
+        ask: Ask,
+        region: str,
+        now: float,
+        among: Iterable[UpstreamState] | None = None,
+    ) -> Field:
         excluded = ask.excluded
         states = [
             state
-            for state in self._states.values()
+            for state in among or self._states.values()
             if state.region == region and state.name not in excluded
         ]
         is_own = region == self.terms.region
@@ -262,13 +286,28 @@
         field = self._open_field(waiter.ask, waiter.region, now)
         ahead = self._waiting.count_ahead(waiter.region, waiter.rank)
         decision = self._admission.decide(field, waiter, ahead)
+        if decision.verdict is Verdict.WAIT:
+            waiter.until = decision.until
+            return None
+        return self._conclude(field, waiter, decision)
+
+    def _end_wait(self, waiter: Waiter, now: float) -> None:
+        """Settle a request whose wait has been in vain."""
+        field = self._open_field(waiter.ask, waiter.region, now)
+        homes = field.list_homes()
+        decision = self._admission.decide_late(field, waiter, homes)
+        self._waiting.remove(waiter)
+        waiter.settle(self._conclude(field, waiter, decision))
+
+    def _conclude(
+        self,
+        field: Field,
+        waiter: Waiter,
+        decision: Decision,
+    ) -> Grant | Refusal:
         if decision.verdict is Verdict.GRANT and field.use(decision.state):
             return self._grant(field, decision.state, waiter)
-        if decision.verdict is Verdict.REFUSE:
-            return Refusal(decision.reason, decision.retry_after)
-        if now >= waiter.ends_at:
-            return Refusal(Reason.TOO_LATE, 0)
-        return None
+        return Refusal(decision.reason, decision.retry_after)
 
     def _grant(
         self,
@@ -282,6 +321,8 @@
         is_warm = field.is_warm(state)
         number = next(self._numbers)
         state.held += 1
+        if not waiter.ask.homes:
+            self.plan.note(state.region, now)
         if key:
             state.recent.add(key, now)
         self._held[number] = _Held(
@@ -316,12 +357,21 @@
         if is_well:
             usual.observe(seconds)
 
-    def _serve_waiting(self, now: float) -> None:
+    def _serve_waiting(self, state: UpstreamState, now: float) -> None:
+        """Give a backend server's free slots to those that wait for it."""
+        if not len(self._waiting):
+            return
+        free = state.count_free(now)
         for waiter in self._waiting:
-            result = self._decide(waiter, now)
-            if result is not None:
+            if free <= 0:
+                return
+            if waiter.region != state.region:
+                continue
+            field = self._open_field(waiter.ask, waiter.region, now, (state,))
+            if field.list_homes():
                 self._waiting.remove(waiter)
-                waiter.settle(result)
+                waiter.settle(self._grant(field, state, waiter))
+                free -= 1
 
     def _measure_load(self, now: float) -> RegionLoad:
         room = sum(
@@ -333,6 +383,12 @@
         )
         return RegionLoad(self._demand.read(now), room)
 
+    def _count_rooms(self) -> dict[str, float]:
+        rooms: Counter[str] = Counter()
+        for state in self._states.values():
+            rooms[state.region] += state.slots
+        return dict(rooms)
+
     def _update_plan(self, now: float) -> None:
         loads = {
             region: load
--- a/sesameroute/placement/_queue.py
+++ b/sesameroute/placement/_queue.py
@@ -7,6 +7,7 @@
 
 __all__ = ['Settle', 'WaitingRequests', 'Waiter']
 
+Rank = tuple[int, bool, bool, float]
 Settle = Callable[[Grant | Refusal], None]
 
 
@@ -20,9 +21,9 @@
         Who asked.
     region : str
         Region whose backend servers it waits for.
-    arrived, on_time_at, ends_at : float
-        Monotonic times in seconds of its arrival, its objective and its
-        deadline.
+    arrived, on_time_at, ends_at, until : float
+        Monotonic times in seconds of its arrival, its objective, its
+        deadline, and the end of its wait.
 
     """
 
@@ -33,11 +34,14 @@
     arrived: float
     on_time_at: float
     ends_at: float
+    until: float = 0
 
     @property
-    def rank(self) -> tuple[int, bool, float]:
-        """Who comes first: the urgent, the returning, the earliest due."""
-        return self.ask.priority, not self.ask.is_returning, self.on_time_at
+    def rank(self) -> Rank:
+        """Who comes first: the urgent, who can be on time, who returns."""
+        ask = self.ask
+        is_late = self.on_time_at < self.arrived
+        return ask.priority, is_late, not ask.is_returning, self.on_time_at
 
 
 class WaitingRequests:
@@ -62,7 +66,7 @@
             waiter for waiter in self._waiters if waiter.node != node
         ]
 
-    def count_ahead(self, region: str, rank: tuple[int, bool, float]) -> int:
+    def count_ahead(self, region: str, rank: Rank) -> int:
         """Return how many waiters of a region come before a rank."""
         return sum(
             waiter.region == region and waiter.rank <= rank
--- a/sesameroute/placement/tests/world.py
+++ b/sesameroute/placement/tests/world.py
@@ -125,14 +125,11 @@
 
     def run(self, end):
         """Run until a time."""
-        moment = 0.0
-        while moment < end:
-            self.at(moment, self._tick)
-            moment += TICK
-        moment = 0.0
-        while moment < end:
-            self.at(moment, self._refresh)
-            moment += REFRESH
+        for step, call in ((TICK, self._tick), (REFRESH, self._refresh)):
+            moment = self.now
+            while moment < end:
+                self.at(moment, call)
+                moment += step
         while self.events and self.events[0][0] <= end:
             self.now, _number, call, arguments = heapq.heappop(self.events)
             call(*arguments)
@@ -153,6 +150,7 @@
     def _refresh(self):
         for name, pool in self.pools.items():
             pool.tick(self.now)
+            pool.refresh(self.now)
             report = pool.make_report(self.now)
             for other, target in self.pools.items():
                 if other != name:
--- a/sesameroute/programs/node.py
+++ b/sesameroute/programs/node.py
@@ -59,6 +59,8 @@
     logger.propagate = False
     logger.setLevel(logging.INFO)
     logger.addHandler(LogBridge(log))
+    # Broken answers are noted where they are judged.
+    logging.getLogger('urllib3').setLevel(logging.CRITICAL)
 
 
 if __name__ == '__main__':
