--- /dev/null
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -0,0 +1,341 @@
+"""The way of a request against backend servers that misbehave."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from sesameroute.adapters import KeptConnections
+from sesameroute.forward import (
+    CallerRequest,
+    Forwarder,
+    RetryBudgets,
+    RetryTerms,
+    Sender,
+)
+from sesameroute.forward._refusals import GoneError
+from sesameroute.forward.tests.servers import ScriptedServer
+from sesameroute.placement import Grant, Outcome, Reason, Refusal
+from sesameroute.platform import PlatformDialect
+from sesameroute.ports import SystemClock, TcpWire
+from sesameroute.registry import Backend, BackendState, Registry
+from sesameroute.routes import (
+    Configuration,
+    ConfigurationKeeper,
+    RequestKind,
+    Route,
+    SplitPart,
+)
+
+
+class Placing:
+    """Grants the servers in their order, then refuses."""
+
+    def __init__(self, names):
+        """Store the names."""
+        self.names = list(names)
+        self.asks = []
+        self.ends = []
+
+    def place(self, ask):
+        """Grant the next one that was not tried."""
+        self.asks.append(ask)
+        left = [name for name in self.names if name not in ask.excluded]
+        if not left:
+            return Refusal(Reason.NO_ROOM, 0.25)
+        return Grant(len(self.asks), left[0], 1)
+
+    def release(self, ask, grant, outcome, seconds):
+        """Note the end of a try."""
+        self.ends.append((grant.backend, outcome))
+
+
+class Stage:
+    """A forwarder with its servers and one caller."""
+
+    def __init__(self, *servers, kind=RequestKind.SAFE, attempts=2):
+        """Register the servers as a, b, ..."""
+        self.clock = SystemClock()
+        self.keeper = ConfigurationKeeper()
+        self.keeper.take(
+            Configuration(
+                1,
+                (
+                    Route(
+                        'r',
+                        'h',
+                        '/p/',
+                        kind,
+                        (SplitPart('s', 1),),
+                        0.6,
+                        0.3,
+                        1,
+                        attempts,
+                        is_sticky=True,
+                    ),
+                ),
+            ),
+        )
+        self.registry = Registry()
+        names = 'abcdef'[: len(servers)]
+        for name, server in zip(names, servers, strict=True):
+            self.registry.put(
+                Backend(
+                    name,
+                    's',
+                    *server.target,
+                    'z',
+                    4,
+                    BackendState.READY,
+                    incarnation=1,
+                ),
+                0,
+            )
+        self.placing = Placing(names)
+        connections = KeptConnections(TcpWire(), '127.0.0.1', self.clock)
+        self.forwarder = Forwarder(
+            self.keeper,
+            self.registry,
+            self.placing,
+            Sender(connections, PlatformDialect(), self.clock),
+            RetryBudgets(RetryTerms(0.2, 8), lambda: 1),
+            self.clock,
+        )
+        self.caller, self.node_end = socket.socketpair()
+
+    def forward(self, path='/p/x', body=b'', **options):
+        """Forward one request; return status, headers and body."""
+        rest = [body]
+
+        def read(size):
+            chunk, rest[0] = rest[0][:size], rest[0][size:]
+            return chunk
+
+        request = CallerRequest(
+            'POST' if body else 'GET',
+            path,
+            options.get('host', 'h'),
+            (
+                ('Host', 'h'),
+                ('Sesameroute-Attempt-Id', 'mine'),
+                ('Sesameroute-Affinity-Key', 'k'),
+                ('Sesameroute-Deadline-Ms', '5000'),
+                ('Connection', 'keep-alive'),
+                ('X-Other', 'kept'),
+            ),
+            read,
+            options.get('length', len(body)),
+            self.clock.read_monotonic(),
+            self.node_end,
+        )
+        answer = self.forwarder.forward(request)
+        return answer.status, dict(answer.headers), b''.join(answer.chunks)
+
+
+@pytest.mark.parametrize(
+    ('script', 'kind', 'status', 'tries'),
+    [
+        ('whole', 'safe', 200, 1),
+        ('whole', 'unsafe', 200, 1),
+        ('unframed', 'safe', 200, 1),
+        ('failed', 'safe', 500, 1),
+        ('failed', 'unsafe', 500, 1),
+        ('shed', 'safe', 200, 2),
+        ('shed', 'unsafe', 200, 2),
+        ('misdirected', 'unsafe', 200, 2),
+        ('cut', 'safe', 200, 2),
+        ('cut', 'unsafe', 502, 1),
+        ('unframed reset', 'unsafe', 502, 1),
+        ('unmarked 503', 'safe', 200, 2),
+        ('unmarked 503', 'unsafe', 502, 1),
+        ('unsealed', 'safe', 200, 2),
+        ('unsealed', 'unsafe', 502, 1),
+        ('broken header', 'safe', 200, 2),
+        ('broken header', 'unsafe', 502, 1),
+        ('other answer', 'safe', 200, 2),
+        ('other answer', 'unsafe', 502, 1),
+        ('no answer', 'safe', 200, 2),
+        ('no answer', 'unsafe', 502, 1),
+        ('junk', 'safe', 200, 2),
+        ('junk', 'unsafe', 502, 1),
+        ('silent', 'safe', 200, 2),
+        ('silent', 'unsafe', 504, 1),
+    ],
+)
+def test_what_callers_get(script, kind, status, tries):
+    """Only what can't have run, or may run twice, is sent again."""
+    first, second = ScriptedServer(script), ScriptedServer('whole')
+    stage = Stage(first, second, kind=RequestKind(kind))
+    found, _headers, body = stage.forward(body=b'order')
+    assert found == status
+    assert len(first.heads) + len(second.heads) == tries
+    assert len(stage.placing.ends) == tries
+    if status == 200:
+        assert body == b'whole'
+
+
+def test_a_server_that_is_down_may_be_passed_over():
+    """Nothing was sent, so an unsafe request goes elsewhere."""
+    down, well = ScriptedServer('whole'), ScriptedServer('whole')
+    down.stop()
+    time.sleep(0.05)
+    stage = Stage(down, well, kind=RequestKind.UNSAFE)
+    assert stage.forward(body=b'x')[0] == 200
+    assert stage.placing.ends == [
+        ('a', Outcome.UNREACHED),
+        ('b', Outcome.ANSWERED),
+    ]
+
+
+def test_refusals_promise_only_what_is_true():
+    """Nothing ran anywhere: 503 with a time to come back."""
+    servers = [ScriptedServer('shed') for _ in range(2)]
+    stage = Stage(*servers, kind=RequestKind.UNSAFE)
+    status, headers, _body = stage.forward(body=b'x')
+    assert status == 503
+    assert 0 <= float(headers['Retry-After']) <= 0.6 / 3
+
+
+def test_no_room_after_a_lost_try_promises_nothing():
+    """The first try may have run, so the answer is no 503."""
+    stage = Stage(ScriptedServer('no answer'))
+    assert stage.forward()[0] == 502
+
+
+@pytest.mark.parametrize(
+    ('path', 'host', 'status'),
+    [('/other', 'h', 404), ('/p/x', 'else', 404), ('/p/x', 'h', 200)],
+)
+def test_routes_decide(path, host, status):
+    """What no route allows is not found."""
+    stage = Stage(ScriptedServer('whole'))
+    assert stage.forward(path, host=host)[0] == status
+
+
+def test_without_a_configuration_nothing_is_denied():
+    """503 says to come back; 404 would be final."""
+    stage = Stage(ScriptedServer('whole'))
+    stage.keeper.table_ = None
+    assert stage.forward()[0] == 503
+
+
+def test_headers_of_one_connection_stay_behind():
+    """The deadline shrinks, the server is named, the rest goes on."""
+    server = ScriptedServer('whole')
+    Stage(server).forward('/p/a%2Fb?x=1', body=b'order')
+    head = server.heads[0]
+    assert head.startswith('POST /p/a%2Fb?x=1 HTTP/1.1')
+    assert server.bodies == [b'order']
+    lines = dict(line.split(': ', 1) for line in head.split('\r\n')[1:])
+    assert lines['Sesameroute-Expect-Instance'] == 'a'
+    assert 0 < int(lines['Sesameroute-Deadline-Ms']) <= 600
+    assert lines['X-Other'] == 'kept'
+    assert 'keep-alive' not in head
+
+
+def test_bytes_behind_an_answer_belong_to_no_request():
+    """The connection is not used again."""
+    server = ScriptedServer('extra', 'whole')
+    stage = Stage(server)
+    assert stage.forward()[2] == b'whole'
+    assert stage.forward()[2] == b'whole'
+    assert server.connections == 2
+
+
+def test_a_kept_connection_is_used_again_by_safe_requests():
+    """A new connection costs a round trip."""
+    server = ScriptedServer('whole')
+    stage = Stage(server)
+    stage.forward()
+    stage.forward()
+    assert server.connections == 1
+
+
+def test_unsafe_requests_open_a_connection():
+    """On one that was forgotten nobody knows whether the request ran."""
+    server = ScriptedServer('whole')
+    stage = Stage(server, kind=RequestKind.UNSAFE)
+    stage.forward(body=b'x')
+    stage.forward(body=b'x')
+    assert server.connections == 2
+
+
+def test_a_forgotten_connection_costs_one_more_try():
+    """A kept connection that breaks is tried once more on a new one."""
+    server = ScriptedServer('whole', 'no answer', 'whole')
+    stage = Stage(server)
+    assert stage.forward()[0] == 200
+    assert stage.forward()[0] == 200
+    assert server.connections == 2
+
+
+def test_the_close_of_a_caller_reaches_the_server():
+    """Work for a caller that left ends within half a second."""
+    server = ScriptedServer('silent')
+    stage = Stage(server)
+    stage.caller.close()
+    with pytest.raises(GoneError):
+        stage.forward()
+    assert not server.heads
+
+
+def test_a_caller_that_leaves_meanwhile_ends_the_work():
+    """The connection to the server is closed at once."""
+    server = ScriptedServer('silent')
+    stage = Stage(server)
+    threading.Timer(0.1, stage.caller.close).start()
+    with pytest.raises(GoneError):
+        stage.forward()
+    assert server.closed.wait(0.5)
+    assert stage.placing.ends == [('a', Outcome.CANCELLED)]
+
+
+def test_a_route_s_timeout_gives_a_final_answer():
+    """Not later than the timeout, whatever the caller would wait."""
+    stage = Stage(ScriptedServer('silent'), kind=RequestKind.UNSAFE)
+    started = time.monotonic()
+    assert stage.forward(body=b'x')[0] == 504
+    assert time.monotonic() - started < 0.6 + 0.4
+
+
+def test_a_grant_for_another_incarnation_is_not_used():
+    """The address may belong to another service by now."""
+    server, other = ScriptedServer('whole'), ScriptedServer('whole')
+    stage = Stage(server, other)
+    entry = stage.registry.find('a').backend
+    stage.registry.put(
+        Backend(
+            'a',
+            's',
+            entry.host,
+            entry.port,
+            'z',
+            4,
+            BackendState.DRAINING,
+            incarnation=1,
+        ),
+        0,
+    )
+    assert stage.forward()[0] == 200
+    assert not server.heads
+    assert len(other.heads) == 1
+
+
+def test_tries_beyond_the_first_have_a_budget():
+    """With every server down, load grows by little."""
+    servers = [ScriptedServer('no answer') for _ in range(2)]
+    stage = Stage(*servers)
+    for _ in range(40):
+        stage.forward()
+    assert len(stage.placing.ends) <= 40 * 1.2 + 8
+
+
+def test_a_long_body_is_streamed_and_sent_once():
+    """Memory stays bounded; what was read can't be sent again."""
+    server, second = ScriptedServer('no answer'), ScriptedServer('whole')
+    stage = Stage(server, second)
+    body = b'x' * 400_000
+    assert stage.forward(body=body)[0] == 502
+    assert len(server.bodies[0]) == 400_000
+    assert not second.heads
--- a/sesameroute/node/_membership.py
+++ b/sesameroute/node/_membership.py
@@ -42,9 +42,13 @@
         """Start the thread."""
         threading.Thread(target=self._run, name='member', daemon=True).start()
 
+    def abandon(self) -> None:
+        """Renew no more; the lease lapses."""
+        self._is_stopping.set()
+
     def stop(self) -> None:
         """Renew no more and end the lease."""
-        self._is_stopping.set()
+        self.abandon()
         if not self._lease:
             return
         try:
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -124,9 +124,19 @@
         while self._handler.running and self.clock.read_monotonic() < ends:
             time.sleep(_STOP_TICK_SECONDS)
         self._is_ended.set()
+        self._watcher.stop()
         self.peers.stop()
         _logger.info('node stopped', extra={'cut': self._handler.running})
 
+    def kill(self) -> None:
+        """End at once, as a process that loses power does."""
+        self._is_ended.set()
+        self._watcher.stop()
+        self._membership.abandon()
+        self.peers.stop()
+        for server in self._servers:
+            server.stop_accepting()
+
     def _wait_quiet(self, until: float) -> None:
         quiet_since = self.clock.read_monotonic()
         while self.clock.read_monotonic() < until:
--- /dev/null
+++ b/sesameroute/node/tests/scene.py
@@ -0,0 +1,177 @@
+"""Nodes in one process, with a store and backend servers beside them."""
+
+import http.client
+import json
+import os
+import time
+
+from sesameroute.node import FleetNode, parse_node_settings
+from sesameroute.platform.tests.store_standin import StoreStandIn
+
+# Runs side by side on one machine stay apart.
+NETWORK = f'127.{20 + os.getpid() % 60}.{os.getpid() // 60 % 250}'
+FRONT, READY, DIRECTORY, PEERS = 18410, 18411, 18412, 18413
+
+SETTINGS = """
+[node]
+name = {name}
+address = {address}
+zone = {zone}
+region = {region}
+[listen]
+front = {address}:{front}
+ready = {address}:{ready}
+directory = {address}:{directory}
+[peers]
+ports = {peers},{peers}
+key = key of this test 0123456789
+seeds = {seeds}
+[store]
+address = {store}
+[zones]
+north-a = north
+south-a = south
+[bounds]
+grace = 3
+"""
+
+
+def wait_for(predicate, seconds=8):
+    """Return whether something becomes true in time."""
+    ends = time.monotonic() + seconds
+    while time.monotonic() < ends:
+        if predicate():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+class Scene:
+    """A store, nodes and what the operator writes."""
+
+    def __init__(self):
+        """Start the store with a first configuration."""
+        self.store = StoreStandIn()
+        self.nodes = {}
+        self.version = 1
+        self.configure(prefix='/a/')
+
+    def configure(self, **route):
+        """Write the next configuration with one route."""
+        self.version += 1
+        fields = {
+            'name': 'r',
+            'path_prefix': '/a/',
+            'kind': 'safe',
+            'timeout_ms': 800,
+            'target_latency_ms': 300,
+            'priority': 1,
+            'max_attempts': 2,
+            'session_affinity': True,
+            'allowed_regions': [],
+            'service': 's',
+        }
+        fields['path_prefix'] = route.get('prefix', '/a/')
+        self.store.put(
+            'op/config',
+            json.dumps(
+                {
+                    'version': f'{self.version:08x}',
+                    'services': [
+                        {
+                            'name': 's',
+                            'health_path': '/health',
+                            'max_connections': 99,
+                            'cold_start_s': 3.0,
+                            'cold_per_s': 7.0,
+                        },
+                    ],
+                    'limits': {
+                        'max_header_bytes': 16384,
+                        'max_body_bytes': 1048576,
+                        'header_timeout_ms': 1000,
+                        'idle_timeout_ms': 5000,
+                    },
+                    'virtual_hosts': [{'host': 'h', 'paths': [fields]}],
+                },
+            ).encode(),
+        )
+
+    def register(self, name, server, zone='north-a', state='ready'):
+        """Write a backend server's entry."""
+        host, port = server.target
+        entry = {
+            'service': 's',
+            'address': f'{host}:{port}',
+            'zone': zone,
+            'version': 'v1',
+            'slots': 4,
+            'state': state,
+            'cold_left_ms': 0,
+            'sequence': 1,
+            'born': 7,
+        }
+        self.store.put(f'servers/{name}', json.dumps(entry).encode())
+
+    def add_node(self, number, zone='north-a', seeds=()):
+        """Start a node on the address with that last number."""
+        address = f'{NETWORK}.{number}'
+        text = SETTINGS.format(
+            name=f'node-{number}',
+            address=address,
+            zone=zone,
+            region=zone.partition('-')[0],
+            front=FRONT,
+            ready=READY,
+            directory=DIRECTORY,
+            peers=PEERS,
+            seeds=','.join(f'{NETWORK}.{seed}:1' for seed in seeds),
+            store='{0}:{1}'.format(*self.store.address),
+        )
+        node = FleetNode(parse_node_settings(text))
+        node.start()
+        self.nodes[number] = node
+        return node
+
+    def stop(self):
+        """Stop everything."""
+        for node in self.nodes.values():
+            node.kill()
+        self.store.stop()
+
+
+def call(number, port, path, headers=None, method='GET', body=None):
+    """Send one request to a node; return status, headers and body."""
+    address = f'{NETWORK}.{number}'
+    connection = http.client.HTTPConnection(address, port, timeout=5)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, dict(answer.headers), answer.read()
+    finally:
+        connection.close()
+
+
+def send(number, path='/a/x', **headers):
+    """Send one caller's request to a node; return status and body."""
+    sent = {
+        'Host': 'h',
+        'Sesameroute-Attempt-Id': 'mine',
+        'Sesameroute-Affinity-Key': 'k',
+        'Sesameroute-Deadline-Ms': '2000',
+        **headers,
+    }
+    status, _headers, body = call(number, FRONT, path, sent)
+    return status, body
+
+
+def resolve(number, region='north'):
+    """Ask a node's directory."""
+    path = f'/-/resolve?name=h&region={region}&zone={region}-a'
+    status, _headers, body = call(number, DIRECTORY, path)
+    return sorted(json.loads(body)['addresses']) if status == 200 else []
+
+
+def is_ready(number):
+    """Ask the platform's check."""
+    return call(number, READY, '/-/ready')[0] == 200
