Await an answer unless another try is permitted; stop threads in order

The budget is asked first now. The node tests hung twice: a worker added while cheroot stops is never told to end. The growing thread ends first now; servers of checks and directory no longer grow to ten threads each. Modules of placement, forward and node split by job.

--- a/sesameroute/adapters/__init__.py
+++ b/sesameroute/adapters/__init__.py
@@ -18,6 +18,7 @@
         '_kept_connections': ['KeptConnection', 'KeptConnections', 'is_quiet'],
         '_lookup_http': ['LookupApplication'],
         '_observed': ['ObservedDelivery', 'ObservedRelay', 'ObservedUpstreams'],
+        '_peer_handshake': ['MIN_KEY_BYTES'],
         '_peers': ['PeerNetwork'],
         '_relay': ['HttpRelay'],
         '_store': ['HttpStore'],
--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -11,7 +11,12 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
-from cheroot.server import Gateway, HTTPConnection, HTTPServer
+from cheroot.server import (
+    Gateway,
+    HTTPConnection,
+    HTTPRequest,
+    HTTPServer,
+)
 
 from sesameroute.exceptions import SesameError
 from sesameroute.ports import Answer
@@ -26,6 +31,8 @@
 _GROW_SECONDS = 1.0  # between two looks without a sign of shortage
 _STOP_SECONDS = 0.2
 _IDLE_MARGIN = 3.0  # seconds beyond the idle time that callers are told
+_TOO_LARGE = '413'
+_HEADERS = 'headers sent'  # in cheroot's text on a long header block
 _NO_BODY = frozenset((204, 304))
 
 _logger = logging.getLogger(__name__)
@@ -38,9 +45,23 @@
         """Return the answer to a cheroot request."""
 
 
+class _Request(HTTPRequest):
+    """A request whose header block has a refusal of its own."""
+
+    def simple_response(self, status: str, msg: str = '') -> None:
+        """Answer 431 where cheroot can't tell header from body."""
+        if status.startswith(_TOO_LARGE) and _HEADERS in msg:
+            self.close_connection = True
+            super().simple_response('431 Request Header Fields Too Large')
+            return
+        super().simple_response(status, msg)
+
+
 class _Connection(HTTPConnection):
     """A caller's connection with separate bounds for header and idling."""
 
+    RequestHandlerClass = _Request  # noqa: WPS115 - cheroot's name
+
     def communicate(self) -> bool:
         """Serve one request; return whether the connection stays."""
         self.socket.settimeout(self.server.header_seconds)
@@ -53,7 +74,7 @@
     def respond(self) -> None:
         """Answer the request."""
         request = self.req
-        if request.server.requests.idle < _SPARE_THREADS:
+        if request.server.requests.idle < request.server.spare_threads:
             request.server.is_short.set()
         if request.server.is_leaving():
             request.close_connection = True
@@ -79,7 +100,7 @@
     """cheroot's server with the handler and bounds of the front."""
 
     gateway = _Gateway
-    ConnectionClass = _Connection
+    ConnectionClass = _Connection  # noqa: WPS115 - cheroot's name
 
     def __init__(
         self,
@@ -97,6 +118,7 @@
         self.handler = handler
         self.is_leaving = is_leaving
         self.is_short = threading.Event()
+        self.spare_threads = min(_SPARE_THREADS, threads - 1)
         self.header_seconds = 3.0
         self.request_queue_size = _BACKLOG
         self.shutdown_timeout = _STOP_SECONDS
@@ -134,13 +156,18 @@
         self,
         address: tuple[str, int],
         handler: FrontHandler,
-        is_leaving: Callable[[], bool] = lambda: False,
+        is_leaving: Callable[[], bool] = bool,
         threads: int = _FIRST_THREADS,
     ) -> None:
         """Store the parameters."""
         self.address = address
         self._server = _CallerServer(address, handler, is_leaving, threads)
         self._is_stopped = threading.Event()
+        self._grower = threading.Thread(
+            target=self._grow,
+            name=f'grow-{address[1]}',
+            daemon=True,
+        )
 
     def start(self) -> None:
         """Listen; raise OSError when the address is taken."""
@@ -150,20 +177,22 @@
             name=f'front-{self.address[1]}',
             daemon=True,
         ).start()
-        threading.Thread(
-            target=self._grow,
-            name=f'grow-{self.address[1]}',
-            daemon=True,
-        ).start()
+        self._grower.start()
 
     def stop(self) -> None:
         """Stop listening and close idle connections."""
         self._is_stopped.set()
+        # A worker that is added while cheroot stops is never told to end.
+        self._server.is_short.set()
+        self._grower.join()
         self._server.stop()
 
     def stop_accepting(self) -> None:
         """Refuse new connections; the open ones are served on."""
-        self._server.socket.close()
+        listening = self._server.socket
+        if listening is not None:
+            listening.close()
+            self._server.socket = None
 
     def set_limits(
         self,
@@ -184,13 +213,11 @@
         while not self._is_stopped.is_set():
             self._server.is_short.wait(_GROW_SECONDS)
             self._server.is_short.clear()
-            if pool.idle < _SPARE_THREADS + pool.qsize:
+            if self._is_stopped.is_set():
+                return
+            if pool.idle < self._server.spare_threads + pool.qsize:
                 pool.grow(_THREAD_STEP + pool.qsize)
 
-    def count_connections(self) -> int:
-        """Return the idle connections of callers."""
-        return self._server._connections._num_connections
-
 
 def _end(request: Any) -> None:
     """Close the connection without another byte."""
--- a/sesameroute/forward/_retries.py
+++ b/sesameroute/forward/_retries.py
@@ -38,6 +38,8 @@
         The fleet's budget.
     count_nodes : callable
         Returns how many nodes share the slack.
+    is_leaving : callable
+        Whether this node has been told to stop.
 
     """
 
@@ -45,10 +47,12 @@
         self,
         terms: RetryTerms,
         count_nodes: Callable[[], int],
+        is_leaving: Callable[[], bool] = bool,
     ) -> None:
         """Store the parameters."""
         self.terms = terms
         self.count_nodes = count_nodes
+        self.is_leaving = is_leaving
         self._budgets: dict[str, Budget] = {}
         self._lock = threading.Lock()
 
@@ -60,6 +64,13 @@
         """Take leave for one more try; return whether it is permitted."""
         return self._find(service).choose()
 
+    def abandon(self, service: str) -> bool:
+        """Take leave to give a running try up for another one.
+
+        A leaving node cuts nothing at which a backend server is at work.
+        """
+        return not self.is_leaving() and self.choose(service)
+
     def _find(self, service: str) -> Budget:
         with self._lock:
             budget = self._budgets.get(service)
--- a/sesameroute/forward/_returns.py
+++ b/sesameroute/forward/_returns.py
@@ -17,7 +17,7 @@
     --------
     >>> detector = ReturnDetector()
     >>> detector.find_lost('orders', 1.5)
-    0.0
+    0
     >>> round(detector.find_lost('orders', 1.0), 2)
     0.5
 
@@ -32,5 +32,5 @@
         usual = max(self._usual.get(flow, 0) * _FADE, seconds)
         self._usual[flow] = usual
         if seconds >= _SAME_PART * usual:
-            return 0.0
+            return 0
         return usual - seconds
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -1,7 +1,8 @@
 """One try: a request to a backend server and the start of its answer."""
 
+import math
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http.client import HTTPException
 
@@ -21,7 +22,7 @@
 _CONNECT_SECONDS = 0.5  # a new connection takes one round trip
 _SHORTEST_WAIT = 0.001  # seconds
 _FAILURES = (HTTPError, HTTPException, OSError, ValueError)
-_MOST_STRAY_ANSWERS = 1  # answers to other requests that are passed over
+_ENDS = (TryError, RequestError, *_FAILURES)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +40,10 @@
     caller : socket.socket or None
         Connection whose end ends the try; None for requests that are not
         idempotent.
+    patience : float
+        Monotonic time in seconds from which on another try may be begun.
+    may_leave : callable
+        Takes leave for that other try; without it the answer is awaited.
 
     """
 
@@ -49,6 +54,8 @@
     identifier: str
     until: float
     caller: socket.socket | None
+    patience: float = math.inf
+    may_leave: Callable[[], bool] = bool
 
 
 @dataclass(slots=True)
@@ -126,8 +133,7 @@
         target: tuple[str, int],
         departure: Departure,
     ) -> KeptConnection:
-        left = departure.until - self.clock.read_monotonic()
-        limit = max(min(left, _CONNECT_SECONDS), _SHORTEST_WAIT)
+        limit = min(self._find_left(departure.until), _CONNECT_SECONDS)
         try:
             return self.connections.open(target, limit)
         except _FAILURES as error:
@@ -144,18 +150,9 @@
     ) -> Arrival:
         try:
             return self._read_own(kept, departure)
-        except TryError:
+        except _ENDS as error:
             kept.line.close()
-            raise
-        except TimeoutError as error:
-            kept.line.close()
-            raise _fail('no answer in time', Outcome.TIMED_OUT) from error
-        except RequestError as error:
-            kept.line.close()
-            raise _fail(error.message, Outcome.CANCELLED) from error
-        except _FAILURES as error:
-            kept.line.close()
-            raise _fail(f'answer was lost: {error}', Outcome.LOST) from error
+            raise _name_failure(error) from error
 
     def _read_own(self, kept: KeptConnection, departure: Departure) -> Arrival:
         self._write(kept, departure)
@@ -182,8 +179,7 @@
         return Arrival(answer, marks, body)
 
     def _write(self, kept: KeptConnection, departure: Departure) -> None:
-        left = departure.until - self.clock.read_monotonic()
-        kept.line.timeout = max(left, _SHORTEST_WAIT)
+        kept.line.timeout = self._find_left(departure.until)
         kept.line.sock.settimeout(kept.line.timeout)
         kept.line.request(
             departure.method,
@@ -199,15 +195,25 @@
         kept: KeptConnection,
         departure: Departure,
     ) -> HTTPResponse:
-        left = departure.until - self.clock.read_monotonic()
-        limit = max(left, _SHORTEST_WAIT)
         if departure.caller is not None:
-            wait_for_bytes(kept.line.sock, departure.caller, limit)
-            left = departure.until - self.clock.read_monotonic()
-            limit = max(left, _SHORTEST_WAIT)
-        kept.line.sock.settimeout(limit)
+            self._wait(kept.line.sock, departure)
+        kept.line.sock.settimeout(self._find_left(departure.until))
         return kept.line.getresponse()
 
+    def _wait(self, sock: socket.socket, departure: Departure) -> None:
+        """Wait for the answer; leave early only for another try."""
+        patience = min(departure.patience, departure.until)
+        try:
+            wait_for_bytes(sock, departure.caller, self._find_left(patience))
+        except TimeoutError:
+            if patience == departure.until or departure.may_leave():
+                raise
+            left = self._find_left(departure.until)
+            wait_for_bytes(sock, departure.caller, left)
+
+    def _find_left(self, until: float) -> float:
+        return max(until - self.clock.read_monotonic(), _SHORTEST_WAIT)
+
 
 def _convert(response: HTTPResponse) -> Answer:
     headers = tuple(response.headers.items())
@@ -216,5 +222,16 @@
     return Answer(response.status, headers, length=length)
 
 
+def _name_failure(error: Exception) -> TryError:
+    """Return what a failure on the connection means for the request."""
+    if isinstance(error, TryError):
+        return error
+    if isinstance(error, TimeoutError):
+        return _fail('no answer in time', Outcome.TIMED_OUT)
+    if isinstance(error, RequestError):
+        return _fail(error.message, Outcome.CANCELLED)
+    return _fail(f'answer was lost: {error}', Outcome.LOST)
+
+
 def _fail(message: str, outcome: Outcome) -> TryError:
     return TryError(message, outcome, may_have_run=True)
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -331,6 +331,24 @@
     assert len(stage.placing.ends) <= 40 * 1.2 + 8
 
 
+def test_without_leave_for_another_try_the_answer_is_awaited():
+    """Silence is no reason to end an answer sooner."""
+    stage = Stage(ScriptedServer('silent'), ScriptedServer('whole'))
+    stage.forwarder.retries = RetryBudgets(RetryTerms(0, 0), lambda: 1)
+    started = time.monotonic()
+    assert stage.forward()[0] == 504
+    assert time.monotonic() - started >= 0.6 - 0.01
+
+
+def test_a_leaving_node_gives_no_try_up():
+    """What a backend server works on is awaited."""
+    stage = Stage(ScriptedServer('silent'), ScriptedServer('whole'))
+    stage.forwarder.retries.is_leaving = lambda: True
+    started = time.monotonic()
+    assert stage.forward()[0] == 504
+    assert time.monotonic() - started >= 0.6 - 0.01
+
+
 def test_a_long_body_is_streamed_and_sent_once():
     """Memory stays bounded; what was read can't be sent again."""
     server, second = ScriptedServer('no answer'), ScriptedServer('whole')
--- a/sesameroute/mirror/_mirror.py
+++ b/sesameroute/mirror/_mirror.py
@@ -81,12 +81,7 @@
             elif news.base > self.revision_:
                 return False
             else:
-                known = self.revision_
-                for item in news.items:
-                    # All up to `known` is applied: a late copy must not
-                    # bring back what has been removed since.
-                    if item.revision > known:
-                        self._apply(item)
+                self._extend(news)
             self.revision_ = max(self.revision_, news.revision)
             if news.revision >= self.revision_:
                 self.fresh_ = max(self.fresh_, now - news.age)
@@ -108,6 +103,14 @@
                 if key.startswith(prefix)
             ]
 
+    def _extend(self, news: MirrorNews) -> None:
+        # All up to the known revision is applied already: a late copy must
+        # not bring back what has been removed since.
+        known = self.revision_
+        for item in news.items:
+            if item.revision > known:
+                self._apply(item)
+
     def _replace(self, news: MirrorNews) -> None:
         if news.revision < self.revision_:
             return
--- a/sesameroute/mirror/_watcher.py
+++ b/sesameroute/mirror/_watcher.py
@@ -17,6 +17,7 @@
 _IDLE_SECONDS = 0.1  # between two looks at whether to watch
 _FIRST_PAUSE = 0.1  # seconds after an error, doubled up to the longest
 _LONGEST_PAUSE = 0.8  # seconds
+_SPREAD = (0.7, 1.3)  # of a pause, so that nodes do not ask at once
 
 _logger = logging.getLogger(__name__)
 
@@ -110,5 +111,5 @@
     def _note_failure(self, error: SesameError) -> None:
         if self._pause == _FIRST_PAUSE:
             _logger.warning('store not reached', extra={'why': error.message})
-        self._is_stopping.wait(self._pause * random.uniform(0.7, 1.3))
+        self._is_stopping.wait(self._pause * random.uniform(*_SPREAD))
         self._pause = min(2 * self._pause, _LONGEST_PAUSE)
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -70,7 +70,7 @@
         self._seen: dict[str, _Seen] = {}
         self._addresses: dict[str, float] = {}
 
-    def set_own(self, *, is_ready: bool, is_leaving: bool) -> bool:
+    def describe(self, *, is_ready: bool, is_leaving: bool) -> bool:
         """Say how this node is; return whether that is news."""
         now = replace(self.own, is_ready=is_ready, is_leaving=is_leaving)
         is_news = now != self.own
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -2,6 +2,9 @@
 
 import logging
 import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http import HTTPStatus
 from typing import Any
 
 from sesameroute.exceptions import InputError, SesameError
@@ -17,9 +20,7 @@
 
 __all__ = ['DirectoryHandler', 'FrontHandler', 'ReadyHandler']
 
-_NOT_READY = 503
-_NOT_FOUND = 404
-_BAD_REQUEST = 400
+_CODEC = 'latin-1'  # of everything in a header
 _TTL_SECONDS = 1.0  # callers hear of a lost node within some seconds
 _JSON = (('Content-Type', 'application/json'),)
 
@@ -50,18 +51,21 @@
         self.forwarder = forwarder
         self.clock = clock
         self.running = 0
-        self.seen = 0.0
+        self.seen = 0
         self._lock = threading.Lock()
 
     def __call__(self, request: Any) -> Answer | None:
         """Return the answer to one request, None if nobody takes it."""
-        self._count(1)
-        try:
+        with self._count():
             return self._answer(request)
-        finally:
-            self._count(-1)
 
-    def _count(self, change: int) -> None:
+    @contextmanager
+    def _count(self) -> Iterator[None]:
+        self._change(1)
+        yield
+        self._change(-1)
+
+    def _change(self, change: int) -> None:
         with self._lock:
             self.running += change
             self.seen = self.clock.read_monotonic()
@@ -72,20 +76,20 @@
         except InputError as error:
             request.close_connection = True
             _logger.info('request not valid', extra={'why': error.message})
-            return Answer(_BAD_REQUEST, (), iter(()), 0)
+            return Answer(HTTPStatus.BAD_REQUEST, (), iter(()), 0)
         except SesameError as error:
             _logger.info('request dropped', extra={'why': error.code})
             return None
 
     def _read(self, request: Any) -> CallerRequest:
         headers = tuple(
-            (name.decode('latin-1'), text.decode('latin-1'))
+            (name.decode(_CODEC), text.decode(_CODEC))
             for name, text in request.inheaders.items()
         )
         return CallerRequest(
-            request.method.decode('latin-1'),
-            request.uri.decode('latin-1'),
-            request.inheaders.get(b'Host', b'').decode('latin-1'),
+            request.method.decode(_CODEC),
+            request.uri.decode(_CODEC),
+            request.inheaders.get(b'Host', b'').decode(_CODEC),
             headers,
             _BodyReader(request).read,
             _find_length(request),
@@ -110,9 +114,11 @@
 
     def __call__(self, request: Any) -> Answer:
         """Return 200 if callers may be sent here."""
-        if request.path.decode('latin-1') != READY_PATH:
-            return Answer(_NOT_FOUND, (), iter(()), 0)
-        status = 200 if self.fleet.own.is_ready else _NOT_READY
+        if request.path.decode(_CODEC) != READY_PATH:
+            return Answer(HTTPStatus.NOT_FOUND, (), iter(()), 0)
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        if self.fleet.own.is_ready:
+            status = HTTPStatus.OK
         return Answer(status, (), iter(()), 0)
 
 
@@ -135,14 +141,14 @@
 
     def __call__(self, request: Any) -> Answer:
         """Return the addresses for one caller."""
-        if request.path.decode('latin-1') != RESOLVE_PATH:
-            return Answer(_NOT_FOUND, (), iter(()), 0)
-        region, zone = read_question(request.qs.decode('latin-1'))
+        if request.path.decode(_CODEC) != RESOLVE_PATH:
+            return Answer(HTTPStatus.NOT_FOUND, (), iter(()), 0)
+        region, zone = read_question(request.qs.decode(_CODEC))
         fronts = self.fleet.list_fronts(region, zone)
         if not fronts:
-            return Answer(_NOT_READY, (), iter(()), 0)
+            return Answer(HTTPStatus.SERVICE_UNAVAILABLE, (), iter(()), 0)
         content = write_places(fronts, self.seconds)
-        return Answer(200, _JSON, iter((content,)), len(content))
+        return Answer(HTTPStatus.OK, _JSON, iter((content,)), len(content))
 
 
 class _BodyReader:
--- /dev/null
+++ b/sesameroute/node/_front_parts.py
@@ -0,0 +1,145 @@
+"""The servers of a node, and how they end without cutting a request."""
+
+import threading
+import time
+
+from sesameroute.adapters import FrontServer, KeptConnections
+from sesameroute.forward import Forwarder, RetryBudgets, RetryTerms, Sender
+from sesameroute.node._address import parse_address
+from sesameroute.node._fleet import Fleet
+from sesameroute.node._front import (
+    DirectoryHandler,
+    FrontHandler,
+    ReadyHandler,
+)
+from sesameroute.node._placing import FleetPlacing
+from sesameroute.node._settings import NodeSettings
+from sesameroute.platform import PlatformDialect
+from sesameroute.ports import SystemClock, TcpWire
+from sesameroute.registry import Registry
+from sesameroute.routes import ConfigurationKeeper
+
+__all__ = ['FrontParts']
+
+_SMALL_THREADS = 2  # of the servers for checks and the directory
+_TICK_SECONDS = 0.05  # between two looks at what still runs
+_QUIET_SECONDS = 2.5  # after which a leaving node without requests ends
+
+
+class FrontParts:
+    """Front, readiness check and directory of one node.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Addresses and bounds.
+    keeper : ConfigurationKeeper
+        Routes in force.
+    registry : Registry
+        Backend servers.
+    fleet : Fleet
+        The other nodes.
+    placing : FleetPlacing
+        Grants slots.
+    is_leaving : threading.Event
+        Set when the node has been told to stop.
+
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        keeper: ConfigurationKeeper,
+        registry: Registry,
+        fleet: Fleet,
+        placing: FleetPlacing,
+        is_leaving: threading.Event,
+    ) -> None:
+        """Build the servers."""
+        self.keeper = keeper
+        self.grace = settings.bounds.grace
+        self.clock = SystemClock()
+        connections = KeptConnections(
+            TcpWire(),
+            settings.node.address,
+            self.clock,
+        )
+        bounds = settings.bounds
+        forwarder = Forwarder(
+            keeper,
+            registry,
+            placing,
+            Sender(connections, PlatformDialect(), self.clock),
+            RetryBudgets(
+                RetryTerms(bounds.retry_ratio, bounds.retry_slack),
+                fleet.count,
+                is_leaving.is_set,
+            ),
+            self.clock,
+        )
+        self._handler = FrontHandler(forwarder, self.clock)
+        self._front = FrontServer(
+            parse_address(settings.listen.front),
+            self._handler,
+            is_leaving.is_set,
+        )
+        ready = FrontServer(
+            parse_address(settings.listen.ready),
+            ReadyHandler(fleet),
+            threads=_SMALL_THREADS,
+        )
+        directory = FrontServer(
+            parse_address(settings.listen.directory),
+            DirectoryHandler(fleet, bounds.longest_ttl),
+            threads=_SMALL_THREADS,
+        )
+        self.servers = (self._front, ready, directory)
+
+    def apply_limits(self) -> None:
+        """Put the configuration's limits on callers in force."""
+        found = self.keeper.configuration
+        if found is not None:
+            limits = found.limits
+            self._front.set_limits(
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.header_seconds,
+                limits.idle_seconds,
+            )
+
+    def count_running(self) -> int:
+        """Return the requests without an answer."""
+        return self._handler.running
+
+    def leave(self, ends: float) -> None:
+        """Serve until callers have gone elsewhere and all has ended.
+
+        Callers that have not heard yet still connect; the last of their
+        requests must have time to end.
+
+        Parameters
+        ----------
+        ends : float
+            Monotonic time in seconds at which the process must end.
+
+        """
+        self._wait_quiet(ends - self._find_longest_timeout())
+        self._front.stop_accepting()
+        while self._handler.running and self.clock.read_monotonic() < ends:
+            time.sleep(_TICK_SECONDS)
+
+    def _wait_quiet(self, until: float) -> None:
+        quiet_since = self.clock.read_monotonic()
+        while self.clock.read_monotonic() < until:
+            time.sleep(_TICK_SECONDS)
+            now = self.clock.read_monotonic()
+            if self._handler.running or self._handler.seen > quiet_since:
+                quiet_since = now
+            if now - quiet_since > _QUIET_SECONDS:
+                return
+
+    def _find_longest_timeout(self) -> float:
+        found = self.keeper.configuration
+        routes = found.routes if found else ()
+        longest = max((route.timeout for route in routes), default=0)
+        return min(longest, self.grace / 2)
--- a/sesameroute/node/_membership.py
+++ b/sesameroute/node/_membership.py
@@ -12,6 +12,7 @@
 _LEASE_SECONDS = 12.0
 _RENEW_SECONDS = 4.0  # a third of the lease
 _RETRY_SECONDS = 0.7  # after a failure
+_SPREAD = 0.2  # part of a pause by which it varies between nodes
 
 _logger = logging.getLogger(__name__)
 
@@ -57,17 +58,17 @@
             _logger.info('lease left to lapse', extra={'why': error.message})
 
     def _run(self) -> None:
-        pause = 0.0
+        pause = 0
         while not self._is_stopping.wait(pause):
             try:
                 self._keep()
-                pause = _RENEW_SECONDS * random.uniform(0.9, 1.1)
+                pause = _spread(_RENEW_SECONDS)
             except LeaseLostError:
                 self._lease = 0
                 pause = 0
             except SesameError as error:
                 _logger.info('lease not renewed', extra={'why': error.message})
-                pause = _RETRY_SECONDS * random.uniform(0.7, 1.3)
+                pause = _spread(_RETRY_SECONDS)
 
     def _keep(self) -> None:
         if self._lease:
@@ -76,3 +77,7 @@
         lease = self.store.open_lease(_LEASE_SECONDS)
         self.store.put(self.key, self.content, lease)
         self._lease = lease
+
+
+def _spread(seconds: float) -> float:
+    return seconds * random.uniform(1 - _SPREAD, 1 + _SPREAD)
--- a/sesameroute/node/_placing.py
+++ b/sesameroute/node/_placing.py
@@ -2,18 +2,17 @@
 
 import logging
 import threading
-from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from sesameroute.exceptions import PeerError
 from sesameroute.node._fleet import Fleet
+from sesameroute.node._pools import PoolTable, RunningGrants
 from sesameroute.placement import (
     Ask,
     Grant,
     Outcome,
     Pool,
-    PoolTerms,
     Reason,
     Refusal,
     Release,
@@ -27,9 +26,6 @@
 
 _CALL_MARGIN = 0.1  # seconds beyond a pool's longest wait for its reply
 _LONGEST_WAIT = 0.4  # seconds for a leader's reply before standing in
-_LEAD_SHARE = 0.8  # of a cold backend server's rate, for the leader
-_STAND_IN_SHARE = 0.05  # of that rate, for a node that can't reach it
-_USUAL_COLD_RATE = 5.0  # requests per second, without a configuration
 
 _logger = logging.getLogger(__name__)
 
@@ -66,14 +62,9 @@
         """Store the parameters."""
         self.fleet = fleet
         self.peers = peers
-        self.registry = registry
-        self.keeper = keeper
-        self.regions = dict(regions)
         self.clock = clock
-        self._lock = threading.Lock()
-        self._pools: dict[str, Pool] = {}
-        self._synced: dict[str, int] = {}
-        self._running: Counter[tuple[str, str, str]] = Counter()
+        self.pools = PoolTable(fleet, registry, keeper, regions, clock)
+        self._running = RunningGrants()
 
     def place(self, ask: Ask) -> Grant | Refusal:
         """Return a grant or why there is none; waits if need be."""
@@ -86,7 +77,7 @@
             is_lead = leader == own.address
             placed = self._place_here(ask, is_lead=is_lead)
         if isinstance(placed, Grant):
-            self._running[ask.service, placed.backend, placed.holder] += 1
+            self._running.add(ask.service, placed)
         return placed
 
     def release(
@@ -97,21 +88,18 @@
         seconds: float,
     ) -> None:
         """Take a slot back."""
-        running = ask.service, grant.backend, grant.holder
-        self._running[running] -= 1
-        if self._running[running] <= 0:
-            self._running.pop(running, None)
+        self._running.remove(ask.service, grant)
         release = Release(ask.service, grant.number, outcome, seconds)
         if grant.holder == self.fleet.own.address:
             now = self.clock.read_monotonic()
-            self._find_pool(ask.service).release(release, now)
+            self.pools.find(ask.service).release(release, now)
         else:
             self.peers.cast(grant.holder, release)
 
     def handle(self, sender: str, message: Any) -> Any:
         """Answer a message of a peer."""
         now = self.clock.read_monotonic()
-        pool = self._find_pool(message.service)
+        pool = self.pools.find(message.service)
         if isinstance(message, Release):
             pool.release(message, now)
         elif isinstance(message, Report):
@@ -123,28 +111,46 @@
     def forget_node(self, node: str) -> None:
         """Take back what a lost node held."""
         now = self.clock.read_monotonic()
-        for pool in tuple(self._pools.values()):
+        for pool in self.pools:
             pool.forget_node(node, now)
 
     def tick(self) -> bool:
         """Settle waiting requests; return whether some still wait."""
         now = self.clock.read_monotonic()
-        pools = [
-            pool for pool in tuple(self._pools.values()) if pool.has_waiting
-        ]
-        for pool in pools:
-            pool.tick(now)
-        return any(pool.has_waiting for pool in pools)
+        busy = [pool for pool in self.pools if pool.has_waiting]
+        for waiting in busy:
+            waiting.tick(now)
+        return any(each.has_waiting for each in busy)
 
     def refresh(self) -> None:
         """Renew the pools' backend servers and tell the other leaders."""
         now = self.clock.read_monotonic()
-        for service in tuple(self._pools):
-            pool = self._find_pool(service)
-            pool.tick(now)
+        for pool in self.pools:
+            service = pool.terms.service
+            self.pools.find(service).tick(now)
             pool.refresh(now)
-            self._report_pool(service, pool.make_report(now))
-            self._report_running(service)
+            for leader, report in self._list_reports(pool, now):
+                self.peers.cast(leader, report)
+
+    def _list_reports(
+        self,
+        pool: Pool,
+        now: float,
+    ) -> Iterator[tuple[str, Report]]:
+        """Yield what other nodes that lead the service need to know."""
+        service = pool.terms.service
+        own = self.fleet.own
+        leader = self.fleet.find_leader(service, own.region)
+        if leader != own.address:
+            held = self._running.count(service, without=leader)
+            if held:
+                yield leader, Report(service, '', held, 0, 0)
+            return
+        report = pool.make_report(now)
+        for region in self.pools.list_regions() - {own.region}:
+            other = self.fleet.find_leader(service, region)
+            if other != own.address:
+                yield other, report
 
     def _ask_leader(self, leader: str, ask: Ask) -> Grant | Refusal | None:
         limit = min(max(ask.on_time, 0) + _CALL_MARGIN, _LONGEST_WAIT)
@@ -164,8 +170,8 @@
         return None
 
     def _place_here(self, ask: Ask, *, is_lead: bool) -> Grant | Refusal:
-        pool = self._find_pool(ask.service)
-        pool.cold_share = _LEAD_SHARE if is_lead else _STAND_IN_SHARE
+        pool = self.pools.find(ask.service)
+        self.pools.set_cold(pool, is_lead=is_lead)
         settled = _Settled()
         now = self.clock.read_monotonic()
         placed = pool.place(ask, self.fleet.own.address, settled.settle, now)
@@ -180,61 +186,11 @@
         pool: Pool,
         now: float,
     ) -> Grant | Refusal | DeferredReply:
-        pool.cold_share = _LEAD_SHARE
+        self.pools.set_cold(pool, is_lead=True)
         reply = DeferredReply()
         placed = pool.place(ask, sender, reply.settle, now)
         return reply if placed is None else placed
 
-    def _find_pool(self, service: str) -> Pool:
-        """Return a service's pool with the registry's newest entries."""
-        changes = self.registry.changes_
-        with self._lock:
-            pool = self._pools.get(service)
-            if pool is None:
-                pool = Pool(self._build_terms(service))
-                self._pools[service] = pool
-            is_synced = self._synced.get(service) == changes
-            self._synced[service] = changes
-        if not is_synced:
-            pool.set_cold_rate(self._find_cold_rate(service))
-            pool.sync(
-                self.registry.list_service(service),
-                self.regions,
-                self.clock.read_monotonic(),
-            )
-        return pool
-
-    def _build_terms(self, service: str) -> PoolTerms:
-        own = self.fleet.own
-        rate = self._find_cold_rate(service)
-        return PoolTerms(service, own.region, own.address, rate)
-
-    def _find_cold_rate(self, service: str) -> float:
-        found = self.keeper.configuration
-        terms = found.services.get(service) if found else None
-        return terms.cold_rate if terms else _USUAL_COLD_RATE
-
-    def _report_pool(self, service: str, report: Report) -> None:
-        """Tell the leaders of the other regions what this pool holds."""
-        own = self.fleet.own
-        leads = self.fleet.find_leader(service, own.region) == own.address
-        if not leads:
-            return
-        for region in sorted(set(self.regions.values()) - {own.region}):
-            leader = self.fleet.find_leader(service, region)
-            if leader != own.address:
-                self.peers.cast(leader, report)
-
-    def _report_running(self, service: str) -> None:
-        """Tell the leader what runs here by grants of others."""
-        leader = self.fleet.find_leader(service, self.fleet.own.region)
-        held: Counter[str] = Counter()
-        for (name, backend, holder), count in tuple(self._running.items()):
-            if name == service and holder != leader:
-                held[backend] += count
-        if held and leader != self.fleet.own.address:
-            self.peers.cast(leader, Report(service, '', dict(held), 0, 0))
-
 
 class _Settled:
     """A result that another thread gives."""
--- a/sesameroute/node/_receiver.py
+++ b/sesameroute/node/_receiver.py
@@ -52,9 +52,9 @@
                 },
             )
 
-    def set_evacuated(self, zones: frozenset[str]) -> None:
+    def replace_evacuated(self, zones: frozenset[str]) -> None:
         """Send nothing to the backend servers of these zones."""
-        self.registry.set_evacuated(zones)
+        self.registry.replace_evacuated(zones)
         _logger.info(
             'evacuated zones changed',
             extra={'zones': ','.join(sorted(zones)) or '-'},
--- a/sesameroute/node/tests/scene.py
+++ b/sesameroute/node/tests/scene.py
@@ -1,9 +1,11 @@
 """Nodes in one process, with a store and backend servers beside them."""
 
-import http.client
 import json
 import os
 import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import closing
+from http.client import HTTPConnection
 
 from sesameroute.node import FleetNode, parse_node_settings
 from sesameroute.platform.tests.store_standin import StoreStandIn
@@ -135,21 +137,26 @@
 
     def stop(self):
         """Stop everything."""
-        for node in self.nodes.values():
-            node.kill()
+        with ThreadPoolExecutor() as stopping:
+            for node in self.nodes.values():
+                stopping.submit(node.kill)
         self.store.stop()
 
 
 def call(number, port, path, headers=None, method='GET', body=None):
     """Send one request to a node; return status, headers and body."""
     address = f'{NETWORK}.{number}'
-    connection = http.client.HTTPConnection(address, port, timeout=5)
-    try:
+    with closing(HTTPConnection(address, port, timeout=5)) as connection:
         connection.request(method, path, body, headers or {})
         answer = connection.getresponse()
         return answer.status, dict(answer.headers), answer.read()
-    finally:
-        connection.close()
+
+
+def wait_for_directory(*numbers):
+    """Return whether all of these nodes name each other in time."""
+    return wait_for(
+        lambda: all(len(resolve(one)) == len(numbers) for one in numbers),
+    )
 
 
 def send(number, path='/a/x', **headers):
--- a/sesameroute/node/tests/test_node.py
+++ b/sesameroute/node/tests/test_node.py
@@ -16,6 +16,7 @@
     resolve,
     send,
     wait_for,
+    wait_for_directory,
 )
 
 
@@ -53,15 +54,11 @@
     """The leader's pool grants what the others send."""
     for number in (1, 2, 3):
         scene.add_node(number)
-    assert wait_for(lambda: len(resolve(1)) == 3)
+    assert wait_for_directory(1, 2, 3)
     for number in (1, 2, 3):
         assert send(number) == (200, b'whole')
-    pools = [
-        node.address
-        for node in scene.nodes[1].fleet.list_live()
-        if scene.nodes[int(node.address.rpartition('.')[2])].placing._pools
-    ]
-    assert len(pools) == 1
+    pools = [list(node.placing.pools) for node in scene.nodes.values()]
+    assert sum(map(len, pools)) == 1
 
 
 def test_a_change_is_in_force_everywhere_in_a_second(scene, server):
@@ -71,9 +68,11 @@
     assert wait_for(lambda: len(resolve(1)) == 3)
     scene.configure(prefix='/b/')
     started = time.monotonic()
-    for number in (1, 2, 3):
-        assert wait_for(lambda: send(number, '/b/x')[0] == 200, 2)
-        assert send(number, '/a/x')[0] == 404
+    assert wait_for(
+        lambda: all(send(one, '/b/x')[0] == 200 for one in (1, 2, 3)),
+        2,
+    )
+    assert [send(one, '/a/x')[0] for one in (1, 2, 3)] == [404] * 3
     assert time.monotonic() - started < 2
 
 
--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -134,7 +134,8 @@
         run = self.estimates.find_warm(ask.flow, ask.objective).seconds
         slots = sum(state.slots for state in field.states)
         near = sum(home.slots for home in homes)
-        return field.now + run / max(near, 1) + run * ahead / max(slots, 1)
+        own_turn = run / max(near, 1)
+        return field.now + own_turn + run * ahead / max(slots, 1)
 
     def _refuse(
         self,
--- a/sesameroute/placement/_choice.py
+++ b/sesameroute/placement/_choice.py
@@ -21,8 +21,8 @@
 
     Attributes
     ----------
-    cold_share : float
-        Part of a cold backend server's rate that this pool may use.
+    cold_rate : float
+        Requests per second that this pool may start on a cold one.
 
     """
 
@@ -30,7 +30,6 @@
     ask: Ask
     model: DepthModel
     now: float
-    cold_share: float
     cold_rate: float
 
     def is_warm(self, state: UpstreamState) -> bool:
@@ -84,7 +83,7 @@
         """Take a start from a cold backend server's budget."""
         if not state.is_cold(self.now):
             return True
-        return state.cold.take(self.cold_share * self.cold_rate, self.now)
+        return state.cold.take(self.cold_rate, self.now)
 
     def rate_use(self) -> float:
         """Return the share of the slots that is in use."""
@@ -115,8 +114,7 @@
     def _permits_cold(self, state: UpstreamState) -> bool:
         if not state.is_cold(self.now):
             return True
-        rate = self.cold_share * self.cold_rate
-        return state.cold.has_token(rate, self.now)
+        return state.cold.has_token(self.cold_rate, self.now)
 
 
 def rank_states(
--- a/sesameroute/placement/_cold.py
+++ b/sesameroute/placement/_cold.py
@@ -1,5 +1,7 @@
 """Bounds the starts on a backend server that is cold."""
 
+import math
+
 __all__ = ['ColdBudget']
 
 _BURST = 2.0  # starts that may come at once
@@ -21,7 +23,7 @@
     def __init__(self) -> None:
         """Start full."""
         self._tokens = _BURST
-        self._filled = 0.0
+        self._filled = -math.inf
 
     def has_token(self, rate: float, now: float) -> bool:
         """Return whether a start is permitted now."""
@@ -36,6 +38,6 @@
         return True
 
     def _fill(self, rate: float, now: float) -> None:
-        gained = max(now - self._filled, 0) * rate
+        gained = min(max(now - self._filled, 0) * rate, _BURST)
         self._tokens = min(_BURST, self._tokens + gained)
         self._filled = now
--- a/sesameroute/placement/_demand.py
+++ b/sesameroute/placement/_demand.py
@@ -22,7 +22,7 @@
 
     def __init__(self) -> None:
         """Start without work."""
-        self._sum = 0.0
+        self._sum = 0
         self._read = -math.inf
 
     def add(self, seconds: float, now: float) -> None:
--- a/sesameroute/placement/_estimates.py
+++ b/sesameroute/placement/_estimates.py
@@ -8,6 +8,7 @@
 _CLIP = 2.0  # a run counts for at most this times the estimate
 _FIRST_WARM = 0.35  # of the objective, until runs have been seen
 _FIRST_COLD = 1.0  # of the objective, until runs have been seen
+_CLEAR_RATIO = 1.3  # of cold to warm, below which they can't be told apart
 _LEARNING_RUNS = 20  # runs over which the smoothing is stronger
 
 
@@ -50,7 +51,7 @@
         cold = self._cold.get(flow)
         if warm is None or cold is None or not (warm.runs and cold.runs):
             return None
-        if cold.seconds < 1.3 * warm.seconds:  # too close to tell apart
+        if cold.seconds < _CLEAR_RATIO * warm.seconds:
             return None
         return seconds < (warm.seconds + cold.seconds) / 2
 
--- a/sesameroute/placement/_plan.py
+++ b/sesameroute/placement/_plan.py
@@ -21,11 +21,13 @@
 _SHARE_RATE = 0.045  # change of the shares per second, under the shift cap
 _FIRST_PART = 0.6  # of what even demand would need, before demand is seen
 _ADOPT_SECONDS = 1.0  # after the start, in which a predecessor's shares count
+_ROOM_LOST = 0.8  # of the room before: less is a loss of room
 _JUMP_SECONDS = 1.5  # after a loss of room, in which shares may jump
 _YIELD = 0.04  # of the line, for each request that is owed
 _MOST_YIELD = 0.3  # of the line
 _MOST_OWED = 12  # requests
-_HASH_RANGE = 2.0**64
+_HASH_BITS = 64
+_HASH_RANGE = float(1 << _HASH_BITS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +68,7 @@
         self.region = region
         self.shares_: dict[str, float] = {}
         self._changed = -math.inf
-        self._own_room = 0.0
+        self._own_room = 0
         self._jump_until = -math.inf
         self._owed: dict[str, float] = {}
         self._random = random.Random()
@@ -74,7 +76,12 @@
         self._started = math.inf
 
     def start(self, rooms: Mapping[str, float], now: float) -> None:
-        """Begin with what even demand of all regions would need."""
+        """Begin with what even demand of all regions would need.
+
+        Later calls, and calls without any room, change nothing.
+        """
+        if math.isfinite(self._started) or not rooms:
+            return
         self._started = now
         self._changed = now
         mean = sum(rooms.values()) / max(len(rooms), 1)
@@ -85,13 +92,9 @@
             for name, room in rooms.items()
             if name != self.region
         }
-        total = sum(surplus.values())
-        if own >= mean or not total:
+        if own >= mean:
             return
-        moved = _FIRST_PART * (1 - own / mean)
-        self.shares_ = {
-            name: moved * part / total for name, part in surplus.items()
-        }
+        self.shares_ = _share_out(_FIRST_PART * (1 - own / mean), surplus)
 
     def adopt(self, shares: Mapping[str, float], now: float) -> None:
         """Take over what the region's pool did on another node."""
@@ -101,7 +104,7 @@
     def update(self, loads: Mapping[str, RegionLoad], now: float) -> None:
         """Move the shares towards what the loads ask for."""
         own = loads[self.region]
-        if own.room < 0.8 * self._own_room:
+        if own.room < _ROOM_LOST * self._own_room:
             self._jump_until = now + _JUMP_SECONDS
         self._own_room = own.room
         step = _SHARE_RATE * min(max(now - self._changed, 0), 1)
@@ -138,7 +141,7 @@
         any few requests at what is planned, whatever objects they concern.
         """
         place = _place_key(key) if key else self._random.random()
-        end = 0.0
+        end = 0
         chosen = self.region
         is_found = False
         for region, share in sorted(self.shares_.items()):
@@ -162,22 +165,25 @@
     loads: Mapping[str, RegionLoad],
 ) -> dict[str, float]:
     own = loads[region]
-    others = {
-        name: load.spare for name, load in loads.items() if name != region
-    }
-    spare = sum(others.values())
-    excess = own.excess
+    others = {name: load for name, load in loads.items() if name != region}
     if not own.room:
-        rooms = {name: loads[name].room for name in others}
-        total = sum(rooms.values())
-        return {name: room / total for name, room in rooms.items() if total}
-    if excess <= 0 or spare <= 0 or own.demand <= 0:
-        return dict.fromkeys(others, 0.0)
-    asked = sum(load.excess for load in loads.values())
-    moved = excess * min(1, spare / asked)
-    return {
-        name: moved * part / spare / own.demand for name, part in others.items()
-    }
+        return _share_out(
+            1,
+            {name: load.room for name, load in others.items()},
+        )
+    spares = {name: load.spare for name, load in others.items()}
+    excess = sum(load.excess for load in loads.values())
+    if not own.excess:
+        return dict.fromkeys(others, 0)
+    part = min(1, sum(spares.values()) / excess)
+    return _share_out(part * own.excess / own.demand, spares)
+
+
+def _share_out(whole: float, weights: Mapping[str, float]) -> dict[str, float]:
+    total = sum(weights.values())
+    if not total:
+        return dict.fromkeys(weights, 0)
+    return {name: whole * weight / total for name, weight in weights.items()}
 
 
 def _step_shares(
--- a/sesameroute/placement/_upstream.py
+++ b/sesameroute/placement/_upstream.py
@@ -12,12 +12,14 @@
 
 _REPORT_SECONDS = 1.5  # age at which another pool's report is dropped
 _FIRST_SUSPENSION = 0.4  # seconds, doubled for each failure in a row
+_MOST_STRIKES = 8
 _LONGEST_SUSPENSION = 4.0  # seconds
 _MISDIRECTED_SECONDS = 3.0  # until the registry has caught up
 _WARMING_SECONDS = 4.0  # until the registry tells whether it is cold
 _FAILURE_SMOOTHING = 0.15  # weight of the newest try
 _FAILURE_HALF_LIFE = 2.0  # seconds
 _SPEED_SMOOTHING = 0.2  # weight of the newest run
+_USUAL_PACE = 1.5  # times the usual run time that is no trouble
 _SLOWEST = 20.0  # times the usual run time
 _DOWN = frozenset((Outcome.UNREACHED, Outcome.LOST))
 _BAD = frozenset((Outcome.SHED, Outcome.FAILED, Outcome.TIMED_OUT)) | _DOWN
@@ -94,7 +96,7 @@
         """Return a penalty for failures and slow runs; 0 is none."""
         age = max(now - self.judged, 0)
         failures = self.failures * 0.5 ** (age / _FAILURE_HALF_LIFE)
-        return 2 * failures + max(self.pace - 1.5, 0) / 2
+        return 2 * failures + max(self.pace - _USUAL_PACE, 0) / 2
 
     def renew(self, entry: Entry) -> None:
         """Take a newer entry; a new incarnation knows nothing."""
@@ -134,5 +136,5 @@
             _LONGEST_SUSPENSION,
         )
         if now >= self.suspended_until:
-            self.strikes = min(self.strikes + 1, 8)
+            self.strikes = min(self.strikes + 1, _MOST_STRIKES)
             self.suspended_until = now + pause
--- a/sesameroute/placement/_warmth.py
+++ b/sesameroute/placement/_warmth.py
@@ -5,12 +5,14 @@
 show at which depths objects are still known.
 """
 
+import math
 from collections import OrderedDict
 
 __all__ = ['DepthModel', 'RecentKeys']
 
 _BUCKET_WIDTH = 8  # depths that are judged together
 _BUCKETS = 64
+_MOST_OBJECTS = _BUCKETS * _BUCKET_WIDTH
 _SMOOTHING = 0.1  # weight of the newest run in a bucket's hit rate
 _WARM_RATE = 0.5  # least hit rate at which an object counts as known
 _REFRESH_SECONDS = 0.25  # age at which depths are counted again
@@ -33,7 +35,7 @@
 
     def __init__(self) -> None:
         """Start by trusting every depth."""
-        self._rates = [1.0] * _BUCKETS
+        self._rates: list[float] = [1 for _ in range(_BUCKETS)]
 
     def is_warm(self, depth: int) -> bool:
         """Return whether an object at `depth` is likely still known."""
@@ -56,12 +58,12 @@
 
     """
 
-    def __init__(self, most: int = _BUCKETS * _BUCKET_WIDTH) -> None:
+    def __init__(self, most: int = _MOST_OBJECTS) -> None:
         """Start empty."""
         self.most = most
         self._used: OrderedDict[str, float] = OrderedDict()
         self._depths: dict[str, int] = {}
-        self._counted = 0.0
+        self._counted = -math.inf
 
     def add(self, key: str, now: float) -> None:
         """Note that an object was handled."""
--- a/sesameroute/placement/tests/world.py
+++ b/sesameroute/placement/tests/world.py
@@ -78,8 +78,8 @@
             for place in range(count):
                 self.add_server(f'{region}-{place}', zone, slots, keeps)
         for region in regions:
-            terms = PoolTerms('service', region, region, cold_rate=5)
-            self.pools[region] = Pool(terms)
+            self.pools[region] = Pool(PoolTerms('service', region, region))
+            self.pools[region].set_cold(5, 0.8)
         self.sync()
 
     def add_server(self, name, zone, slots, keeps, cold_until=0.0):
--- a/sesameroute/platform/_feed.py
+++ b/sesameroute/platform/_feed.py
@@ -31,7 +31,7 @@
     def take_configuration(self, configuration: Configuration) -> None:
         """Take the operator's newest configuration."""
 
-    def set_evacuated(self, zones: frozenset[str]) -> None:
+    def replace_evacuated(self, zones: frozenset[str]) -> None:
         """Take the zones under evacuation."""
 
     def put_backend(self, backend: Backend) -> None:
@@ -85,14 +85,21 @@
 
     def _take(self, item: MirrorItem) -> None:
         if item.key == CONFIGURATION_KEY:
-            if item.content is not None:
-                found = decode_configuration(item.content)
-                self.receiver.take_configuration(found)
+            self._take_configuration(item)
         elif item.key.startswith(EVACUATION_PREFIX):
             self._take_evacuation(item)
         elif item.key.startswith(REGISTRY_PREFIX):
             self._take_backend(item)
-        elif item.key.startswith(MEMBER_PREFIX) and item.content is not None:
+        elif item.key.startswith(MEMBER_PREFIX):
+            self._take_member(item)
+
+    def _take_configuration(self, item: MirrorItem) -> None:
+        if item.content is not None:
+            found = decode_configuration(item.content)
+            self.receiver.take_configuration(found)
+
+    def _take_member(self, item: MirrorItem) -> None:
+        if item.content is not None:
             member = msgspec.json.decode(item.content, type=_Member)
             self.receiver.put_member(member.ip, member.zone, member.region)
 
@@ -102,7 +109,7 @@
             self._evacuated -= {zone}
         else:
             self._evacuated |= {zone}
-        self.receiver.set_evacuated(self._evacuated)
+        self.receiver.replace_evacuated(self._evacuated)
 
     def _take_backend(self, item: MirrorItem) -> None:
         name = item.key.removeprefix(REGISTRY_PREFIX)
--- a/sesameroute/platform/_store.py
+++ b/sesameroute/platform/_store.py
@@ -52,6 +52,10 @@
     code = 'lease-lost'
 
 
+def _ignore_call(_name: str, _result: str) -> None:
+    """Count nothing."""
+
+
 class PlatformStore:
     """Reads, watches and writes the store; implements `mirror.Source`.
 
@@ -73,7 +77,7 @@
         address: tuple[str, int],
         wire: Wire,
         source: str,
-        on_call: Callable[[str, str], None] = lambda _name, _result: None,
+        on_call: Callable[[str, str], None] = _ignore_call,
     ) -> None:
         """Store the parameters and prepare the pool."""
         self.address = address
--- a/sesameroute/platform/tests/test_documents.py
+++ b/sesameroute/platform/tests/test_documents.py
@@ -170,7 +170,7 @@
 @pytest.mark.parametrize(
     ('key', 'content', 'note'),
     [
-        ('op/evacuate/z-1', b'{}', ('set_evacuated', frozenset({'z-1'}))),
+        ('op/evacuate/z-1', b'{}', ('replace_evacuated', frozenset({'z-1'}))),
         ('servers/i-1', None, ('remove_backend', 'i-1')),
         ('servers/i-1', b'junk', None),
         ('op/config', b'junk', None),
@@ -199,7 +199,7 @@
         [('a', b'{}'), ('b', b'{}'), ('a', None)],
     ):
         feed.take(MirrorItem(f'op/evacuate/{zone}', revision, content))
-    assert receiver.notes[-1] == ('set_evacuated', frozenset({'b'}))
+    assert receiver.notes[-1] == ('replace_evacuated', frozenset({'b'}))
 
 
 @pytest.mark.parametrize(
--- a/sesameroute/programs/node.py
+++ b/sesameroute/programs/node.py
@@ -30,10 +30,7 @@
 
 
 def _run(_arguments: list[str]) -> int:
-    told = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_signal: told.set())
-    signal.signal(signal.SIGINT, lambda *_signal: told.set())
-    signal.signal(signal.SIGHUP, lambda *_signal: None)
+    told = _listen_to_signals()
     threading.stack_size(_STACK_BYTES)
     path = _CONFIG.value or os.environ.get(_SETTINGS_VARIABLE, '')
     try:
@@ -53,6 +50,20 @@
     return int(ExitCode.OK)
 
 
+def _listen_to_signals() -> threading.Event:
+    """Return an event that is set when the process should stop."""
+    told = threading.Event()
+
+    def tell(*_signal: object) -> None:
+        told.set()
+
+    signal.signal(signal.SIGTERM, tell)
+    signal.signal(signal.SIGINT, tell)
+    # The settings say nothing that may change while the process runs.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    return told
+
+
 def _set_logging(settings: NodeSettings) -> None:
     log = EventLog(settings.node.name, level=settings.log.level)
     logger = logging.getLogger('sesameroute')
--- a/sesameroute/registry/_registry.py
+++ b/sesameroute/registry/_registry.py
@@ -93,7 +93,7 @@
                 self.changes_ += 1
         return gone
 
-    def set_evacuated(self, zones: frozenset[str]) -> None:
+    def replace_evacuated(self, zones: frozenset[str]) -> None:
         """Replace the zones that get nothing."""
         self._evacuated = zones
         self.changes_ += 1
--- a/sesameroute/registry/tests/test_registry.py
+++ b/sesameroute/registry/tests/test_registry.py
@@ -35,7 +35,7 @@
 def test_permission_follows_the_newest_entry(change, is_permitted):
     """Drained, evacuated and restarted ones get nothing by old grants."""
     registry = Registry()
-    registry.set_evacuated(frozenset({'north-b'}))
+    registry.replace_evacuated(frozenset({'north-b'}))
     registry.put(replace(BACKEND, **change), 0)
     assert registry.permits('i-1', 7) is is_permitted
     assert not registry.permits('i-2', 7)
--- a/sesameroute/routes/_split.py
+++ b/sesameroute/routes/_split.py
@@ -40,5 +40,5 @@
                 owed = credits.get(part.service, 0)
                 credits[part.service] = owed + part.weight
             chosen = max(credits, key=credits.__getitem__)
-            credits[chosen] -= sum(part.weight for part in route.parts)
+            credits[chosen] -= sum(each.weight for each in route.parts)
             return chosen
