--- /dev/null
+++ b/sesameroute/programs/explain.py
@@ -0,0 +1,102 @@
+"""`sesame-explain`: one request's way, from the lines of the nodes."""
+
+import fileinput
+import sys
+from collections.abc import Iterable, Iterator
+
+from absl import app
+
+from sesameroute.exceptions import ExitCode
+from sesameroute.telemetry import parse_line
+
+__all__ = ['explain', 'run']
+
+_USAGE = """Prints what became of a request, from the nodes' log lines.
+
+  sesame-explain REQUEST [FILE ...]
+
+Reads the files, or standard input. Lines of any order and of other programs
+may stand between them.
+"""
+
+_EVENTS = {  # noqa: WPS407
+    'request-turned-away': 'was turned away',
+    'request-sent-again': 'failed at {backend} and was sent again',
+    'request-failed': 'failed for good at {backend}',
+    'answer-cut-midway': 'lost its answer midway from {backend}',
+}
+_REASONS = {  # noqa: WPS407
+    'no-room': 'no slot could be had in time: it has not run',
+    'no-backend': 'no backend server was known: it has not run',
+    'too-late': 'its time was over before a slot was free: it has not run',
+    'unreached': 'the backend server took no connection: it has not run',
+    'shed': 'the backend server refused it: it has not run',
+    'misdirected': 'another server has the address: it has not run',
+    'lost': 'the answer was lost or broken: it may have run',
+    'timed-out': 'no answer came in time: it may have run',
+    'cancelled': 'the caller left',
+}
+
+
+def explain(request: str, lines: Iterable[str]) -> Iterator[str]:
+    """Yield one sentence for each event of a request, in order of time.
+
+    Parameters
+    ----------
+    request : str
+        Identifier of the request.
+    lines : iterable of str
+        Log lines of any nodes.
+
+    Examples
+    --------
+    >>> line = (
+    ...     'time=1 node=n-1 event=request-turned-away request=a'
+    ...     ' service=s why=no-room backend=- attempt=0'
+    ... )
+    >>> next(explain('a', [line]))
+    '1 n-1: was turned away (no slot could be had in time: it has not run)'
+
+    """
+    found = [
+        fields
+        for fields in map(parse_line, lines)
+        if fields.get('request') == request
+    ]
+    for fields in sorted(found, key=lambda each: each.get('time', '')):
+        yield _describe(fields)
+
+
+def _describe(fields: dict[str, str]) -> str:
+    event = fields.get('event', '?')
+    why = fields.get('why', '')
+    told = _EVENTS.get(event, event).format(
+        backend=fields.get('backend', '?'),
+    )
+    reason = _REASONS.get(why, why)
+    place = f'{fields.get("time", "?")} {fields.get("node", "?")}'
+    return f'{place}: {told} ({reason})'
+
+
+def run() -> None:
+    """Run the program."""
+    sys.modules['__main__'].__doc__ = _USAGE
+    app.run(_run)
+
+
+def _run(arguments: list[str]) -> int:
+    if len(arguments) < 2:
+        print(_USAGE, file=sys.stderr)
+        return int(ExitCode.INPUT)
+    with fileinput.input(arguments[2:]) as lines:
+        sentences = list(explain(arguments[1], lines))
+    for sentence in sentences:
+        print(sentence)
+    if not sentences:
+        print(f'no line names request {arguments[1]}', file=sys.stderr)
+        return int(ExitCode.UNREACHABLE)
+    return int(ExitCode.OK)
+
+
+if __name__ == '__main__':
+    run()
--- a/sesameroute/telemetry/__init__.py
+++ b/sesameroute/telemetry/__init__.py
@@ -11,6 +11,7 @@
     submod_attrs={
         '_bridge': ['LogBridge'],
         '_events': ['EventLog', 'PairsFormatter'],
+        '_lines': ['parse_line'],
         '_meter': ['Meter', 'Metric'],
         '_tracer': ['Span', 'Tracer'],
     },
