--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -8,7 +8,6 @@
 from sesameroute.adapters import has_left
 from sesameroute.forward._message import (
     CallerRequest,
-    Dialect,
     TryError,
 )
 from sesameroute.forward._refusals import (
@@ -95,11 +94,6 @@
         self.clock = clock
         self._returns = ReturnDetector()
 
-    @property
-    def dialect(self) -> Dialect:
-        """How terms are written in headers."""
-        return self.sender.dialect
-
     def forward(self, request: CallerRequest) -> Answer:
         """Return the answer to a request.
 
@@ -130,7 +124,7 @@
         return answer
 
     def _open(self, request: CallerRequest, route: Route) -> Trip:
-        terms = self.dialect.read_terms(request.headers)
+        terms = self.sender.dialect.read_terms(request.headers)
         seconds = route.timeout
         lost = 0
         if terms.seconds is not None:
@@ -147,8 +141,7 @@
 
     def _try_once(self, trip: Trip) -> Answer | None:
         """Place and send; return the final answer or None to try again."""
-        ask = self._build_ask(trip)
-        placed = self.placing.place(ask)
+        ask, placed = self._place(trip)
         if isinstance(placed, Refusal):
             return self._refuse(trip, placed)
         if trip.route.kind.is_idempotent and has_left(trip.request.caller):
@@ -161,7 +154,16 @@
             return None
         return self._send(trip, ask, placed, entry.backend)
 
-    def _build_ask(self, trip: Trip) -> Ask:
+    def _place(self, trip: Trip) -> tuple[Ask, Grant | Refusal]:
+        """Return the slot that is reserved already, or ask for one."""
+        reserved = trip.reserved
+        if reserved is not None:
+            trip.reserved = None
+            return reserved
+        ask = self._build_ask(trip, may_wait=trip.lost > 0 or trip.attempts > 0)
+        return ask, self.placing.place(ask)
+
+    def _build_ask(self, trip: Trip, *, may_wait: bool) -> Ask:
         now = self.clock.read_monotonic()
         route = trip.route
         spent = now - trip.request.arrived + trip.lost
@@ -173,7 +175,7 @@
             route.objective,
             route.objective - spent,
             trip.until - now,
-            trip.lost > 0 or trip.attempts > 0,
+            may_wait,
             tuple(sorted(route.homes)),
             trip.excluded,
         )
@@ -194,7 +196,7 @@
                 build_departure(
                     trip,
                     backend,
-                    self.dialect,
+                    self.sender.dialect,
                     self._take_leave,
                     started,
                 ),
@@ -260,9 +262,19 @@
             self.placing.release(ask, grant, outcome, seconds)
 
     def _take_leave(self, trip: Trip) -> bool:
-        """Return whether a try may be given up for another one."""
-        trip.has_leave = self.retries.abandon(trip.service)
-        return trip.has_leave
+        """Return whether a try may be given up for another one.
+
+        The other one needs its slot first; without any, the answer of the
+        running try is still the best that can come.
+        """
+        if not self.retries.abandon(trip.service):
+            return False
+        ask = self._build_ask(trip, may_wait=False)
+        placed = self.placing.place(ask)
+        if isinstance(placed, Refusal):
+            return False
+        trip.reserved = ask, placed
+        return True
 
     def _judge(
         self,
@@ -281,11 +293,12 @@
             may_repeat
             and has_time
             and trip.attempts < trip.route.max_attempts
-            and (trip.has_leave or self.retries.choose(trip.service))
+            and (trip.reserved or self.retries.choose(trip.service))
         ):
-            trip.has_leave = False
             _note(trip, 'request sent again', error.code, backend.name)
             return None
+        if trip.reserved is not None:
+            self.placing.release(*trip.reserved, Outcome.CANCELLED, 0)
         _note(trip, 'request failed', error.code, backend.name)
         return answer_try(error, trip.limit_pause(self.clock.read_monotonic()))
 
--- a/sesameroute/forward/_trip.py
+++ b/sesameroute/forward/_trip.py
@@ -11,6 +11,7 @@
     TryError,
 )
 from sesameroute.forward._sender import Departure
+from sesameroute.placement import Ask, Grant
 from sesameroute.ports import Headers
 from sesameroute.registry import Backend
 from sesameroute.routes import Route
@@ -57,8 +58,8 @@
         Backend servers that were tried.
     last : TryError or None
         How the last try failed.
-    has_leave : bool
-        Whether another try has been permitted already.
+    reserved : tuple of (Ask, Grant) or None
+        Slot of the next try, taken while the last one ran.
 
     """
 
@@ -72,7 +73,7 @@
     attempts: int = 0
     excluded: tuple[str, ...] = ()
     last: TryError | None = None
-    has_leave: bool = False
+    reserved: tuple[Ask, Grant] | None = None
 
     def limit_pause(self, now: float) -> float:
         """Return the seconds after which the caller may come back."""
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -343,6 +343,15 @@
     assert time.monotonic() - started >= 0.6 - 0.01
 
 
+def test_without_a_slot_for_another_try_the_answer_is_awaited():
+    """A running try is given up only for one that has its slot."""
+    stage = Stage(ScriptedServer('silent'))
+    started = time.monotonic()
+    assert stage.forward()[0] == 504
+    assert time.monotonic() - started >= 0.6 - 0.01
+    assert stage.placing.ends == [('a', Outcome.TIMED_OUT)]
+
+
 def test_a_leaving_node_gives_no_try_up():
     """What a backend server works on is awaited."""
     stage = Stage(ScriptedServer('silent'), ScriptedServer('whole'))
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -58,7 +58,9 @@
         rooms = self.states.count_rooms()
         permitted = sorted(rooms)
         if ask.homes:
-            permitted = sorted(rooms.keys() & set(ask.homes))
+            # Without a known server at home there is nowhere to run.
+            known = sorted(rooms.keys() & set(ask.homes))
+            permitted = known or sorted(ask.homes)
         elif own in rooms:
             return self.plan.choose_within(ask.key, rooms, now)
         if own in permitted or not permitted:
