--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -27,7 +27,7 @@
     is_spent,
     read_body,
 )
-from sesameroute.placement import Ask, Grant, Outcome, Reason, Refusal
+from sesameroute.placement import Ask, Grant, Outcome, Refusal
 from sesameroute.ports import Answer, Clock
 from sesameroute.registry import Backend, Registry
 from sesameroute.routes import ConfigurationKeeper, Route
@@ -307,12 +307,6 @@
         last = trip.last
         if last is not None and last.may_have_run:
             return answer_try(last, 0)
-        if refusal.reason is Reason.TOO_LATE:
-            return answer_status(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                refusal.reason.value,
-                0,
-            )
         return answer_refusal(refusal)
 
 
--- a/sesameroute/platform/_names.py
+++ b/sesameroute/platform/_names.py
@@ -3,7 +3,6 @@
 __all__ = [
     'AFFINITY_HEADER',
     'ATTEMPT_HEADER',
-    'COLD_HEADER',
     'CONFIGURATION_KEY',
     'DEADLINE_HEADER',
     'EVACUATION_PREFIX',
@@ -24,7 +23,6 @@
 EXPECT_HEADER = 'Sesameroute-Expect-Instance'
 LOAD_HEADER = 'Sesameroute-Server-Load'
 NOT_RUN_HEADER = 'Sesameroute-Not-Run'
-COLD_HEADER = 'Sesameroute-Cold-Ms'
 
 READY_PATH = '/-/ready'
 RESOLVE_PATH = '/-/resolve'
--- a/sesameroute/platform/_store.py
+++ b/sesameroute/platform/_store.py
@@ -3,7 +3,6 @@
 import base64
 import json
 import logging
-import threading
 from collections.abc import Callable, Iterator
 from urllib.parse import urlencode
 
@@ -83,7 +82,6 @@
         self.address = address
         self.on_call = on_call
         self._pool = build_pool(wire, source, address, size=2)
-        self._lock = threading.Lock()
 
     def read_all(self) -> MirrorNews:
         """Return all items.
