Serve requests that have spent their deadline last

Cause: after an overload callers that were refused come back for as long as their deadline lasts; first in the queue by arrival, they kept all slots of the drawing vault at work for 6 s and the fresh requests were refused in turn. Ruled out: a VM without a server of its own (each had some, all slots were at work).

--- a/sesameroute/limits/_queue.py
+++ b/sesameroute/limits/_queue.py
@@ -9,6 +9,7 @@
 __all__ = ['WaitQueue', 'Waiter', 'limit_wait']
 
 _MILLISECONDS = 1000  # in a second
+_SPENT = 0.5  # part of a deadline left below which a request goes last
 
 
 Listener = Callable[['Waiter'], None]
@@ -47,6 +48,24 @@
         kind = self.request.kind
         return kind.weight * _MILLISECONDS / max(kind.work_ms, 1)
 
+    @property
+    def is_spent(self) -> bool:
+        """Whether most of the deadline was over when the request came."""
+        if not self.request.deadline:
+            return False
+        left = self.request.deadline - self.since
+        return left * _MILLISECONDS < _SPENT * self.request.kind.deadline_ms
+
+    def rank(self) -> tuple[float, bool, float]:
+        """Return the key of the order of service, the first one least.
+
+        After an overload the callers that were refused come back for as
+        long as their deadline lasts. If they went first, those that arrive
+        meanwhile would be refused in turn, and the backlog would outlast
+        the overload by a deadline.
+        """
+        return -self.worth, self.is_spent, self.since
+
     def settle(self, choice: Choice) -> None:
         """Hand over a slot."""
         self.choice = choice
@@ -92,11 +111,10 @@
     def offer(self, waiter: Waiter) -> Waiter | None:
         """Let a request wait; return the one that has to go, if any.
 
-        When the queue is full the request of the least worth goes, the
-        newest among equals.
+        When the queue is full the last one in the order of service goes.
         """
         self.waiting_.append(waiter)
-        self.waiting_.sort(key=lambda one: (-one.worth, one.since))
+        self.waiting_.sort(key=Waiter.rank)
         if len(self.waiting_) > self.limit:
             return self.waiting_.pop()
         return None
