Keep a slot until abandoned work has had time to stop

A request sent again after silence on a kept connection reached the server while its own first work was still being stopped, and waited there for up to 24 ms; slots of cancelled tries were handed on as early.

--- a/benchmarks/_delivery_rig.py
+++ b/benchmarks/_delivery_rig.py
@@ -94,7 +94,7 @@
     def observe(self, choice, outcome):
         """Learn nothing."""
 
-    def release(self, choice):
+    def release(self, choice, *, runs=False):
         """Hold nothing."""
 
     def charge(self, choice, body_bytes):
--- a/sesameroute/adapters/_upstreams.py
+++ b/sesameroute/adapters/_upstreams.py
@@ -10,7 +10,14 @@
     KeptConnections,
 )
 from sesameroute.exceptions import RequestError
-from sesameroute.ports import Answer, Clock, Request, Upstreams, Wire
+from sesameroute.ports import (
+    STOP_SECONDS,
+    Answer,
+    Clock,
+    Request,
+    Upstreams,
+    Wire,
+)
 from sesameroute.statement import Upstream
 from sesameroute.verdict import Verdict
 
@@ -96,11 +103,13 @@
         try:
             return exchange(self._connections, kept, request, patience)
         except RequestError as error:
-            if error.code == SilentError.code:
-                self._connections.suspect_all()
             self._connections.suspect(kept.target)
             if error.code not in {SilentError.code, 'lost'}:
                 raise
+            if error.code == SilentError.code:
+                self._connections.suspect_all()
+                # Else this work and that of the next try share one slot.
+                self.clock.sleep(STOP_SECONDS)
         return None
 
     def _open(
--- a/sesameroute/adapters/tests/test_upstreams.py
+++ b/sesameroute/adapters/tests/test_upstreams.py
@@ -10,7 +10,7 @@
 from sesameroute.adapters import HttpUpstreams
 from sesameroute.adapters.tests.scripted import ScriptedServer, answer_whole
 from sesameroute.exceptions import RequestError
-from sesameroute.ports import Request, SystemClock, TcpWire
+from sesameroute.ports import STOP_SECONDS, Request, SystemClock, TcpWire
 from sesameroute.statement import Kind, Upstream
 from sesameroute.verdict import Verdict
 
@@ -110,6 +110,37 @@
     assert server.requests == [(1, 1), (1, 2), (2, 1), (2, 2)]
 
 
+class NotingClock(SystemClock):
+    """A clock that notes what it is asked to sleep and doesn't."""
+
+    def __init__(self):
+        self.slept = []
+
+    def sleep(self, seconds):
+        self.slept.append(seconds)
+
+
+@pytest.mark.parametrize(
+    ('failure', 'slept'),
+    [(b'', [STOP_SECONDS]), (None, [])],
+)
+def test_silent_work_ends_before_the_next_try(failure, slept):
+    """Two works of one request never share the slot that it holds."""
+
+    def script(number, count):
+        return failure if number == 1 and count > 1 else answer_whole()
+
+    clock = NotingClock()
+    adapter = HttpUpstreams(TcpWire(), _ADDRESS, clock)
+    with serve(script) as server:
+        upstream = build_upstream(server.port)
+        for _ in range(2):
+            answer = adapter.send(upstream, build_request(), fresh=False)
+            list(answer.chunks)
+    adapter.close()
+    assert clock.slept == slept
+
+
 def test_unread_body_closes_connection(adapter):
     """A connection whose answer was abandoned is never reused."""
     with serve(lambda _number, _count: answer_whole()) as server:
--- a/sesameroute/delivery/_attempt.py
+++ b/sesameroute/delivery/_attempt.py
@@ -105,14 +105,15 @@
         except RequestError as error:
             if self._end(choice):
                 self.steering.observe(choice, _CANCELLED)
-                self.steering.release(choice)
+                self.steering.release(choice, runs=True)
                 raise _name_cancelled(error) from error
             self._observe_failure(choice, request, error, fingerprint, started)
-            self.steering.release(choice)
+            runs = error.verdict is not Verdict.NOT_RUN
+            self.steering.release(choice, runs=runs)
             raise
         except BaseException:
             self._end(choice)
-            self.steering.release(choice)
+            self.steering.release(choice, runs=True)
             raise
         self._end(choice)
         self.quarantine.observe_answer(fingerprint)
@@ -175,7 +176,7 @@
                 choice,
                 replace(outcome, code=code, body_bytes=body.received_),
             )
-            self.steering.release(choice)
+            self.steering.release(choice, runs=not whole)
 
         body = CheckedBody(answer, charge, finish)
         return replace(answer, chunks=body)
--- a/sesameroute/delivery/tests/fleet.py
+++ b/sesameroute/delivery/tests/fleet.py
@@ -95,6 +95,7 @@
 
     def __init__(self):
         self.held = set()
+        self.abandoned = []
         self.seen = []
         self.charged = 0
         self.tickets = itertools.count()
@@ -110,8 +111,10 @@
     def observe(self, choice, outcome):
         self.seen.append((choice.upstream.name, outcome.code))
 
-    def release(self, choice):
+    def release(self, choice, *, runs=False):
         self.held.discard(choice.ticket)
+        if runs:
+            self.abandoned.append(choice.upstream.name)
 
     def charge(self, choice, body_bytes):
         self.charged += body_bytes
--- a/sesameroute/delivery/tests/test_bounds.py
+++ b/sesameroute/delivery/tests/test_bounds.py
@@ -49,6 +49,22 @@
     with pytest.raises(RequestError, match='cut at 4 of 100'):
         next(answer.chunks)
     assert not fleet.steering['a1'].held
+    assert fleet.steering['a1'].abandoned == ['u1']
+
+
+@pytest.mark.parametrize(
+    ('code', 'verdict', 'abandoned'),
+    [
+        ('refused', NOT_RUN, []),
+        ('shed', NOT_RUN, []),
+        ('lost', MAY_HAVE_RUN, ['u1']),
+        ('cancelled', MAY_HAVE_RUN, ['u1']),
+    ],
+)
+def test_slot_of_a_lost_try_waits_for_its_work(code, verdict, abandoned):
+    fleet = Fleet(script=[fail(code, verdict)])
+    fleet.deliver('a1', fleet.build_request(ORDER))
+    assert fleet.steering['a1'].abandoned == abandoned
 
 
 @pytest.mark.parametrize('started', [True, False])
--- a/sesameroute/ports/_steering.py
+++ b/sesameroute/ports/_steering.py
@@ -7,7 +7,11 @@
 from sesameroute.ports._upstream import Request
 from sesameroute.statement import Upstream
 
-__all__ = ['Choice', 'Outcome', 'OutcomeCode', 'Steering']
+__all__ = ['STOP_SECONDS', 'Choice', 'Outcome', 'OutcomeCode', 'Steering']
+
+# In which a backend server ends work that nobody waits for any more; asked of
+# its operators in docs/design/steering.md.
+STOP_SECONDS = 0.1
 
 
 @unique
@@ -90,8 +94,17 @@
     def observe(self, choice: Choice, outcome: Outcome) -> None:
         """Learn from a try."""
 
-    def release(self, choice: Choice) -> None:
-        """Give the slot back; a second call does nothing."""
+    def release(self, choice: Choice, *, runs: bool = False) -> None:
+        """Give the slot back; a second call does nothing.
+
+        Parameters
+        ----------
+        runs : bool
+            Whether work may go on in it, since the try ended here without a
+            whole answer: the slot is free once the backend server has had
+            time to stop.
+
+        """
 
     def charge(self, choice: Choice, body_bytes: int) -> None:
         """Charge bytes to the link as they flow; may block briefly."""
--- a/sesameroute/routing/_book.py
+++ b/sesameroute/routing/_book.py
@@ -7,6 +7,7 @@
 from sesameroute.ports import Choice, Clock, Outcome
 from sesameroute.routing._geography import Geography
 from sesameroute.routing._health import Health
+from sesameroute.routing._stopping import StoppingWork
 from sesameroute.routing._view import Members
 from sesameroute.statement import Kind, Statement, Upstream
 
@@ -45,6 +46,7 @@
         self.clock = clock
         self.ledgers_: dict[str, Ledger] = {}
         self.held_: dict[int, tuple[str, Kind]] = {}
+        self.stopping_ = StoppingWork(clock)
         self.health_ = Health()
         self._geography: Geography | None = None
         self._tickets = itertools.count(1)
--- a/sesameroute/routing/_steering.py
+++ b/sesameroute/routing/_steering.py
@@ -151,6 +151,8 @@
         with self._lock:
             geography = self.book_.read_geography()
             services = geography.statement.services if geography else ()
+            for ticket in self.book_.stopping_.pop_due():
+                self.book_.release(ticket)
             is_due = now >= self._balance_due
             if is_due:
                 self._balance_due = now + _BALANCE_INTERVAL
@@ -165,10 +167,12 @@
         with self._lock:
             self.book_.observe(choice, outcome)
 
-    def release(self, choice: Choice) -> None:
+    def release(self, choice: Choice, *, runs: bool = False) -> None:
         """Give the slot back; a second call does nothing."""
         with self._lock:
-            if self.book_.release(choice.ticket):
+            if runs:
+                self.book_.stopping_.add(choice.ticket)
+            elif self.book_.release(choice.ticket):
                 self.admission_.pump(choice.upstream.service)
 
     def charge(self, choice: Choice, body_bytes: int) -> None:
--- a/sesameroute/routing/tests/test_steering.py
+++ b/sesameroute/routing/tests/test_steering.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sesameroute.exceptions import InputError, RequestError
+from sesameroute.ports import STOP_SECONDS
 from sesameroute.routing import Lookup
 from sesameroute.routing.tests import samples
 from sesameroute.routing.tests.fleet import Fleet
@@ -39,6 +40,20 @@
     assert len(take_all(steering)) == 1
 
 
+def test_abandoned_slot_waits_for_the_server():
+    """A slot whose work was cancelled is given again only after it ended."""
+    steering = build_steering(samples.build_statement())
+    clock = steering.book_.clock
+    steering.clock = steering.book_.stopping_.clock = clock
+    taken = take_all(steering)
+    steering.release(taken[0], runs=True)
+    steering.tick()
+    assert not take_all(steering)
+    clock.sleep(STOP_SECONDS)
+    steering.tick()
+    assert len(take_all(steering)) == 1
+
+
 def test_refusal_is_not_run():
     """Without a slot the refusal says not run and when to come back."""
     steering = build_steering(samples.build_statement())
