Read the settings again on SIGHUP and without one; share the slack by the nodes known

Seeds, zones, bounds and the log's level take effect; names, addresses and the store are those of the start. A file that can't be used changes nothing. Seen on the way: a node's part of the retry slack was fixed at its first request, with the nodes that it knew then: one that knew nobody kept all of it.

--- a/sesameroute/forward/_retries.py
+++ b/sesameroute/forward/_retries.py
@@ -73,12 +73,12 @@
 
     def _find(self, service: str) -> Budget:
         with self._lock:
+            # The number of nodes is known only some time after the start.
+            slack = _SLACK_PART * self.terms.slack / max(self.count_nodes(), 1)
+            ratio = min(_RATIO_PART * self.terms.ratio, 1)
             budget = self._budgets.get(service)
             if budget is None:
-                slack = (
-                    _SLACK_PART * self.terms.slack / max(self.count_nodes(), 1)
-                )
-                ratio = min(_RATIO_PART * self.terms.ratio, 1)
                 budget = Budget(ratio, max(slack, 1))
                 self._budgets[service] = budget
+            budget.resize(ratio, max(slack, 1))
             return budget
--- a/sesameroute/limits/_budget.py
+++ b/sesameroute/limits/_budget.py
@@ -41,6 +41,13 @@
         self.stock_ = burst
         self._lock = threading.Lock()
 
+    def resize(self, ratio: float, burst: float) -> None:
+        """Set the parameters; a stock above the new burst is cut."""
+        with self._lock:
+            self.ratio = ratio
+            self.burst = burst
+            self.stock_ = min(self.stock_, burst)
+
     def observe(self) -> None:
         """Count one first try."""
         if not 0 <= self.ratio <= 1:
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -137,7 +137,7 @@
     def __init__(self, fleet: Fleet, longest: float) -> None:
         """Store the parameters."""
         self.fleet = fleet
-        self.seconds = min(_TTL_SECONDS, longest)
+        self.longest = longest
 
     def __call__(self, request: Any) -> Answer:
         """Return the addresses for one caller."""
@@ -147,7 +147,8 @@
         fronts = self.fleet.list_fronts(region, zone)
         if not fronts:
             return Answer(HTTPStatus.SERVICE_UNAVAILABLE, (), iter(()), 0)
-        content = write_places(fronts, self.seconds)
+        seconds = min(_TTL_SECONDS, self.longest)
+        content = write_places(fronts, seconds)
         return Answer(HTTPStatus.OK, _JSON, iter((content,)), len(content))
 
 
--- a/sesameroute/node/_front_parts.py
+++ b/sesameroute/node/_front_parts.py
@@ -57,27 +57,32 @@
     ) -> None:
         """Build the servers."""
         self.keeper = keeper
-        self.grace = settings.bounds.grace
         self.clock = SystemClock()
-        connections = KeptConnections(
-            TcpWire(),
-            settings.node.address,
-            self.clock,
+        self._retries = RetryBudgets(
+            _read_retry_terms(settings),
+            fleet.count,
+            is_leaving.is_set,
         )
-        bounds = settings.bounds
-        forwarder = Forwarder(
-            keeper,
-            registry,
-            placing,
-            Sender(connections, PlatformDialect(), self.clock),
-            RetryBudgets(
-                RetryTerms(bounds.retry_ratio, bounds.retry_slack),
-                fleet.count,
-                is_leaving.is_set,
+        self._handler = FrontHandler(
+            Forwarder(
+                keeper,
+                registry,
+                placing,
+                Sender(
+                    KeptConnections(
+                        TcpWire(),
+                        settings.node.address,
+                        self.clock,
+                    ),
+                    PlatformDialect(),
+                    self.clock,
+                ),
+                self._retries,
+                self.clock,
             ),
             self.clock,
         )
-        self._handler = FrontHandler(forwarder, self.clock)
+        self._directory = DirectoryHandler(fleet, settings.bounds.longest_ttl)
         self._front = FrontServer(
             parse_address(settings.listen.front),
             self._handler,
@@ -90,11 +95,16 @@
         )
         directory = FrontServer(
             parse_address(settings.listen.directory),
-            DirectoryHandler(fleet, bounds.longest_ttl),
+            self._directory,
             threads=_SMALL_THREADS,
         )
         self.servers = (self._front, ready, directory)
 
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Put other bounds in force."""
+        self._retries.terms = _read_retry_terms(settings)
+        self._directory.longest = settings.bounds.longest_ttl
+
     def apply_limits(self) -> None:
         """Put the configuration's limits on callers in force."""
         found = self.keeper.configuration
@@ -123,7 +133,8 @@
             Monotonic time in seconds at which the process must end.
 
         """
-        self._wait_quiet(ends - self._find_longest_timeout())
+        now = self.clock.read_monotonic()
+        self._wait_quiet(ends - self._find_longest_timeout(ends - now))
         self._front.stop_accepting()
         while self._handler.running and self.clock.read_monotonic() < ends:
             time.sleep(_TICK_SECONDS)
@@ -138,8 +149,13 @@
             if now - quiet_since > _QUIET_SECONDS:
                 return
 
-    def _find_longest_timeout(self) -> float:
+    def _find_longest_timeout(self, left: float) -> float:
         found = self.keeper.configuration
         routes = found.routes if found else ()
         longest = max((route.timeout for route in routes), default=0)
-        return min(longest, self.grace / 2)
+        return min(longest, left / 2)
+
+
+def _read_retry_terms(settings: NodeSettings) -> RetryTerms:
+    bounds = settings.bounds
+    return RetryTerms(bounds.retry_ratio, bounds.retry_slack)
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -95,8 +95,7 @@
     def start(self) -> None:
         """Start listening and the threads."""
         self.peers.start(self._handle)
-        for seed in self.settings.peers.seeds:
-            self.fleet.add_address(seed.rpartition(':')[0])
+        self.fleet.add_seeds(self.settings.peers.seeds)
         self._dial()
         self._store.start()
         for server in self._parts.servers:
@@ -118,6 +117,13 @@
         for server in self._parts.servers:
             server.stop()
 
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Put other settings in force; see `SettingsFile` for which."""
+        self.settings = settings
+        self._parts.apply_settings(settings)
+        self.placing.pools.replace_regions(settings.zones)
+        self.fleet.add_seeds(self.settings.peers.seeds)
+
     def kill(self) -> None:
         """End at once, as a process that loses power does."""
         self._is_ended.set()
--- a/sesameroute/node/_pools.py
+++ b/sesameroute/node/_pools.py
@@ -83,6 +83,12 @@
         rate = terms.cold_rate if terms else _USUAL_COLD_RATE
         pool.set_cold(rate, _LEAD_SHARE if is_lead else _STAND_IN_SHARE)
 
+    def replace_regions(self, regions: Mapping[str, str]) -> None:
+        """Replace the region of each zone."""
+        with self._lock:
+            self.regions = dict(regions)
+            self._synced.clear()
+
     def list_regions(self) -> set[str]:
         """Return all regions."""
         return set(self.regions.values())
--- a/sesameroute/node/_settings.py
+++ b/sesameroute/node/_settings.py
@@ -1,14 +1,13 @@
 """Settings of a node: one INI file, checked whole before it is used."""
 
-import os
 from configparser import Error, RawConfigParser
-from pathlib import Path
+from typing import Literal
 
 import msgspec
 
 from sesameroute.exceptions import InputError
 
-__all__ = ['NodeSettings', 'parse_node_settings', 'read_node_settings']
+__all__ = ['NodeSettings', 'parse_node_settings']
 
 _LIST_KEYS = frozenset(('ports', 'seeds'))
 
@@ -66,7 +65,7 @@
 class Log(msgspec.Struct, forbid_unknown_fields=True):
     """Event log."""
 
-    level: str = 'info'
+    level: Literal['debug', 'info', 'warning', 'error'] = 'info'
 
 
 class NodeSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -82,15 +81,6 @@
     log: Log = msgspec.field(default_factory=Log)
 
 
-def read_node_settings(path: str | os.PathLike[str]) -> NodeSettings:
-    """Return the settings of a file; raise InputError."""
-    try:
-        text = Path(path).read_text(encoding='utf-8')
-    except (OSError, ValueError) as error:
-        raise InputError(f'{path}: {error}') from error
-    return parse_node_settings(text, str(path))
-
-
 def parse_node_settings(text: str, source: str = '<text>') -> NodeSettings:
     """Return the settings of an INI text.
 
--- a/sesameroute/node/tests/test_node.py
+++ b/sesameroute/node/tests/test_node.py
@@ -1,5 +1,6 @@
 """Nodes on the platform: the whole path, and what goes wrong with it."""
 
+import json
 import socket
 import threading
 import time
@@ -8,6 +9,7 @@
 
 from sesameroute.forward.tests.servers import ScriptedServer
 from sesameroute.node.tests.scene import (
+    DIRECTORY,
     FRONT,
     NETWORK,
     Scene,
@@ -160,6 +162,21 @@
     assert wait_for(lambda: len(resolve(left)) == 2)
 
 
+def test_settings_change_while_the_node_runs(scene, server):
+    """Seeds, zones and bounds of a changed file are in force."""
+    nodes = [scene.add_node(number) for number in (1, 2)]
+    changed = nodes[0].settings
+    changed.peers.seeds = [f'{NETWORK}.2:1']
+    changed.zones = {**changed.zones, 'west-a': 'west'}
+    changed.bounds.longest_ttl = 0.5
+    nodes[0].apply_settings(changed)
+    assert wait_for_directory(1, 2)
+    assert 'west' in nodes[0].placing.pools.list_regions()
+    path = '/-/resolve?name=h&region=north&zone=north-a'
+    _status, _headers, body = call(1, DIRECTORY, path)
+    assert json.loads(body)['ttl_s'] == pytest.approx(0.5)
+
+
 def test_a_planned_stop_cuts_no_request(scene):
     """It leaves the directory at once and serves what it has taken."""
     slow = ScriptedServer('silent')
--- a/sesameroute/programs/node.py
+++ b/sesameroute/programs/node.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import queue
 import signal
 import sys
 import threading
@@ -9,13 +10,14 @@
 from absl import app, flags
 
 from sesameroute.exceptions import ExitCode, SesameError
-from sesameroute.node import FleetNode, NodeSettings, read_node_settings
+from sesameroute.node import FleetNode, NodeSettings, SettingsFile
 from sesameroute.telemetry import EventLog, LogBridge
 
 __all__ = ['run']
 
 _SETTINGS_VARIABLE = 'SESAMEROUTE_BOOT'
 _STACK_BYTES = 524_288  # of each thread
+_RELOAD_SECONDS = 1.0  # between two looks at the settings file
 
 _CONFIG = flags.DEFINE_string(
     'config',
@@ -30,49 +32,64 @@
 
 
 def _run(_arguments: list[str]) -> int:
-    told = _listen_to_signals()
+    signals = _listen_to_signals()
     threading.stack_size(_STACK_BYTES)
     path = _CONFIG.value or os.environ.get(_SETTINGS_VARIABLE, '')
     try:
-        settings = read_node_settings(path)
+        source = SettingsFile(path)
     except SesameError as error:
         print(f'{error.code}: {error.message}', file=sys.stderr)
         return int(error.exit_code)
-    _set_logging(settings)
-    node = FleetNode(settings)
+    _open_log(source.settings)
+    node = FleetNode(source.settings)
     try:
         node.start()
     except OSError as error:
         print(f'address: {error}', file=sys.stderr)
         return int(ExitCode.UNREACHABLE)
-    told.wait()
+    while _wait_for_signal(signals) != signal.SIGTERM:
+        if source.reload():
+            _set_level(source.settings)
+            node.apply_settings(source.settings)
     node.stop()
     return int(ExitCode.OK)
 
 
-def _listen_to_signals() -> threading.Event:
-    """Return an event that is set when the process should stop."""
-    told = threading.Event()
+def _listen_to_signals() -> queue.SimpleQueue[signal.Signals]:
+    """Return a queue of the signals to act on; SIGINT counts as SIGTERM."""
+    signals: queue.SimpleQueue[signal.Signals] = queue.SimpleQueue()
 
-    def tell(*_signal: object) -> None:
-        told.set()
+    def tell(number: int, _frame: object) -> None:
+        is_reload = number == signal.SIGHUP
+        signals.put(signal.SIGHUP if is_reload else signal.SIGTERM)
 
-    signal.signal(signal.SIGTERM, tell)
-    signal.signal(signal.SIGINT, tell)
-    # The settings say nothing that may change while the process runs.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    return told
+    for one in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(one, tell)
+    return signals
 
 
-def _set_logging(settings: NodeSettings) -> None:
-    log = EventLog(settings.node.name, level=settings.log.level)
+def _wait_for_signal(
+    signals: queue.SimpleQueue[signal.Signals],
+) -> signal.Signals | None:
+    """Return the next signal, or None when it is time to look at the file."""
+    try:
+        return signals.get(timeout=_RELOAD_SECONDS)
+    except queue.Empty:
+        return None
+
+
+def _open_log(settings: NodeSettings) -> None:
     logger = logging.getLogger('sesameroute')
     logger.propagate = False
-    logger.setLevel(logging.INFO)
-    logger.addHandler(LogBridge(log))
+    logger.addHandler(LogBridge(EventLog(settings.node.name, level='debug')))
+    _set_level(settings)
     # Broken answers are noted where they are judged.
     logging.getLogger('urllib3').setLevel(logging.CRITICAL)
 
 
+def _set_level(settings: NodeSettings) -> None:
+    logging.getLogger('sesameroute').setLevel(settings.log.level.upper())
+
+
 if __name__ == '__main__':
     run()
