--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -1,7 +1,6 @@
 """The nodes of the fleet as this one sees them."""
 
 import threading
-from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from sesameroute.placement import hash_key
@@ -78,11 +77,6 @@
         self.own = now
         return is_news
 
-    def add_seeds(self, seeds: Iterable[str]) -> None:
-        """Note nodes, given as ``IP:PORT``, to connect to."""
-        for seed in seeds:
-            self.add_address(seed.rpartition(':')[0])
-
     def add_address(self, address: str) -> None:
         """Note that there may be a node at an IP address."""
         if address and address != self.own.address:
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -95,7 +95,7 @@
     def start(self) -> None:
         """Start listening and the threads."""
         self.peers.start(self._handle)
-        self.fleet.add_seeds(self.settings.peers.seeds)
+        _note_seeds(self.fleet, self.settings)
         self._dial()
         self._store.start()
         for server in self._parts.servers:
@@ -122,7 +122,7 @@
         self.settings = settings
         self._parts.apply_settings(settings)
         self.placing.pools.replace_regions(settings.zones)
-        self.fleet.add_seeds(self.settings.peers.seeds)
+        _note_seeds(self.fleet, self.settings)
 
     def kill(self) -> None:
         """End at once, as a process that loses power does."""
@@ -201,3 +201,8 @@
         self.peers.set_targets(
             {address: (address, port) for address in self.fleet.list_targets()},
         )
+
+
+def _note_seeds(fleet: Fleet, settings: NodeSettings) -> None:
+    for seed in settings.peers.seeds:
+        fleet.add_address(seed.rpartition(':')[0])
