Give the slot back when a caller leaves a long answer; let a stop wait for streams

A stop waited for the heads of answers only and then ended after 0.2 s, so a long answer could be cut; requests are counted to the last byte now.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -8,6 +8,7 @@
 import logging
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -18,8 +19,9 @@
     HTTPServer,
 )
 
+from sesameroute.adapters._running import RunningRequests
 from sesameroute.exceptions import SesameError
-from sesameroute.ports import Answer
+from sesameroute.ports import Answer, SystemClock
 
 __all__ = ['FrontHandler', 'FrontServer']
 
@@ -68,15 +70,28 @@
         return super().communicate()
 
 
+@dataclass(frozen=True, slots=True)
+class _Front:
+    """What the server asks and tells beyond cheroot's own parts."""
+
+    handler: FrontHandler
+    is_leaving: Callable[[], bool]
+    running: RunningRequests
+
+
 class _Gateway(Gateway):
     """Passes a parsed request to the handler and writes its answer."""
 
     def respond(self) -> None:
         """Answer the request."""
-        request = self.req
+        front: _Front = self.req.server.front
+        with front.running.observe():
+            self._respond(self.req)
+
+    def _respond(self, request: Any) -> None:
         if request.server.requests.idle < request.server.spare_threads:
             request.server.is_short.set()
-        if request.server.is_leaving():
+        if request.server.front.is_leaving():
             request.close_connection = True
         if _is_ambiguous(request):
             request.close_connection = True
@@ -84,7 +99,7 @@
             request.sent_headers = True
             return
         request.conn.socket.settimeout(request.server.timeout)
-        answer = request.server.handler(request)
+        answer = request.server.front.handler(request)
         if answer is None:
             _end(request)
             return
@@ -105,8 +120,7 @@
     def __init__(
         self,
         address: tuple[str, int],
-        handler: FrontHandler,
-        is_leaving: Callable[[], bool],
+        front: _Front,
         threads: int,
     ) -> None:
         super().__init__(
@@ -115,8 +129,7 @@
             minthreads=threads,
             maxthreads=_MOST_THREADS,
         )
-        self.handler = handler
-        self.is_leaving = is_leaving
+        self.front = front
         self.is_short = threading.Event()
         self.spare_threads = min(_SPARE_THREADS, threads - 1)
         self.header_seconds = 3.0
@@ -150,6 +163,11 @@
     threads : int
         Threads at the start.
 
+    Attributes
+    ----------
+    running_ : RunningRequests
+        Those that are not answered whole.
+
     """
 
     def __init__(
@@ -161,7 +179,9 @@
     ) -> None:
         """Store the parameters."""
         self.address = address
-        self._server = _CallerServer(address, handler, is_leaving, threads)
+        self.running_ = RunningRequests(SystemClock())
+        front = _Front(handler, is_leaving, self.running_)
+        self._server = _CallerServer(address, front, threads)
         self._is_stopped = threading.Event()
         self._grower = threading.Thread(
             target=self._grow,
--- /dev/null
+++ b/sesameroute/adapters/_running.py
@@ -0,0 +1,48 @@
+"""Requests that a server has not answered whole."""
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from sesameroute.ports import Clock
+
+__all__ = ['RunningRequests']
+
+
+class RunningRequests:
+    """Counts requests from their arrival to the last byte of the answer.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    count : int
+        Requests that run now.
+    changed : float
+        Monotonic time in seconds at which the last one came or ended.
+
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Store the argument; nothing runs."""
+        self.clock = clock
+        self.count = 0
+        self.changed: float = 0
+        self._lock = threading.Lock()
+
+    @contextmanager
+    def observe(self) -> Iterator[None]:
+        """Count one request while the block runs."""
+        self._change(1)
+        try:
+            yield
+        finally:
+            self._change(-1)
+
+    def _change(self, change: int) -> None:
+        with self._lock:
+            self.count += change
+            self.changed = self.clock.read_monotonic()
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -234,7 +234,10 @@
             answer.length = len(first)
             answer.chunks = iter((first,))
             return answer
-        answer.chunks = self._stream(ask, grant, arrival, first, seconds)
+        chunks = self._stream(ask, grant, arrival, first, seconds)
+        # Only a generator that has started ends its blocks when it is closed.
+        next(chunks)
+        answer.chunks = chunks
         return answer
 
     def _stream(
@@ -247,7 +250,7 @@
     ) -> Iterator[bytes]:
         outcome = Outcome.CANCELLED
         try:
-            yield first
+            yield from (b'', first)
             yield from arrival.body
             outcome = Outcome.ANSWERED
         except TryError as error:
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -15,9 +15,11 @@
     )
 
 
+LONG = 400_000  # bytes, more than is read before an answer goes out
 WHOLE = build_answer(200, 'whole')
 SCRIPTS = {
     'whole': (WHOLE, 'keep'),
+    'long': (build_answer(200, 'x' * LONG), 'keep'),
     'failed': (build_answer(500, 'sorry'), 'keep'),
     'shed': (
         'HTTP/1.1 503 X\r\nSesameroute-Not-Run: 1\r\nContent-Length: 0\r\n\r\n',
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -15,7 +15,7 @@
     Sender,
 )
 from sesameroute.forward._refusals import GoneError
-from sesameroute.forward.tests.servers import ScriptedServer
+from sesameroute.forward.tests.servers import LONG, ScriptedServer
 from sesameroute.placement import Grant, Outcome, Reason, Refusal
 from sesameroute.platform import PlatformDialect
 from sesameroute.ports import SystemClock, TcpWire
@@ -106,6 +106,11 @@
 
     def forward(self, path='/p/x', body=b'', **options):
         """Forward one request; return status, headers and body."""
+        answer = self.open(path, body, **options)
+        return answer.status, dict(answer.headers), b''.join(answer.chunks)
+
+    def open(self, path='/p/x', body=b'', **options):
+        """Forward one request; return the answer with its body unread."""
         rest = [body]
 
         def read(size):
@@ -129,8 +134,7 @@
             self.clock.read_monotonic(),
             self.node_end,
         )
-        answer = self.forwarder.forward(request)
-        return answer.status, dict(answer.headers), b''.join(answer.chunks)
+        return self.forwarder.forward(request)
 
 
 @pytest.mark.parametrize(
@@ -369,3 +373,22 @@
     assert stage.forward(body=body)[0] == 502
     assert len(server.bodies[0]) == 400_000
     assert not second.heads
+
+
+@pytest.mark.parametrize('read', [0, 1, 3])
+def test_a_caller_that_leaves_a_long_answer_frees_the_slot(read):
+    """Also before the first byte of the answer was written."""
+    stage = Stage(ScriptedServer('long'))
+    answer = stage.open()
+    for _ in range(read):
+        next(answer.chunks)
+    assert not stage.placing.ends
+    answer.chunks.close()
+    assert [name for name, _ in stage.placing.ends] == ['a']
+
+
+def test_a_long_answer_is_whole():
+    """An answer that is too long to be read first is streamed."""
+    stage = Stage(ScriptedServer('long'))
+    assert len(stage.forward()[2]) == LONG
+    assert stage.placing.ends == [('a', Outcome.ANSWERED)]
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -1,9 +1,6 @@
 """What callers and the platform's checks reach on a node."""
 
 import logging
-import threading
-from collections.abc import Iterator
-from contextlib import contextmanager
 from http import HTTPStatus
 from typing import Any
 
@@ -37,40 +34,15 @@
     clock : Clock
         Source of time.
 
-    Attributes
-    ----------
-    running : int
-        Requests without an answer.
-    seen : float
-        Monotonic time in seconds at which the last one came or ended.
-
     """
 
     def __init__(self, forwarder: Forwarder, clock: Clock) -> None:
         """Store the parameters."""
         self.forwarder = forwarder
         self.clock = clock
-        self.running = 0
-        self.seen = 0
-        self._lock = threading.Lock()
 
     def __call__(self, request: Any) -> Answer | None:
         """Return the answer to one request, None if nobody takes it."""
-        with self._count():
-            return self._answer(request)
-
-    @contextmanager
-    def _count(self) -> Iterator[None]:
-        self._change(1)
-        yield
-        self._change(-1)
-
-    def _change(self, change: int) -> None:
-        with self._lock:
-            self.running += change
-            self.seen = self.clock.read_monotonic()
-
-    def _answer(self, request: Any) -> Answer | None:
         try:
             return self.forwarder.forward(self._read(request))
         except InputError as error:
--- a/sesameroute/node/_front_parts.py
+++ b/sesameroute/node/_front_parts.py
@@ -119,7 +119,7 @@
 
     def count_running(self) -> int:
         """Return the requests without an answer."""
-        return self._handler.running
+        return self._front.running_.count
 
     def leave(self, ends: float) -> None:
         """Serve until callers have gone elsewhere and all has ended.
@@ -136,7 +136,7 @@
         now = self.clock.read_monotonic()
         self._wait_quiet(ends - self._find_longest_timeout(ends - now))
         self._front.stop_accepting()
-        while self._handler.running and self.clock.read_monotonic() < ends:
+        while self.count_running() and self.clock.read_monotonic() < ends:
             time.sleep(_TICK_SECONDS)
 
     def _wait_quiet(self, until: float) -> None:
@@ -144,7 +144,8 @@
         while self.clock.read_monotonic() < until:
             time.sleep(_TICK_SECONDS)
             now = self.clock.read_monotonic()
-            if self._handler.running or self._handler.seen > quiet_since:
+            running = self._front.running_
+            if running.count or running.changed > quiet_since:
                 quiet_since = now
             if now - quiet_since > _QUIET_SECONDS:
                 return
