Give slots back on every way out of a try

Found by reading: a caller whose long body was cut while it was passed on, and a slot reserved for a next try when the caller left, kept their slots until the node was lost. The first has a test, which failed before.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -207,6 +207,11 @@
             seconds = self.clock.read_monotonic() - started
             self.placing.release(ask, grant, error.outcome, seconds)
             return self._judge(trip, error, backend)
+        except BaseException:
+            # Such as a caller whose body is cut while it is passed on.
+            self.placing.release(ask, grant, Outcome.CANCELLED, 0)
+            _drop_reserved(self.placing, trip)
+            raise
         return answer
 
     def _finish(
@@ -288,6 +293,7 @@
         """Return None to try again, or the final answer."""
         trip.last = error
         if error.outcome is Outcome.CANCELLED:
+            _drop_reserved(self.placing, trip)
             raise GoneError('the caller left while its request ran')
         may_repeat = trip.route.kind.is_idempotent or not error.may_have_run
         has_time = trip.until - self.clock.read_monotonic() > _RETRY_FLOOR
@@ -300,8 +306,7 @@
         ):
             _note(trip, 'request sent again', error.code, backend.name)
             return None
-        if trip.reserved is not None:
-            self.placing.release(*trip.reserved, Outcome.CANCELLED, 0)
+        _drop_reserved(self.placing, trip)
         _note(trip, 'request failed', error.code, backend.name)
         return answer_try(error, trip.limit_pause(self.clock.read_monotonic()))
 
@@ -313,6 +318,13 @@
         return answer_refusal(refusal)
 
 
+def _drop_reserved(placing: Placing, trip: Trip) -> None:
+    """Give back the slot of a next try that will not be made."""
+    if trip.reserved is not None:
+        placing.release(*trip.reserved, Outcome.CANCELLED, 0)
+        trip.reserved = None
+
+
 def _note(trip: Trip, event: str, why: str, backend: str) -> None:
     _logger.info(
         event,
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sesameroute.adapters import KeptConnections
+from sesameroute.exceptions import InputError
 from sesameroute.forward import (
     CallerRequest,
     Forwarder,
@@ -129,7 +130,7 @@
                 ('Connection', 'keep-alive'),
                 ('X-Other', 'kept'),
             ),
-            read,
+            options.get('read', read),
             options.get('length', len(body)),
             self.clock.read_monotonic(),
             self.node_end,
@@ -392,3 +393,17 @@
     stage = Stage(ScriptedServer('long'))
     assert len(stage.forward()[2]) == LONG
     assert stage.placing.ends == [('a', Outcome.ANSWERED)]
+
+
+def test_a_body_that_is_cut_frees_the_slot():
+    """A caller that fails while its long body is passed on keeps nothing."""
+    stage = Stage(ScriptedServer('silent'))
+
+    def read(size):
+        if stage.placing.asks:
+            raise InputError('body was cut')
+        return b'x' * size
+
+    with pytest.raises(InputError):
+        stage.open(body=b'x', read=read, length=LONG)
+    assert [name for name, _ in stage.placing.ends] == ['a']
