Bound the node's lines, write them from one thread, count requests and waits

Lines of one event are limited to 100 a second, with a count of those left out; a queue of 4096 lines and one writer keep a stalled reader from holding requests up. Late answers have a line with the time without a slot, some good ones too (one in 64); a dropped request has its id. Metrics are exposed on the address that the deployment names.

--- a/sesameroute/forward/__init__.py
+++ b/sesameroute/forward/__init__.py
@@ -1,5 +1,6 @@
 """Forwards callers' requests to backend servers."""
 
+from sesameroute.forward._account import RequestRecord
 from sesameroute.forward._forwarder import Forwarder, Placing
 from sesameroute.forward._message import (
     CallerRequest,
@@ -18,6 +19,7 @@
     'Forwarder',
     'Marks',
     'Placing',
+    'RequestRecord',
     'RetryBudgets',
     'RetryTerms',
     'Sender',
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -1,11 +1,16 @@
 """The way of one request through a node."""
 
-import logging
 from collections.abc import Iterator
 from http import HTTPStatus
 from typing import Protocol
 
 from sesameroute.adapters import has_left
+from sesameroute.forward._account import (
+    Observer,
+    RequestRecord,
+    note_end,
+    note_event,
+)
 from sesameroute.forward._message import (
     CallerRequest,
     TryError,
@@ -37,8 +42,6 @@
 _RETRY_FLOOR = 0.03  # seconds: no try is begun with less time left
 _UNKNOWN_PAUSE = 0.3  # seconds until a configuration is likely known
 
-_logger = logging.getLogger(__name__)
-
 
 class Placing(Protocol):
     """Grants slots and takes them back."""
@@ -74,6 +77,11 @@
     clock : Clock
         Source of time.
 
+    Attributes
+    ----------
+    observe_ : callable
+        Takes the record of each request that got an answer.
+
     """
 
     def __init__(
@@ -92,6 +100,7 @@
         self.sender = sender
         self.retries = retries
         self.clock = clock
+        self.observe_: Observer = _ignore
         self._returns = ReturnDetector()
 
     def forward(self, request: CallerRequest) -> Answer:
@@ -121,6 +130,7 @@
         answer = self._try_once(trip)
         while answer is None:
             answer = self._try_once(trip)
+        self.observe_(note_end(trip, answer, self.clock.read_monotonic()))
         return answer
 
     def _open(self, request: CallerRequest, route: Route) -> Trip:
@@ -146,6 +156,7 @@
             return self._refuse(trip, placed)
         if trip.route.kind.is_idempotent and has_left(trip.request.caller):
             self.placing.release(ask, placed, Outcome.CANCELLED, 0)
+            note_event(trip, 'request dropped', 'caller-left', '')
             raise GoneError('the caller left before its request was sent')
         entry = self.registry.find(placed.backend)
         if not self.registry.permits(placed.backend, placed.incarnation):
@@ -161,7 +172,11 @@
             trip.reserved = None
             return reserved
         ask = self._build_ask(trip, may_wait=trip.lost > 0 or trip.attempts > 0)
-        return ask, self.placing.place(ask)
+        asked = self.clock.read_monotonic()
+        placed = self.placing.place(ask)
+        trip.seen = self.clock.read_monotonic()
+        trip.waited += trip.seen - asked
+        return ask, placed
 
     def _build_ask(self, trip: Trip, *, may_wait: bool) -> Ask:
         now = self.clock.read_monotonic()
@@ -188,6 +203,7 @@
         backend: Backend,
     ) -> Answer | None:
         trip.attempts += 1
+        trip.backend = backend.name
         trip.excluded = (*trip.excluded, backend.name)
         started = self.clock.read_monotonic()
         try:
@@ -202,7 +218,7 @@
                 ),
                 fresh=not trip.route.kind.is_idempotent,
             )
-            answer = self._finish(trip, ask, grant, arrival, started)
+            answer = self._finish(trip, (ask, grant), arrival, started)
         except TryError as error:
             seconds = self.clock.read_monotonic() - started
             self.placing.release(ask, grant, error.outcome, seconds)
@@ -217,8 +233,7 @@
     def _finish(
         self,
         trip: Trip,
-        ask: Ask,
-        grant: Grant,
+        slot: tuple[Ask, Grant],
         arrival: Arrival,
         started: float,
     ) -> Answer:
@@ -235,11 +250,11 @@
         if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             outcome = Outcome.FAILED
         if is_whole:
-            self.placing.release(ask, grant, outcome, seconds)
+            self.placing.release(*slot, outcome, seconds)
             answer.length = len(first)
             answer.chunks = iter((first,))
             return answer
-        chunks = self._stream(ask, grant, arrival, first, seconds)
+        chunks = self._stream(trip, slot, arrival, first, seconds)
         # Only a generator that has started ends its blocks when it is closed.
         next(chunks)
         answer.chunks = chunks
@@ -247,8 +262,8 @@
 
     def _stream(
         self,
-        ask: Ask,
-        grant: Grant,
+        trip: Trip,
+        slot: tuple[Ask, Grant],
         arrival: Arrival,
         first: bytes,
         seconds: float,
@@ -260,14 +275,11 @@
             outcome = Outcome.ANSWERED
         except TryError as error:
             outcome = error.outcome
-            _logger.warning(
-                'answer cut midway',
-                extra={'backend': grant.backend, 'why': error.message},
-            )
+            note_event(trip, 'answer cut midway', outcome.value, trip.backend)
             raise
         finally:
             arrival.body.close()
-            self.placing.release(ask, grant, outcome, seconds)
+            self.placing.release(*slot, outcome, seconds)
 
     def _take_leave(self, trip: Trip) -> bool:
         """Return whether a try may be given up for another one.
@@ -294,6 +306,7 @@
         trip.last = error
         if error.outcome is Outcome.CANCELLED:
             _drop_reserved(self.placing, trip)
+            note_event(trip, 'request dropped', 'caller-left', backend.name)
             raise GoneError('the caller left while its request ran')
         may_repeat = trip.route.kind.is_idempotent or not error.may_have_run
         has_time = trip.until - self.clock.read_monotonic() > _RETRY_FLOOR
@@ -304,14 +317,14 @@
             and trip.attempts < trip.route.max_attempts
             and (trip.reserved or self.retries.choose(trip.service))
         ):
-            _note(trip, 'request sent again', error.code, backend.name)
+            note_event(trip, 'request sent again', error.code, backend.name)
             return None
         _drop_reserved(self.placing, trip)
-        _note(trip, 'request failed', error.code, backend.name)
+        note_event(trip, 'request failed', error.code, backend.name)
         return answer_try(error, trip.limit_pause(self.clock.read_monotonic()))
 
     def _refuse(self, trip: Trip, refusal: Refusal) -> Answer:
-        _note(trip, 'request turned away', refusal.reason.value, '')
+        note_event(trip, 'request turned away', refusal.reason.value, '')
         last = trip.last
         if last is not None and last.may_have_run:
             return answer_try(last, 0)
@@ -325,15 +338,5 @@
         trip.reserved = None
 
 
-def _note(trip: Trip, event: str, why: str, backend: str) -> None:
-    _logger.info(
-        event,
-        extra={
-            'request': trip.terms.identifier,
-            'route': trip.route.name,
-            'service': trip.service,
-            'why': why,
-            'backend': backend or '-',
-            'attempt': trip.attempts,
-        },
-    )
+def _ignore(_record: RequestRecord) -> None:
+    """Keep no record."""
--- a/sesameroute/forward/_trip.py
+++ b/sesameroute/forward/_trip.py
@@ -60,6 +60,12 @@
         How the last try failed.
     reserved : tuple of (Ask, Grant) or None
         Slot of the next try, taken while the last one ran.
+    waited : float
+        Seconds spent on getting slots.
+    seen : float
+        Monotonic time of the last decision in seconds.
+    backend : str
+        Backend server of the last try.
 
     """
 
@@ -74,6 +80,9 @@
     excluded: tuple[str, ...] = ()
     last: TryError | None = None
     reserved: tuple[Ask, Grant] | None = None
+    waited: float = 0
+    seen: float = 0
+    backend: str = ''
 
     def limit_pause(self, now: float) -> float:
         """Return the seconds after which the caller may come back."""
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -49,9 +49,8 @@
             request.close_connection = True
             _logger.info('request not valid', extra={'why': error.message})
             return Answer(HTTPStatus.BAD_REQUEST, (), iter(()), 0)
-        except SesameError as error:
-            _logger.info('request dropped', extra={'why': error.code})
-            return None
+        except SesameError:
+            return None  # the forwarder has said why
 
     def _read(self, request: Any) -> CallerRequest:
         headers = tuple(
--- a/sesameroute/node/_front_parts.py
+++ b/sesameroute/node/_front_parts.py
@@ -63,29 +63,23 @@
             fleet.count,
             is_leaving.is_set,
         )
-        self._handler = FrontHandler(
-            Forwarder(
-                keeper,
-                registry,
-                placing,
-                Sender(
-                    KeptConnections(
-                        TcpWire(),
-                        settings.node.address,
-                        self.clock,
-                    ),
-                    PlatformDialect(),
-                    self.clock,
-                ),
-                self._retries,
-                self.clock,
-            ),
+        connections = KeptConnections(
+            TcpWire(),
+            settings.node.address,
+            self.clock,
+        )
+        self.forwarder = Forwarder(
+            keeper,
+            registry,
+            placing,
+            Sender(connections, PlatformDialect(), self.clock),
+            self._retries,
             self.clock,
         )
         self._directory = DirectoryHandler(fleet, settings.bounds.longest_ttl)
         self._front = FrontServer(
             parse_address(settings.listen.front),
-            self._handler,
+            FrontHandler(self.forwarder, self.clock),
             is_leaving.is_set,
         )
         ready = FrontServer(
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -10,6 +10,7 @@
 from sesameroute.mirror import MirrorNews, MirrorQuery
 from sesameroute.node._fleet import Fleet, NodeState
 from sesameroute.node._front_parts import FrontParts
+from sesameroute.node._metrics import MetricsServer, NodeMeter
 from sesameroute.node._placing import FleetPlacing
 from sesameroute.node._receiver import NodeReceiver
 from sesameroute.node._settings import NodeSettings
@@ -89,6 +90,9 @@
             self.placing,
             self._is_leaving,
         )
+        self._servers = list(self._parts.servers)
+        if settings.listen.metrics:
+            self._open_metrics(settings.listen.metrics)
         self._is_ended = threading.Event()
         self._connected: frozenset[str] = frozenset()
 
@@ -96,9 +100,9 @@
         """Start listening and the threads."""
         self.peers.start(self._handle)
         _note_seeds(self.fleet, self.settings)
-        self._dial()
+        _dial(self.fleet, self.peers, self.settings)
         self._store.start()
-        for server in self._parts.servers:
+        for server in self._servers:
             server.start()
         for name, loop in (('tick', self._tick), ('beat', self._beat)):
             threading.Thread(target=loop, name=name, daemon=True).start()
@@ -108,14 +112,13 @@
         """Leave in order: no request is cut."""
         grace = self.settings.bounds.grace - _STOP_MARGIN
         ends = self.clock.read_monotonic() + grace
-        self._announce_leaving()
+        _logger.info('node stopping')
+        self._is_leaving.set()
+        self._tell_state()
+        self._store.leave()
         self._parts.leave(ends)
-        self._is_ended.set()
-        self._store.stop()
-        self.peers.stop()
         _logger.info('node stopped', extra={'cut': self._parts.count_running()})
-        for server in self._parts.servers:
-            server.stop()
+        self._end()
 
     def apply_settings(self, settings: NodeSettings) -> None:
         """Put other settings in force; see `SettingsFile` for which."""
@@ -126,18 +129,27 @@
 
     def kill(self) -> None:
         """End at once, as a process that loses power does."""
+        for server in self._servers:
+            server.stop_accepting()
+        self._end()
+
+    def _end(self) -> None:
         self._is_ended.set()
         self._store.stop()
         self.peers.stop()
-        for server in self._parts.servers:
-            server.stop_accepting()
+        for server in self._servers:
             server.stop()
 
-    def _announce_leaving(self) -> None:
-        _logger.info('node stopping')
-        self._is_leaving.set()
-        self._tell_state()
-        self._store.leave()
+    def _open_metrics(self, address: str) -> None:
+        meter = NodeMeter(
+            self.keeper,
+            self.registry,
+            self.placing,
+            self.peers,
+        )
+        self._parts.forwarder.observe_ = meter.observe
+        self._store.observe_calls(meter.observe_call)
+        self._servers.append(MetricsServer(address, meter))
 
     def _handle(self, sender: str, message: Any) -> Any:
         if isinstance(message, NodeState):
@@ -186,7 +198,7 @@
     def _beat(self) -> None:
         while not self._is_ended.wait(_STATE_SECONDS):
             self._tell_state()
-            self._dial()
+            _dial(self.fleet, self.peers, self.settings)
             self._store.sync.ask_if_empty()
 
     def _tell_state(self) -> None:
@@ -196,13 +208,14 @@
         for peer in self.peers.list_connected():
             self.peers.cast(peer, state)
 
-    def _dial(self) -> None:
-        port = self.settings.peers.ports[0]
-        self.peers.set_targets(
-            {address: (address, port) for address in self.fleet.list_targets()},
-        )
-
 
 def _note_seeds(fleet: Fleet, settings: NodeSettings) -> None:
     for seed in settings.peers.seeds:
         fleet.add_address(seed.rpartition(':')[0])
+
+
+def _dial(fleet: Fleet, peers: PeerNetwork, settings: NodeSettings) -> None:
+    port = settings.peers.ports[0]
+    peers.set_targets(
+        {address: (address, port) for address in fleet.list_targets()},
+    )
--- a/sesameroute/node/_placing.py
+++ b/sesameroute/node/_placing.py
@@ -132,6 +132,13 @@
             for leader, report in self._list_reports(pool, now):
                 self.peers.cast(leader, report)
 
+    def count_slots(self) -> Iterator[tuple[str, int, float]]:
+        """Yield each service with its granted and its usable slots."""
+        now = self.clock.read_monotonic()
+        for pool in self.pools:
+            report = pool.make_report(now)
+            yield report.service, sum(report.held.values()), report.room
+
     def _list_reports(
         self,
         pool: Pool,
--- a/sesameroute/node/_settings.py
+++ b/sesameroute/node/_settings.py
@@ -27,6 +27,7 @@
     front: str
     ready: str
     directory: str
+    metrics: str = ''
 
 
 class Peers(msgspec.Struct, forbid_unknown_fields=True):
--- a/sesameroute/node/_store_parts.py
+++ b/sesameroute/node/_store_parts.py
@@ -1,5 +1,7 @@
 """What a node reads from and writes to the platform's store."""
 
+from collections.abc import Callable
+
 from sesameroute.mirror import Mirror, MirrorNews, StoreWatcher
 from sesameroute.node._address import parse_address
 from sesameroute.node._fleet import Fleet
@@ -43,7 +45,7 @@
         self.clock = clock
         place = settings.node
         feed = PlatformFeed(receiver)
-        store = PlatformStore(
+        self._store = PlatformStore(
             parse_address(settings.store.address),
             TcpWire(),
             place.address,
@@ -52,13 +54,13 @@
         self.sync = MirrorSync(self.mirror, fleet, peers, clock)
         self._watcher = StoreWatcher(
             self.mirror,
-            store,
+            self._store,
             self.sync.is_needed,
             self.sync.tell,
             clock,
         )
         self._membership = Membership(
-            store,
+            self._store,
             feed.name_member(place.address),
             feed.write_member(place.address, place.zone, place.region),
         )
@@ -68,6 +70,10 @@
         self._watcher.start()
         self._membership.start()
 
+    def observe_calls(self, observe: Callable[[str, str], None]) -> None:
+        """Call something with the name and the result of each call."""
+        self._store.on_call = observe
+
     def leave(self) -> None:
         """Take this node's entry out of the store."""
         self._membership.stop()
--- a/sesameroute/node/tests/scene.py
+++ b/sesameroute/node/tests/scene.py
@@ -13,6 +13,7 @@
 # Runs side by side on one machine stay apart.
 NETWORK = f'127.{20 + os.getpid() % 60}.{os.getpid() // 60 % 250}'
 FRONT, READY, DIRECTORY, PEERS = 18410, 18411, 18412, 18413
+METRICS = 18414
 
 SETTINGS = """
 [node]
@@ -24,6 +25,7 @@
 front = {address}:{front}
 ready = {address}:{ready}
 directory = {address}:{directory}
+metrics = {address}:18414
 [peers]
 ports = {peers},{peers}
 key = key of this test 0123456789
--- a/sesameroute/node/tests/test_node.py
+++ b/sesameroute/node/tests/test_node.py
@@ -11,6 +11,7 @@
 from sesameroute.node.tests.scene import (
     DIRECTORY,
     FRONT,
+    METRICS,
     NETWORK,
     Scene,
     call,
@@ -253,3 +254,25 @@
         answer = caller.recv(65536)
     assert answer.split(b' ', 2)[1] == status
     assert not server.heads
+
+
+def test_metrics_tell_what_the_node_did(scene, server):
+    """Requests, waits, slots and the store's calls are counted."""
+    scene.add_node(1)
+    assert wait_for(lambda: send(1)[0] == 200)
+    _status, _headers, body = call(1, METRICS, '/metrics')
+    text = body.decode()
+    counted = 'sesame_requests_total{kind="r",outcome="answered",service="s"} 1'
+    assert counted in text
+    assert 'sesame_slots{service="s"} 4' in text
+    assert 'sesame_backends{} 1' in text or 'sesame_backends 1' in text
+    assert 'sesame_store_calls_total{call=' in text
+    assert 'sesame_wait_seconds_count{service="s"} 1' in text
+
+
+def test_a_port_that_is_taken_costs_the_metrics_only(scene, server):
+    """A node serves callers without an address for its metrics."""
+    address = f'{NETWORK}.1', METRICS
+    with socket.create_server(address):
+        scene.add_node(1)
+        assert wait_for(lambda: send(1)[0] == 200)
--- a/sesameroute/programs/explain.py
+++ b/sesameroute/programs/explain.py
@@ -24,6 +24,15 @@
     'request-sent-again': 'failed at {backend} and was sent again',
     'request-failed': 'failed for good at {backend}',
     'answer-cut-midway': 'lost its answer midway from {backend}',
+    'request-dropped': 'was dropped',
+    'request-late': (
+        'was answered late by {backend} (status {status}):'
+        ' {took_ms} ms here, {waited_ms} ms of them without a slot,'
+        ' {earlier_ms} ms in earlier attempts, for {objective_ms} ms'
+    ),
+    'request-answered': (
+        'was answered by {backend} (status {status}) in {took_ms} ms'
+    ),
 }
 _REASONS = {  # noqa: WPS407
     'no-room': 'no slot could be had in time: it has not run',
@@ -35,6 +44,7 @@
     'lost': 'the answer was lost or broken: it may have run',
     'timed-out': 'no answer came in time: it may have run',
     'cancelled': 'the caller left',
+    'caller-left': 'the caller closed its connection',
 }
 
 
@@ -70,12 +80,18 @@
 def _describe(fields: dict[str, str]) -> str:
     event = fields.get('event', '?')
     why = fields.get('why', '')
-    told = _EVENTS.get(event, event).format(
-        backend=fields.get('backend', '?'),
-    )
-    reason = _REASONS.get(why, why)
+    told = _EVENTS.get(event, event).format_map(_Fields(fields))
     place = f'{fields.get("time", "?")} {fields.get("node", "?")}'
-    return f'{place}: {told} ({reason})'
+    if not why:
+        return f'{place}: {told}'
+    return f'{place}: {told} ({_REASONS.get(why, why)})'
+
+
+class _Fields(dict):  # noqa: WPS600 - only `__missing__` is added
+    """The fields of a line; what an older line lacks reads as unknown."""
+
+    def __missing__(self, name: str) -> str:
+        return '?'
 
 
 def run() -> None:
--- a/sesameroute/programs/node.py
+++ b/sesameroute/programs/node.py
@@ -11,12 +11,19 @@
 
 from sesameroute.exceptions import ExitCode, SesameError
 from sesameroute.node import FleetNode, NodeSettings, SettingsFile
-from sesameroute.telemetry import EventLog, LogBridge
+from sesameroute.ports import SystemClock
+from sesameroute.telemetry import (
+    EventLog,
+    LineBudget,
+    LogBridge,
+    QueuedStream,
+)
 
 __all__ = ['run']
 
 _SETTINGS_VARIABLE = 'SESAMEROUTE_BOOT'
 _STACK_BYTES = 524_288  # of each thread
+_LOG_SECONDS = 0.2  # for the last lines at the end
 _RELOAD_SECONDS = 1.0  # between two looks at the settings file
 
 _CONFIG = flags.DEFINE_string(
@@ -40,7 +47,7 @@
     except SesameError as error:
         print(f'{error.code}: {error.message}', file=sys.stderr)
         return int(error.exit_code)
-    _open_log(source.settings)
+    lines = _open_log(source.settings)
     node = FleetNode(source.settings)
     try:
         node.start()
@@ -52,6 +59,7 @@
             _set_level(source.settings)
             node.apply_settings(source.settings)
     node.stop()
+    lines.close(_LOG_SECONDS)
     return int(ExitCode.OK)
 
 
@@ -78,13 +86,22 @@
         return None
 
 
-def _open_log(settings: NodeSettings) -> None:
+def _open_log(settings: NodeSettings) -> QueuedStream:
+    name = settings.node.name
+
+    def describe(count: int) -> str:
+        return f'level=warning node={name} event=lines-dropped count={count}'
+
+    stream = QueuedStream(sys.stdout, describe)
+    bridge = LogBridge(EventLog(name, stream=stream, level='debug'))
+    bridge.addFilter(LineBudget(SystemClock()))
     logger = logging.getLogger('sesameroute')
     logger.propagate = False
-    logger.addHandler(LogBridge(EventLog(settings.node.name, level='debug')))
+    logger.addHandler(bridge)
     _set_level(settings)
     # Broken answers are noted where they are judged.
     logging.getLogger('urllib3').setLevel(logging.CRITICAL)
+    return stream
 
 
 def _set_level(settings: NodeSettings) -> None:
--- a/sesameroute/programs/tests/test_node.py
+++ b/sesameroute/programs/tests/test_node.py
@@ -43,7 +43,7 @@
     command = (sys.executable, '-m', 'sesameroute.programs.node')
     with subprocess.Popen(
         (*command, f'--config={path}'),
-        stderr=subprocess.PIPE,
+        stdout=subprocess.PIPE,
         text=True,
     ) as process:
         try:
@@ -56,7 +56,7 @@
 
 def find_event(process, event):
     """Return the next line with an event; empty when there is none."""
-    for line in process.stderr:
+    for line in process.stdout:
         if f'event={event}' in line:
             return line
     return ''
--- a/sesameroute/telemetry/__init__.py
+++ b/sesameroute/telemetry/__init__.py
@@ -11,8 +11,10 @@
     submod_attrs={
         '_bridge': ['LogBridge'],
         '_events': ['EventLog', 'PairsFormatter'],
+        '_line_budget': ['LineBudget'],
         '_lines': ['parse_line'],
         '_meter': ['Meter', 'Metric'],
+        '_queued': ['QueuedStream'],
         '_tracer': ['Span', 'Tracer'],
     },
 )
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -77,6 +77,41 @@
         'sesame_peers_connected',
         'Entry VMs with a live peer stream.',
     )
+    WAIT_SECONDS = _Specification(
+        Histogram,
+        'sesame_wait_seconds',
+        'Seconds that a request spent on getting slots, by service.',
+    )
+    SLOTS_HELD = _Specification(
+        Gauge,
+        'sesame_slots_held',
+        'Slots that the pool on this node has granted, by service.',
+    )
+    SLOTS = _Specification(
+        Gauge,
+        'sesame_slots',
+        'Usable slots that the pool on this node knows, by service.',
+    )
+    BACKENDS = _Specification(
+        Gauge,
+        'sesame_backends',
+        'Backend servers in the registry.',
+    )
+    STORE_CALLS = _Specification(
+        Counter,
+        'sesame_store_calls_total',
+        'Calls to the store by name and result.',
+    )
+    THREADS = _Specification(
+        Gauge,
+        'sesame_threads',
+        'Threads of the process.',
+    )
+    MEMORY_BYTES = _Specification(
+        Gauge,
+        'sesame_memory_peak_bytes',
+        'Peak of the memory of the process.',
+    )
 
 
 class Meter:
