Keep requests that crash backend servers away from the others, fleet-wide

The quarantine of the product's own delivery moves to a package of its own; the node counts a loss when the connection ends without an answer, tells its peers, and runs nothing that was lost with three servers unless it was answered within the last minute.

--- a/sesameroute/delivery/_attempt.py
+++ b/sesameroute/delivery/_attempt.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from sesameroute.delivery._body import CheckedBody, read_whole
-from sesameroute.delivery._quarantine import Quarantine
 from sesameroute.exceptions import RequestError
 from sesameroute.ports import (
     Answer,
@@ -17,6 +16,7 @@
     Steering,
     Upstreams,
 )
+from sesameroute.quarantine import Quarantine
 from sesameroute.verdict import Verdict
 
 __all__ = ['LOCAL_CODES', 'Attempt']
--- a/sesameroute/delivery/_handler.py
+++ b/sesameroute/delivery/_handler.py
@@ -5,18 +5,20 @@
 
 from sesameroute.delivery._key import RequestKey
 from sesameroute.delivery._message import (
-    Acquittal,
     FenceAsk,
     Handover,
     HandoverReply,
-    LossReport,
     RecordAsk,
-    TrialAsk,
-    TrialReply,
     WitnessReply,
 )
-from sesameroute.delivery._quarantine import Quarantine
 from sesameroute.delivery._witness import Witness
+from sesameroute.quarantine import (
+    Acquittal,
+    LossReport,
+    Quarantine,
+    TrialAsk,
+    TrialReply,
+)
 
 __all__ = ['PeerHandler']
 
@@ -62,9 +64,7 @@
 
     @_handle.register
     def _handle_loss(self, message: LossReport, sender: str) -> None:
-        if not self.quarantine.merge(message, sender):
-            acquittal = Acquittal(message.fingerprint)
-            self.quarantine.peers.cast(sender, acquittal)
+        self.quarantine.hear(message, sender)
 
     @_handle.register
     def _handle_acquittal(self, message: Acquittal, sender: str) -> None:
--- a/sesameroute/delivery/_parts.py
+++ b/sesameroute/delivery/_parts.py
@@ -11,13 +11,13 @@
 from sesameroute.delivery._hedge import Hedger
 from sesameroute.delivery._home import Home
 from sesameroute.delivery._key import Identity
-from sesameroute.delivery._quarantine import Quarantine
 from sesameroute.delivery._record import Record
 from sesameroute.delivery._relay import EntryRelay, Relay
 from sesameroute.delivery._retry import Retrier
 from sesameroute.delivery._stop import Stopper
 from sesameroute.delivery._witness import Witness
 from sesameroute.ports import Clock, Peers, Steering, Upstreams
+from sesameroute.quarantine import Quarantine
 from sesameroute.statement import Statement
 
 __all__ = ['DeliveryPorts', 'Parts', 'assemble_parts']
--- a/sesameroute/forward/__init__.py
+++ b/sesameroute/forward/__init__.py
@@ -1,7 +1,7 @@
 """Forwards callers' requests to backend servers."""
 
 from sesameroute.forward._account import RequestRecord
-from sesameroute.forward._forwarder import Forwarder, Placing
+from sesameroute.forward._forwarder import Forwarder, Guards, Placing
 from sesameroute.forward._message import (
     CallerRequest,
     CallerTerms,
@@ -17,6 +17,7 @@
     'CallerTerms',
     'Dialect',
     'Forwarder',
+    'Guards',
     'Marks',
     'Placing',
     'RequestRecord',
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 from http import HTTPStatus
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from sesameroute.adapters import has_left
+from sesameroute.exceptions import RequestError
 from sesameroute.forward._account import (
     Observer,
     RequestRecord,
@@ -34,10 +35,11 @@
 )
 from sesameroute.placement import Ask, Grant, Outcome, Refusal
 from sesameroute.ports import Answer, Clock
+from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Backend, Registry
 from sesameroute.routes import ConfigurationKeeper, Route
 
-__all__ = ['Forwarder', 'Placing']
+__all__ = ['Forwarder', 'Guards', 'Placing']
 
 _RETRY_FLOOR = 0.03  # seconds: no try is begun with less time left
 _UNKNOWN_PAUSE = 0.3  # seconds until a configuration is likely known
@@ -59,6 +61,22 @@
         """Take a slot back."""
 
 
+class Guards(NamedTuple):
+    """What keeps tries away from backend servers.
+
+    Attributes
+    ----------
+    retries : RetryBudgets
+        Bounds tries beyond the first.
+    quarantine : Quarantine
+        Knows requests that crash backend servers.
+
+    """
+
+    retries: RetryBudgets
+    quarantine: Quarantine
+
+
 class Forwarder:
     """Finds a backend server for each request and returns its answer.
 
@@ -72,8 +90,8 @@
         Grants slots.
     sender : Sender
         Sends requests.
-    retries : RetryBudgets
-        Bounds tries beyond the first.
+    guards : Guards
+        What keeps tries away from backend servers.
     clock : Clock
         Source of time.
 
@@ -90,7 +108,7 @@
         registry: Registry,
         placing: Placing,
         sender: Sender,
-        retries: RetryBudgets,
+        guards: Guards,
         clock: Clock,
     ) -> None:
         """Store the parameters."""
@@ -98,7 +116,8 @@
         self.registry = registry
         self.placing = placing
         self.sender = sender
-        self.retries = retries
+        self.retries = guards.retries
+        self.quarantine = guards.quarantine
         self.clock = clock
         self.observe_: Observer = _ignore
         self._returns = ReturnDetector()
@@ -127,9 +146,10 @@
         trip = self._open(request, route)
         trip.body = read_body(request)
         self.retries.observe(trip.service)
-        answer = self._try_once(trip)
+        answer = None
         while answer is None:
-            answer = self._try_once(trip)
+            answer = _refuse_harmful(self.quarantine, trip)
+            answer = answer or self._try_once(trip)
         self.observe_(note_end(trip, answer, self.clock.read_monotonic()))
         return answer
 
@@ -218,6 +238,7 @@
                 ),
                 fresh=not trip.route.kind.is_idempotent,
             )
+            self.quarantine.observe_answer(trip.fingerprint)
             answer = self._finish(trip, (ask, grant), arrival, started)
         except TryError as error:
             seconds = self.clock.read_monotonic() - started
@@ -304,6 +325,8 @@
     ) -> Answer | None:
         """Return None to try again, or the final answer."""
         trip.last = error
+        if error.outcome is Outcome.LOST:
+            self.quarantine.observe_loss(trip.fingerprint, backend.name)
         if error.outcome is Outcome.CANCELLED:
             _drop_reserved(self.placing, trip)
             note_event(trip, 'request dropped', 'caller-left', backend.name)
@@ -340,3 +363,16 @@
 
 def _ignore(_record: RequestRecord) -> None:
     """Keep no record."""
+
+
+def _refuse_harmful(quarantine: Quarantine, trip: Trip) -> Answer | None:
+    """Return an answer to a request that crashes backend servers."""
+    try:
+        quarantine.check(trip.fingerprint)
+    except RequestError as error:
+        note_event(trip, 'request turned away', error.code, '')
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        if trip.attempts:
+            status = HTTPStatus.BAD_GATEWAY
+        return answer_status(status, error.code)
+    return None
--- a/sesameroute/forward/_trip.py
+++ b/sesameroute/forward/_trip.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+import xxhash
+
 from sesameroute.forward._message import (
     CallerRequest,
     CallerTerms,
@@ -84,6 +86,18 @@
     seen: float = 0
     backend: str = ''
 
+    @property
+    def fingerprint(self) -> str:
+        """Digest of what makes a request the same when it comes again."""
+        request = self.request
+        digest = xxhash.xxh3_64()
+        for part in (request.method, request.host, request.target):
+            digest.update(f'{part}\0'.encode())
+        digest.update(self.terms.key.encode())
+        if isinstance(self.body, bytes):
+            digest.update(self.body)
+        return digest.hexdigest()
+
     def limit_pause(self, now: float) -> float:
         """Return the seconds after which the caller may come back."""
         left = max(self.until - now, 0)
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -11,6 +11,7 @@
 from sesameroute.forward import (
     CallerRequest,
     Forwarder,
+    Guards,
     RetryBudgets,
     RetryTerms,
     Sender,
@@ -20,6 +21,7 @@
 from sesameroute.placement import Grant, Outcome, Reason, Refusal
 from sesameroute.platform import PlatformDialect
 from sesameroute.ports import SystemClock, TcpWire
+from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Backend, BackendState, Registry
 from sesameroute.routes import (
     Configuration,
@@ -52,6 +54,14 @@
         self.ends.append((grant.backend, outcome))
 
 
+class NoPeers:
+    """Streams of a node that is alone."""
+
+    def list_connected(self):
+        """Return nobody."""
+        return ()
+
+
 class Stage:
     """A forwarder with its servers and one caller."""
 
@@ -100,7 +110,10 @@
             self.registry,
             self.placing,
             Sender(connections, PlatformDialect(), self.clock),
-            RetryBudgets(RetryTerms(0.2, 8), lambda: 1),
+            Guards(
+                RetryBudgets(RetryTerms(0.2, 8), lambda: 1),
+                Quarantine('n', self.clock, NoPeers(), 3),
+            ),
             self.clock,
         )
         self.caller, self.node_end = socket.socketpair()
@@ -407,3 +420,29 @@
     with pytest.raises(InputError):
         stage.open(body=b'x', read=read, length=LONG)
     assert [name for name, _ in stage.placing.ends] == ['a']
+
+
+def test_a_request_that_crashes_servers_is_stopped():
+    """After three lost servers it runs nowhere, and others still do."""
+    servers = [ScriptedServer('no answer') for _ in range(6)]
+    stage = Stage(*servers, kind=RequestKind.UNSAFE)
+    statuses = []
+    for _ in range(5):
+        statuses.append(stage.forward(body=b'harm')[0])
+        stage.placing.names.pop(0)
+    assert statuses == [502, 502, 502, 503, 503]
+    assert stage.forward(body=b'other')[0] == 502
+
+
+def test_a_request_that_was_answered_is_no_suspect():
+    """Servers that are lost beside it are not held against it."""
+    names = ['whole', *['no answer'] * 5]
+    stage = Stage(
+        *(ScriptedServer(name) for name in names),
+        kind=RequestKind.UNSAFE,
+    )
+    statuses = []
+    for _ in names:
+        statuses.append(stage.forward(body=b'good')[0])
+        stage.placing.names.pop(0)
+    assert statuses == [200, 502, 502, 502, 502, 502]
--- a/sesameroute/node/_front_parts.py
+++ b/sesameroute/node/_front_parts.py
@@ -4,7 +4,13 @@
 import time
 
 from sesameroute.adapters import FrontServer, KeptConnections
-from sesameroute.forward import Forwarder, RetryBudgets, RetryTerms, Sender
+from sesameroute.forward import (
+    Forwarder,
+    Guards,
+    RetryBudgets,
+    RetryTerms,
+    Sender,
+)
 from sesameroute.node._address import parse_address
 from sesameroute.node._fleet import Fleet
 from sesameroute.node._front import (
@@ -16,11 +22,13 @@
 from sesameroute.node._settings import NodeSettings
 from sesameroute.platform import PlatformDialect
 from sesameroute.ports import SystemClock, TcpWire
+from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Registry
 from sesameroute.routes import ConfigurationKeeper
 
 __all__ = ['FrontParts']
 
+_MOST_LOSSES = 3  # backend servers that one request may bring down
 _SMALL_THREADS = 2  # of the servers for checks and the directory
 _TICK_SECONDS = 0.05  # between two looks at what still runs
 _QUIET_SECONDS = 2.5  # after which a leaving node without requests ends
@@ -63,6 +71,12 @@
             fleet.count,
             is_leaving.is_set,
         )
+        self.quarantine = Quarantine(
+            fleet.own.address,
+            self.clock,
+            fleet.peers,
+            _MOST_LOSSES,
+        )
         connections = KeptConnections(
             TcpWire(),
             settings.node.address,
@@ -73,7 +87,7 @@
             registry,
             placing,
             Sender(connections, PlatformDialect(), self.clock),
-            self._retries,
+            Guards(self._retries, self.quarantine),
             self.clock,
         )
         self._directory = DirectoryHandler(fleet, settings.bounds.longest_ttl)
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -3,11 +3,10 @@
 import logging
 import threading
 import uuid
-from typing import Any
 
 from sesameroute.adapters import MIN_KEY_BYTES, PeerNetwork
 from sesameroute.exceptions import SesameError
-from sesameroute.mirror import MirrorNews, MirrorQuery
+from sesameroute.node._dispatch import MessageDispatch
 from sesameroute.node._fleet import Fleet, NodeState
 from sesameroute.node._front_parts import FrontParts
 from sesameroute.node._metrics import MetricsServer, NodeMeter
@@ -93,12 +92,18 @@
         self._servers = list(self._parts.servers)
         if settings.listen.metrics:
             self._open_metrics(settings.listen.metrics)
+        self._dispatch = MessageDispatch(
+            self.fleet,
+            self._store,
+            self.placing,
+            self._parts.quarantine,
+        )
         self._is_ended = threading.Event()
         self._connected: frozenset[str] = frozenset()
 
     def start(self) -> None:
         """Start listening and the threads."""
-        self.peers.start(self._handle)
+        self.peers.start(self._dispatch.handle)
         _note_seeds(self.fleet, self.settings)
         _dial(self.fleet, self.peers, self.settings)
         self._store.start()
@@ -151,17 +156,6 @@
         self._store.observe_calls(meter.observe_call)
         self._servers.append(MetricsServer(address, meter))
 
-    def _handle(self, sender: str, message: Any) -> Any:
-        if isinstance(message, NodeState):
-            self.fleet.take_state(message)
-        elif isinstance(message, MirrorNews):
-            self._store.sync.take(sender, message)
-        elif isinstance(message, MirrorQuery):
-            return self._store.dump()
-        else:
-            return self.placing.handle(sender, message)
-        return None
-
     def _tick(self) -> None:
         refreshed = 0
         while not self._is_ended.is_set():
--- a/sesameroute/delivery/_quarantine.py
+++ b/sesameroute/quarantine/_quarantine.py
@@ -4,15 +4,15 @@
 import threading
 from typing import Final
 
-from sesameroute.delivery._message import (
+from sesameroute.exceptions import PeerError, RequestError
+from sesameroute.ports import Clock, Peers
+from sesameroute.quarantine._messages import (
     Acquittal,
     LossReport,
     TrialAsk,
     TrialReply,
 )
-from sesameroute.delivery._suspects import MAX_LOSSES, SuspectList
-from sesameroute.exceptions import PeerError, RequestError
-from sesameroute.ports import Clock, Peers
+from sesameroute.quarantine._suspects import SuspectList
 from sesameroute.verdict import Verdict
 
 __all__ = ['Quarantine']
@@ -20,10 +20,11 @@
 _LOG = logging.getLogger(__name__)
 _TRIAL_SECONDS: Final = 5.0  # for which a trial keeps others out
 _ASK_SECONDS: Final = 0.3
+_MOST_LOSSES: Final = 2
 
 
 class Quarantine:
-    """Refuses requests that were lost with two backend servers.
+    """Refuses requests that were lost with some backend servers.
 
     Parameters
     ----------
@@ -33,22 +34,31 @@
         Source of time.
     peers : Peers
         Told of each loss, so that all entry VMs refuse together.
+    most_losses : int, optional
+        Backend servers lost to a request that put it into quarantine.
 
     Notes
     -----
     After the first loss a request is suspected, and the VM that saw the
-    loss grants one trial at a time to the whole fleet. The second loss puts
+    loss grants one trial at a time to the whole fleet. The last loss puts
     it into quarantine. A request that was answered a short time ago doesn't
     crash its servers: its losses aren't counted, else the loss of a region
     would make the most common reads refused everywhere.
 
     """
 
-    def __init__(self, vm: str, clock: Clock, peers: Peers) -> None:
+    def __init__(
+        self,
+        vm: str,
+        clock: Clock,
+        peers: Peers,
+        most_losses: int = _MOST_LOSSES,
+    ) -> None:
         """Store the parameters; nothing is suspected yet."""
         self.vm = vm
         self.clock = clock
         self.peers = peers
+        self.most_losses = most_losses
         self.suspects_ = SuspectList(clock)
         self._lock = threading.Lock()
 
@@ -56,7 +66,7 @@
         """Raise RequestError, `NOT_RUN`, if the request is quarantined."""
         with self._lock:
             suspect = self.suspects_.find(fingerprint)
-        if suspect and suspect.losses >= MAX_LOSSES:
+        if suspect and suspect.losses >= self.most_losses:
             raise RequestError(
                 'backend servers were lost while they ran this request',
                 Verdict.NOT_RUN,
@@ -84,7 +94,7 @@
             suspect = self.suspects_.find(ask.fingerprint)
             if suspect is None:
                 return TrialReply(allowed=True)
-            if suspect.losses >= MAX_LOSSES or suspect.trial > now:
+            if suspect.losses >= self.most_losses or suspect.trial > now:
                 return TrialReply(allowed=False)
             suspect.trial = now + _TRIAL_SECONDS
         return TrialReply(allowed=True)
@@ -118,6 +128,11 @@
         with self._lock:
             return self.suspects_.add(report, judge)
 
+    def hear(self, report: LossReport, sender: str) -> None:
+        """Count another VM's loss, or tell it that the request is good."""
+        if not self.merge(report, sender):
+            self.peers.cast(sender, Acquittal(report.fingerprint))
+
     def acquit(self, acquittal: Acquittal) -> None:
         """Clear a request that another VM saw answered."""
         with self._lock:
--- a/sesameroute/delivery/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -4,16 +4,15 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from sesameroute.delivery._message import LossReport
 from sesameroute.ports import Clock
+from sesameroute.quarantine._messages import LossReport
 
-__all__ = ['MAX_LOSSES', 'Suspect', 'SuspectList']
+__all__ = ['Suspect', 'SuspectList']
 
-MAX_LOSSES: Final = 2  # backend servers lost to one request
 _SUSPECT_SECONDS: Final = 60.0  # after the last loss
 _INNOCENT_SECONDS: Final = 60.0  # for which an answered request is trusted
 _CRASH_SECONDS: Final = 1.0  # between two crashes of one backend server
-_MAX_FINGERPRINTS: Final = 10_000
+_MAX_FINGERPRINTS: Final = 4096  # of each list; under 1 MB
 
 
 @dataclass(slots=True, eq=False)
