--- a/sesameroute/placement/_learner.py
+++ b/sesameroute/placement/_learner.py
@@ -37,7 +37,8 @@
         state.judge(release.outcome, now)
         if release.outcome is Outcome.ANSWERED:
             self._observe_answer(held, release.seconds, now)
-            if key:
+            if key and state.recent.find_depth(key, now) is None:
+                # Another run of the object was shed meanwhile.
                 state.recent.add(key, now)
         elif release.outcome in _NOT_RUN and not held.is_warm:
             # What never ran has not made the object known.
