--- a/sesameroute/placement/tests/test_loads.py
+++ b/sesameroute/placement/tests/test_loads.py
@@ -21,13 +21,18 @@
     return world
 
 
+def run_after(world, warm, end):
+    """Run to the end and count only what came after the warm-up."""
+    world.run(warm)
+    world.results.clear()
+    world.run(end)
+
+
 @pytest.mark.parametrize('seed', [1, 2])
 def test_a_usual_day_is_on_time(seed):
     """At half of the room, 95% after the servers know their objects."""
     world = build_loaded(0.5, seed=seed)
-    world.run(8.0)
-    world.results.clear()
-    world.run(16.0)
+    run_after(world, 8.0, 16.0)
     assert world.share('on time') >= 0.95
 
 
@@ -44,9 +49,7 @@
 def test_overload_does_not_collapse(seed):
     """At one and a half times the room, three quarters of it is on time."""
     world = build_loaded(1.5, seed=seed)
-    world.run(8.0)
-    world.results.clear()
-    world.run(16.0)
+    run_after(world, 8.0, 16.0)
     served = world.share('on time') + world.share('late')
     assert served * 1.5 >= 0.8
     assert world.share('on time') * 1.5 >= 0.7
@@ -62,9 +65,7 @@
     world = build_loaded(0.5, seed=1, end=4.0)
     for region in world.pools:
         world.arrive(region, load * ROOM / len(world.pools), 4.0, 10.0)
-    world.run(6.0)
-    world.results.clear()
-    world.run(11.0)
+    run_after(world, 6.0, 11.0)
     assert world.share('on time') * load >= 0.8
 
 
@@ -83,9 +84,7 @@
     world = build_loaded(0.4, seed=seed, end=14.0)
     for region in world.pools:
         world.arrive(region, ROOM, 6.0, 8.0)
-    world.run(10.0)
-    world.results.clear()
-    world.run(14.0)
+    run_after(world, 10.0, 14.0)
     assert world.share('on time') >= 0.95
 
 
@@ -97,9 +96,7 @@
     whole = 16 * 6 / (0.24 * 0.3)
     for region in regions:
         world.arrive(region, 0.5 * whole / 3, 0, 24)
-    world.run(16.0)
-    world.results.clear()
-    world.run(24.0)
+    run_after(world, 16.0, 24.0)
     assert world.share('on time', 'north') >= 0.9
     assert world.share('on time', 'south') >= 0.9
 
@@ -135,9 +132,7 @@
     """Servers that keep a quarter of the objects still know most."""
     world = World({'north': 12}, seed=seed, keeps=25)
     world.arrive('north', 0.5 * ROOM, 0, 16, keys=100)
-    world.run(8.0)
-    world.results.clear()
-    world.run(16.0)
+    run_after(world, 8.0, 16.0)
     assert world.share('on time') >= 0.9
 
 
@@ -145,9 +140,7 @@
     """One server at eight times its usual pace costs few requests."""
     world = build_loaded(0.5, seed=3)
     world.at(6.0, setattr, world.servers['north-0'], 'pace', 8.0)
-    world.run(8.0)
-    world.results.clear()
-    world.run(16.0)
+    run_after(world, 8.0, 16.0)
     assert world.share('on time') >= 0.93
 
 
@@ -156,9 +149,7 @@
     world = build_loaded(0.4, seed=6)
     for server in world.servers.values():
         world.at(6.0, setattr, server, 'sheds', 0.4)
-    world.run(8.0)
-    world.results.clear()
-    world.run(16.0)
+    run_after(world, 8.0, 16.0)
     # Four tries in a row are shed in 2.6% of the cases.
     assert world.share('on time') >= 0.9
 
@@ -167,9 +158,7 @@
     """One that sheds while the others don't is left out."""
     world = build_loaded(0.5, seed=6)
     world.at(6.0, setattr, world.servers['north-0'], 'sheds', 0.9)
-    world.run(8.0)
-    world.results.clear()
-    world.run(16.0)
+    run_after(world, 8.0, 16.0)
     assert world.share('on time') >= 0.93
 
 
@@ -194,7 +183,5 @@
     world.run(6.0)
     for region in THREE:
         world.remove_server(f'{region}-0')
-    world.run(8.0)
-    world.results.clear()
-    world.run(16.0)
+    run_after(world, 8.0, 16.0)
     assert world.share('on time') >= 0.93
