Build the pools once, hash once a request, and drop what nothing reads

FleetPlacing took PoolTable's parameters only to pass them on; a request's fingerprint was computed at each use; both kinds of request lines listed the same fields; the plan repeated hash_key; the leader was found by sorting. Two settings, a field of Release and a parameter were read nowhere.

--- a/sesameroute/forward/_account.py
+++ b/sesameroute/forward/_account.py
@@ -44,17 +44,13 @@
 
 def note_event(trip: Trip, event: str, why: str, backend: str) -> None:
     """Write a line on a decision or failure."""
+    left = trip.until - trip.seen
     _logger.info(
         event,
         extra={
-            'request': trip.terms.identifier,
-            'route': trip.route.name,
-            'service': trip.service,
+            **_describe(trip, backend),
             'why': why,
-            'backend': backend or '-',
-            'attempt': trip.attempts,
-            'waited_ms': round(trip.waited * _MILLISECONDS),
-            'left_ms': round((trip.until - trip.seen) * _MILLISECONDS),
+            'left_ms': round(left * _MILLISECONDS),
         },
     )
 
@@ -67,14 +63,9 @@
         _logger.info(
             'request late' if is_late else 'request answered',
             extra={
-                'request': trip.terms.identifier,
-                'route': trip.route.name,
-                'service': trip.service,
+                **_describe(trip, trip.backend),
                 'status': answer.status,
-                'backend': trip.backend or '-',
-                'attempt': trip.attempts,
                 'took_ms': round(seconds * _MILLISECONDS),
-                'waited_ms': round(trip.waited * _MILLISECONDS),
                 'objective_ms': round(trip.route.objective * _MILLISECONDS),
                 'earlier_ms': round(trip.lost * _MILLISECONDS),
             },
@@ -89,6 +80,17 @@
     )
 
 
+def _describe(trip: Trip, backend: str) -> dict[str, object]:
+    return {
+        'request': trip.terms.identifier,
+        'route': trip.route.name,
+        'service': trip.service,
+        'backend': backend or '-',
+        'attempt': trip.attempts,
+        'waited_ms': round(trip.waited * _MILLISECONDS),
+    }
+
+
 def _is_sampled(identifier: str) -> bool:
     """Return the same on every node, so that a sample is whole.
 
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -30,6 +30,7 @@
     WHOLE_BYTES,
     Trip,
     build_departure,
+    compute_fingerprint,
     is_spent,
     read_body,
 )
@@ -145,6 +146,7 @@
             return answer_status(HTTPStatus.NOT_FOUND, 'no-route')
         trip = self._open(request, route)
         trip.body = read_body(request)
+        trip.fingerprint = compute_fingerprint(trip)
         self.retries.observe(trip.service)
         answer = None
         while answer is None:
--- a/sesameroute/forward/_trip.py
+++ b/sesameroute/forward/_trip.py
@@ -23,6 +23,7 @@
     'WHOLE_BYTES',
     'Trip',
     'build_departure',
+    'compute_fingerprint',
     'is_spent',
     'read_body',
 ]
@@ -69,6 +70,8 @@
         Monotonic time of the last decision in seconds.
     backend : str
         Backend server of the last try.
+    fingerprint : str
+        Digest of what makes a request the same when it comes again.
 
     """
 
@@ -86,18 +89,7 @@
     waited: float = 0
     seen: float = 0
     backend: str = ''
-
-    @property
-    def fingerprint(self) -> str:
-        """Digest of what makes a request the same when it comes again."""
-        request = self.request
-        digest = xxhash.xxh3_64()
-        for part in (request.method, request.host, request.target):
-            digest.update(f'{part}\0'.encode())
-        digest.update(self.terms.key.encode())
-        if isinstance(self.body, bytes):
-            digest.update(self.body)
-        return digest.hexdigest()
+    fingerprint: str = ''
 
     def limit_pause(self, now: float) -> float:
         """Return the seconds after which the caller may come back."""
@@ -133,6 +125,18 @@
     return _LongBody(request, first)
 
 
+def compute_fingerprint(trip: Trip) -> str:
+    """Return a digest of host, target, object and, if short, the body."""
+    request = trip.request
+    digest = xxhash.xxh3_64()
+    for part in (request.method, request.host, request.target):
+        digest.update(f'{part}\0'.encode())
+    digest.update(trip.terms.key.encode())
+    if isinstance(trip.body, bytes):
+        digest.update(trip.body)
+    return digest.hexdigest()
+
+
 def is_spent(body: object) -> bool:
     """Return whether a body can't be sent again."""
     return isinstance(body, _LongBody) and body.is_spent
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -1,6 +1,7 @@
 """The nodes of the fleet as this one sees them."""
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from sesameroute.placement import hash_key
@@ -127,18 +128,24 @@
 
         Without a live node there, this one leads.
         """
-        ranked = _rank_nodes(matter, self._list_stable(region))
-        return ranked[0] if ranked else self.own.address
+        return min(
+            self._list_stable(region),
+            key=_rate_nodes(matter),
+            default=self.own.address,
+        )
 
     def find_rank(self, matter: str) -> int:
         """Return this node's place among those that may lead, from 0."""
-        ranked = _rank_nodes(matter, self._list_stable(self.own.region))
+        ranked = sorted(
+            self._list_stable(self.own.region),
+            key=_rate_nodes(matter),
+        )
         if self.own.address not in ranked:
             return len(ranked)
         return ranked.index(self.own.address)
 
-    def list_fronts(self, region: str, zone: str) -> list[str]:
-        """Return where callers of a zone should connect."""
+    def list_fronts(self, region: str) -> list[str]:
+        """Return where callers of a region should connect."""
         ready = [state for state in self.list_live() if state.is_ready]
         near = [state for state in ready if state.region == region]
         return [state.front for state in near or ready]
@@ -155,8 +162,6 @@
         ]
 
 
-def _rank_nodes(matter: str, addresses: list[str]) -> list[str]:
-    return sorted(
-        addresses,
-        key=lambda address: hash_key(f'{matter}/{address}'),
-    )
+def _rate_nodes(matter: str) -> Callable[[str], int]:
+    """Return the key of a rendezvous order of addresses, the first least."""
+    return lambda address: hash_key(f'{matter}/{address}')
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -114,8 +114,8 @@
         """Return the addresses for one caller."""
         if request.path.decode(_CODEC) != RESOLVE_PATH:
             return Answer(HTTPStatus.NOT_FOUND, (), iter(()), 0)
-        region, zone = read_question(request.qs.decode(_CODEC))
-        fronts = self.fleet.list_fronts(region, zone)
+        region, _zone = read_question(request.qs.decode(_CODEC))
+        fronts = self.fleet.list_fronts(region)
         if not fronts:
             return Answer(HTTPStatus.SERVICE_UNAVAILABLE, (), iter(()), 0)
         seconds = min(_TTL_SECONDS, self.longest)
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -11,6 +11,7 @@
 from sesameroute.node._front_parts import FrontParts
 from sesameroute.node._metrics import MetricsServer, NodeMeter
 from sesameroute.node._placing import FleetPlacing
+from sesameroute.node._pools import PoolTable
 from sesameroute.node._receiver import NodeReceiver
 from sesameroute.node._settings import NodeSettings
 from sesameroute.node._store_parts import StoreParts
@@ -76,9 +77,13 @@
         self.placing = FleetPlacing(
             self.fleet,
             self.peers,
-            self.registry,
-            self.keeper,
-            settings.zones,
+            PoolTable(
+                self.fleet,
+                self.registry,
+                self.keeper,
+                settings.zones,
+                self.clock,
+            ),
             self.clock,
         )
         self._parts = FrontParts(
--- a/sesameroute/node/_placing.py
+++ b/sesameroute/node/_placing.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import Any
 
 from sesameroute.exceptions import PeerError
@@ -19,8 +19,6 @@
     Report,
 )
 from sesameroute.ports import Clock, DeferredReply, Peers
-from sesameroute.registry import Registry
-from sesameroute.routes import ConfigurationKeeper
 
 __all__ = ['FleetPlacing']
 
@@ -39,12 +37,8 @@
         Says who leads.
     peers : Peers
         Streams to the other nodes.
-    registry : Registry
-        Backend servers.
-    keeper : ConfigurationKeeper
-        Terms of the services.
-    regions : mapping of str to str
-        Region of each zone.
+    pools : PoolTable
+        The pools that this node keeps.
     clock : Clock
         Source of time.
 
@@ -54,16 +48,14 @@
         self,
         fleet: Fleet,
         peers: Peers,
-        registry: Registry,
-        keeper: ConfigurationKeeper,
-        regions: Mapping[str, str],
+        pools: PoolTable,
         clock: Clock,
     ) -> None:
         """Store the parameters."""
         self.fleet = fleet
         self.peers = peers
+        self.pools = pools
         self.clock = clock
-        self.pools = PoolTable(fleet, registry, keeper, regions, clock)
         self._running = RunningGrants()
 
     def place(self, ask: Ask) -> Grant | Refusal:
--- a/sesameroute/node/_settings.py
+++ b/sesameroute/node/_settings.py
@@ -42,13 +42,11 @@
     """The platform's store."""
 
     address: str
-    shortest_lease: float = 1.0
 
 
 class Bounds(msgspec.Struct, forbid_unknown_fields=True):
     """What the operators promise; times in seconds."""
 
-    drain: float = 2.0
     grace: float = 6.0
     retry_ratio: float = 0.2
     retry_slack: float = 50
--- a/sesameroute/placement/_ask.py
+++ b/sesameroute/placement/_ask.py
@@ -113,8 +113,6 @@
     ----------
     seconds : float
         Time from sending the request to its answer.
-    waiting : int
-        Requests in the backend server's queue as it told; -1 if untold.
 
     """
 
@@ -122,7 +120,6 @@
     number: int
     outcome: Outcome
     seconds: float
-    waiting: int = -1
 
 
 @register_message('report', quick=True)
--- a/sesameroute/placement/_plan.py
+++ b/sesameroute/placement/_plan.py
@@ -11,8 +11,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-import xxhash
-
+from sesameroute.placement._choice import hash_key
 from sesameroute.placement._shift import ShiftGuard
 
 __all__ = ['RegionLoad', 'RegionPlan']
@@ -205,4 +204,4 @@
 
 
 def _place_key(text: str) -> float:
-    return xxhash.xxh64_intdigest(text.encode()) / _HASH_RANGE
+    return hash_key(text) / _HASH_RANGE
