Log and count the losses under suspected requests

Nothing in logs or metrics told the hypotheses apart: a request that Sender.send repeats on a new connection, a loss that is not counted, one that a peer reports, and a withdrawn suspicion left no line.

No logic changes.

--- a/sesameroute/delivery/_handler.py
+++ b/sesameroute/delivery/_handler.py
@@ -75,7 +75,7 @@
 
     @_handle.register
     def _handle_acquittal(self, message: ClearanceReport, sender: str) -> None:
-        self.quarantine.handle_clearance(message)
+        self.quarantine.handle_clearance(message, sender)
 
     @_handle.register
     def _handle_trial(self, message: TrialRequest, sender: str) -> TrialReply:
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -1,5 +1,6 @@
 """Sends a request to a backend server and reads the head of its answer."""
 
+import logging
 import math
 import socket
 from collections.abc import Callable, Iterable
@@ -24,6 +25,8 @@
 _CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 _TRY_ERRORS = (TryError, RequestError, *_CONNECTION_ERRORS)
 
+_logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
@@ -129,6 +132,14 @@
             except TryError as error:
                 if error.outcome is not Outcome.LOST:
                     raise
+                _logger.info(
+                    'connection replaced',
+                    extra={
+                        'request': outgoing.identifier,
+                        'target': '{0}:{1}'.format(*target),
+                        'why': error.message,
+                    },
+                )
                 # The other pooled connections to this server are likely
                 # broken, too.
                 self.connections.close_idle(target)
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -46,8 +46,8 @@
             LossReport: lambda sender, report: quarantine.handle_loss_report(
                 report, sender
             ),
-            ClearanceReport: lambda _sender, message: (
-                quarantine.handle_clearance(message)
+            ClearanceReport: lambda sender, message: (
+                quarantine.handle_clearance(message, sender)
             ),
         }
 
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -3,6 +3,7 @@
 import logging
 import resource
 import threading
+from collections.abc import Iterator
 from http import HTTPStatus
 from typing import Any
 
@@ -11,6 +12,7 @@
 from sesameroute.node._address import parse_address
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.ports import Answer, Peers
+from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
 from sesameroute.telemetry import Meter, Metric
@@ -39,6 +41,8 @@
         Counts slots by service.
     peers : Peers
         Connections to the other nodes.
+    quarantine : Quarantine
+        Counts requests that crash backend servers.
 
     """
 
@@ -48,12 +52,14 @@
         registry: Registry,
         allocator: FleetSlotAllocator,
         peers: Peers,
+        quarantine: Quarantine,
     ) -> None:
         """Store the parameters and start with empty metrics."""
         self.active_configuration = active_configuration
         self.registry = registry
         self.allocator = allocator
         self.peers = peers
+        self.quarantine = quarantine
         self.meter_ = Meter()
 
     def __call__(self, _request: Any) -> Answer:
@@ -88,21 +94,25 @@
         self.meter_.add(Metric.STORE_CALLS, call=name, result=result)
 
     def _update_gauges(self) -> None:
-        current_configuration = self.active_configuration.configuration
-        version = current_configuration.version if current_configuration else 0
-        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        for metric, amount in (
-            (Metric.CONFIGURATION_VERSION, version),
-            (Metric.PEERS, len(self.peers.list_connected())),
-            (Metric.BACKENDS, len(self.registry)),
-            (Metric.THREADS, threading.active_count()),
-            (Metric.MEMORY_BYTES, peak * _BYTES_PER_KIBIBYTE),
-        ):
+        for metric, amount in self._list_gauges():
             self.meter_.set(metric, amount)
         for service, held, usable in self.allocator.count_slots():
             self.meter_.set(Metric.SLOTS_HELD, held, service=service)
             self.meter_.set(Metric.SLOTS, usable, service=service)
 
+    def _list_gauges(self) -> Iterator[tuple[Metric, float]]:
+        current_configuration = self.active_configuration.configuration
+        version = current_configuration.version if current_configuration else 0
+        yield Metric.CONFIGURATION_VERSION, version
+        yield Metric.PEERS, len(self.peers.list_connected())
+        yield Metric.BACKENDS, len(self.registry)
+        suspected, quarantined = self.quarantine.count_suspects()
+        yield Metric.SUSPECTED_REQUESTS, suspected
+        yield Metric.QUARANTINED_REQUESTS, quarantined
+        yield Metric.THREADS, threading.active_count()
+        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        yield Metric.MEMORY_BYTES, peak * _BYTES_PER_KIBIBYTE
+
 
 class MetricsServer(FrontServer):
     """Serves the metrics; a failure to listen does not stop the node.
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -166,6 +166,7 @@
             self.registry,
             self.allocator,
             self.peers,
+            self._node_servers.quarantine,
         )
         self._node_servers.forwarder.observer_ = meter.observe
         self._store.observe_calls(meter.observe_call)
--- a/sesameroute/programs/explain.py
+++ b/sesameroute/programs/explain.py
@@ -23,6 +23,7 @@
     'request-turned-away': 'was turned away',
     'request-sent-again': 'failed at {backend} and was sent again',
     'request-failed': 'failed for good at {backend}',
+    'connection-replaced': 'lost a kept connection to {target}',
     'answer-cut-midway': 'lost its answer midway from {backend}',
     'request-dropped': 'was dropped',
     'request-late': (
--- a/sesameroute/quarantine/_quarantine.py
+++ b/sesameroute/quarantine/_quarantine.py
@@ -126,16 +126,13 @@
         with self._lock:
             was_suspected = self.suspects_.record_answer(fingerprint)
         if was_suspected:
+            _log_clearance(fingerprint, self.vm)
             self._broadcast(ClearanceReport(fingerprint))
 
     def observe_loss(self, fingerprint: str, upstream: str) -> None:
         """Count a loss seen by this VM and report it to all peers."""
         report = LossReport(fingerprint, upstream)
         if self.count_loss(report, self.vm):
-            _LOG.warning(
-                'upstream-lost',
-                extra={'fingerprint': fingerprint, 'upstream': upstream},
-            )
             self._broadcast(report)
 
     def count_loss(self, report: LossReport, reporter: str) -> bool:
@@ -150,17 +147,37 @@
 
         """
         with self._lock:
-            return self.suspects_.record_loss(report, reporter)
+            is_counted = self.suspects_.record_loss(report, reporter)
+            suspect = self.suspects_.find(report.fingerprint)
+        _LOG.warning(
+            'upstream-lost' if is_counted else 'loss not counted',
+            extra={
+                'fingerprint': report.fingerprint,
+                'upstream': report.upstream,
+                'reporter': reporter,
+                'losses': suspect.losses if suspect else 0,
+            },
+        )
+        return is_counted
 
     def handle_loss_report(self, report: LossReport, sender: str) -> None:
         """Count a loss seen by a peer, or answer that the request is fine."""
         if not self.count_loss(report, sender):
             self.peers.send_one_way(sender, ClearanceReport(report.fingerprint))
 
-    def handle_clearance(self, clearance: ClearanceReport) -> None:
+    def handle_clearance(self, clearance: ClearanceReport, sender: str) -> None:
         """Withdraw the suspicion of a request that a peer saw answered."""
         with self._lock:
-            self.suspects_.drop(clearance.fingerprint)
+            was_suspected = self.suspects_.drop(clearance.fingerprint)
+        if was_suspected:
+            _log_clearance(clearance.fingerprint, sender)
+
+    def count_suspects(self) -> tuple[int, int]:
+        """Return the numbers of suspected and of quarantined requests."""
+        with self._lock:
+            losses = self.suspects_.list_losses()
+        quarantined = sum(each >= self.max_losses for each in losses)
+        return len(losses) - quarantined, quarantined
 
     def _is_trial_granted(self, reporter: str, fingerprint: str) -> bool:
         trial_request = TrialRequest(fingerprint)
@@ -179,3 +196,10 @@
         for vm in self.peers.list_connected():
             if vm != self.vm:
                 self.peers.send_one_way(vm, message)
+
+
+def _log_clearance(fingerprint: str, answered_on: str) -> None:
+    _LOG.info(
+        'suspicion withdrawn',
+        extra={'fingerprint': fingerprint, 'answered_on': answered_on},
+    )
--- a/sesameroute/quarantine/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -115,6 +115,14 @@
             self.cleared_.popitem(last=False)
         return self.drop(fingerprint)
 
+    def list_losses(self) -> list[int]:
+        """Return the number of losses of each suspect."""
+        return [
+            suspect.losses
+            for suspect in self.suspects_.values()
+            if self.compute_remaining_seconds(suspect) > 0
+        ]
+
     def drop(self, fingerprint: str) -> bool:
         """Remove a suspect; return whether there was one."""
         return self.suspects_.pop(fingerprint, None) is not None
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -102,6 +102,16 @@
         'sesame_store_calls_total',
         'Calls to the store by name and result.',
     )
+    SUSPECTED_REQUESTS = _MetricSpecification(
+        Gauge,
+        'sesame_suspected_requests',
+        'Requests under which fewer servers were lost than quarantine takes.',
+    )
+    QUARANTINED_REQUESTS = _MetricSpecification(
+        Gauge,
+        'sesame_quarantined_requests',
+        'Requests that are refused because they crash backend servers.',
+    )
     THREADS = _MetricSpecification(
         Gauge,
         'sesame_threads',
