--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -116,7 +116,7 @@
         if len(self.scripts) > 1:
             self.scripts.pop(0)
         text, end = SCRIPTS[script]
-        identifier = _find_header(head, 'sesameroute-attempt-id')
+        identifier = find_header(head, 'sesameroute-attempt-id')
         connection.sendall(text.replace('{0}', identifier).encode('latin-1'))
         if end == 'hang':
             connection.settimeout(5)
@@ -129,26 +129,34 @@
         return end == 'keep'
 
     def _read_head(self, connection):
-        received = b''
-        while b'\r\n\r\n' not in received:
-            try:
-                part = connection.recv(65536)
-            except OSError:
-                return None
-            if not part:
-                return None
-            received += part
-        head, _, body = received.partition(b'\r\n\r\n')
-        text = head.decode('latin-1')
-        length = int(_find_header(text, 'content-length') or 0)
-        while len(body) < length:
-            body += connection.recv(65536)
-        self.heads.append(text)
-        self.bodies.append(body)
-        return text
-
-
-def _find_header(head, name):
+        head, body = read_request(connection)
+        if head is not None:
+            self.heads.append(head)
+            self.bodies.append(body)
+        return head
+
+
+def read_request(connection):
+    """Return head and body of a request, None and b'' at the end."""
+    received = b''
+    while b'\r\n\r\n' not in received:
+        try:
+            part = connection.recv(65536)
+        except OSError:
+            return None, b''
+        if not part:
+            return None, b''
+        received += part
+    head, _, body = received.partition(b'\r\n\r\n')
+    text = head.decode('latin-1')
+    length = int(find_header(text, 'content-length') or 0)
+    while len(body) < length:
+        body += connection.recv(65536)
+    return text, body
+
+
+def find_header(head, name):
+    """Return the value of a header, an empty string if there is none."""
     for line in head.split('\r\n')[1:]:
         found, _, text = line.partition(':')
         if found.lower() == name:
--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -75,7 +75,8 @@
             'allowed_regions': [],
             'service': 's',
         }
-        fields['path_prefix'] = route.get('prefix', '/a/')
+        prefix = route.pop('prefix', '/a/')
+        fields.update(route, path_prefix=prefix)
         self.store.put(
             'op/config',
             json.dumps(
@@ -161,12 +162,12 @@
     )
 
 
-def send(number, path='/a/x', **headers):
+def send(number, path='/a/x', key='k', **headers):
     """Send one caller's request to a node; return status and body."""
     sent = {
         'Host': 'h',
         'Sesameroute-Attempt-Id': 'mine',
-        'Sesameroute-Affinity-Key': 'k',
+        'Sesameroute-Affinity-Key': key,
         'Sesameroute-Deadline-Ms': '2000',
         **headers,
     }
