Count the loss of a server that crashed on a kept connection

Callers saw 503 (not run) for a request that had just ended a backend server, sent it again, and no node ever refused it.

Cause: Sender.send repeated a request on a new connection to the same server when a kept one broke, outside the guards. After a crash nothing listens there, so the try ended as 'unreached': no loss was counted and the answer promised that the request had not run. Only requests that may be repeated use kept connections. Such a repeat drew no retry budget either, was not stopped by the quarantine, and sent a streamed body without the part that was gone.

Class: a send inside a send, whose outcome replaces that of the first.

Change: the sender asks OutgoingRequest.may_resend (quarantine, retry budget, body still whole) and, if nothing listens, raises the first error. Guards is a class of its own module now, with the checks the forwarder had.

--- a/sesameroute/forward/__init__.py
+++ b/sesameroute/forward/__init__.py
@@ -1,6 +1,7 @@
 """Forwards callers' requests to backend servers and retries failed tries."""
 
-from sesameroute.forward._forwarder import Forwarder, Guards, SlotAllocator
+from sesameroute.forward._forwarder import Forwarder, SlotAllocator
+from sesameroute.forward._guards import Guards
 from sesameroute.forward._message import (
     AnswerMetadata,
     CallerRequest,
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterator
 from http import HTTPStatus
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from sesameroute.adapters import has_disconnected
-from sesameroute.exceptions import RequestError
 from sesameroute.forward._caller_retries import CallerRetryDetector
+from sesameroute.forward._guards import Guards
 from sesameroute.forward._local_answers import (
     CallerClosedError,
     build_answer,
@@ -24,20 +24,19 @@
     HOP_BY_HOP_HEADERS,
     MAX_BUFFERED_BYTES,
     RequestState,
+    TryGuards,
     build_outgoing_request,
     compute_fingerprint,
     is_consumed,
     read_body,
 )
-from sesameroute.forward._retries import RetryBudgets
 from sesameroute.forward._sender import ReceivedAnswer, Sender
 from sesameroute.placement import Grant, Outcome, Refusal, SlotRequest
 from sesameroute.ports import Answer, Clock
-from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Backend, Registry
 from sesameroute.routes import ActiveConfiguration, Route
 
-__all__ = ['Forwarder', 'Guards', 'SlotAllocator']
+__all__ = ['Forwarder', 'SlotAllocator']
 
 # No retry is started with less time left before the deadline.
 _MIN_RETRY_SECONDS = 0.03
@@ -71,17 +70,6 @@
         """
 
 
-class Guards(NamedTuple):
-    """Checks that limit or stop tries.
-
-    `retries` limits the tries after the first, `quarantine` stops requests
-    that crash backend servers.
-    """
-
-    retries: RetryBudgets
-    quarantine: Quarantine
-
-
 class Forwarder:
     """Forwards requests to backend servers and returns their answers.
 
@@ -105,8 +93,7 @@
         self.registry = registry
         self.allocator = allocator
         self.sender = sender
-        self.retries = guards.retries
-        self.quarantine = guards.quarantine
+        self.guards = guards
         self.clock = clock
         self.observer_: Observer = _discard_record
         self._caller_retries = CallerRetryDetector()
@@ -135,10 +122,10 @@
         state = self._make_state(request, route)
         state.body = read_body(request)
         state.fingerprint = compute_fingerprint(state)
-        self.retries.observe(state.service)
+        self.guards.retries.observe(state.service)
         answer = None
         while answer is None:
-            answer = _check_quarantine(self.quarantine, state)
+            answer = self.guards.check(state)
             answer = answer or self._try_once(state)
         self.observer_(log_answer(state, answer, self.clock.read_monotonic()))
         return answer
@@ -241,12 +228,12 @@
                     state,
                     backend,
                     self.sender.header_codec,
-                    self._reserve_retry,
+                    TryGuards(self._reserve_retry, self.guards.may_resend),
                     started_at,
                 ),
                 new_connection=not state.route.kind.is_idempotent,
             )
-            self.quarantine.observe_answer(state.fingerprint)
+            self.guards.quarantine.observe_answer(state.fingerprint)
             answer = self._complete_answer(
                 state, (slot_request, grant), received, started_at
             )
@@ -318,7 +305,7 @@
 
         Without a slot the running try goes on: only it can yield an answer.
         """
-        if not self.retries.acquire_replacement(state.service):
+        if not self.guards.retries.acquire_replacement(state.service):
             return False
         slot_request = self._build_slot_request(state, may_wait=False)
         decision = self.allocator.place(slot_request)
@@ -333,7 +320,7 @@
         """Return None to retry, or the final answer."""
         state.last_error = error
         if error.outcome is Outcome.LOST:
-            self.quarantine.observe_loss(state.fingerprint, backend.name)
+            self.guards.quarantine.observe_loss(state.fingerprint, backend.name)
         if error.outcome is Outcome.CANCELLED:
             _release_reserved(self.allocator, state)
             log_event(state, 'request dropped', 'caller-left', backend.name)
@@ -349,7 +336,7 @@
             may_repeat
             and has_time
             and state.tries < state.route.max_attempts
-            and (state.reserved or self.retries.acquire(state.service))
+            and (state.reserved or self.guards.retries.acquire(state.service))
         ):
             log_event(state, 'request sent again', error.code, backend.name)
             return None
@@ -376,18 +363,3 @@
 
 def _discard_record(_record: RequestRecord) -> None:
     """Discard the record; the default observer."""
-
-
-def _check_quarantine(
-    quarantine: Quarantine, state: RequestState
-) -> Answer | None:
-    """Return an error answer if the request is quarantined, else None."""
-    try:
-        quarantine.check(state.fingerprint)
-    except RequestError as error:
-        log_event(state, 'request turned away', error.code, '')
-        status = HTTPStatus.SERVICE_UNAVAILABLE
-        if state.tries:
-            status = HTTPStatus.BAD_GATEWAY
-        return build_answer(status, error.code)
-    return None
--- /dev/null
+++ b/sesameroute/forward/_guards.py
@@ -0,0 +1,46 @@
+"""Checks that limit or stop the sending of a request."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from sesameroute.exceptions import RequestError
+from sesameroute.forward._local_answers import build_answer
+from sesameroute.forward._request_log import log_event
+from sesameroute.forward._request_state import RequestState, is_consumed
+from sesameroute.forward._retries import RetryBudgets
+from sesameroute.ports import Answer
+from sesameroute.quarantine import Quarantine
+
+__all__ = ['Guards']
+
+
+@dataclass(slots=True)
+class Guards:
+    """Checks that limit or stop tries.
+
+    `retries` limits the tries after the first, `quarantine` stops requests
+    that crash backend servers.
+    """
+
+    retries: RetryBudgets
+    quarantine: Quarantine
+
+    def check(self, state: RequestState) -> Answer | None:
+        """Return an error answer if the request is quarantined, else None."""
+        try:
+            self.quarantine.check(state.fingerprint)
+        except RequestError as error:
+            log_event(state, 'request turned away', error.code, '')
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            if state.tries:
+                status = HTTPStatus.BAD_GATEWAY
+            return build_answer(status, error.code)
+        return None
+
+    def may_resend(self, state: RequestState) -> bool:
+        """Whether the same backend server may get the request again."""
+        return (
+            not is_consumed(state.body)
+            and not self.quarantine.is_quarantined(state.fingerprint)
+            and self.retries.acquire(state.service)
+        )
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import xxhash
 
@@ -22,6 +23,7 @@
     'HOP_BY_HOP_HEADERS',
     'MAX_BUFFERED_BYTES',
     'RequestState',
+    'TryGuards',
     'build_outgoing_request',
     'compute_fingerprint',
     'is_consumed',
@@ -107,6 +109,17 @@
         return min(remaining * _RETRY_AFTER_FRACTION, _MAX_RETRY_AFTER_SECONDS)
 
 
+class TryGuards(NamedTuple):
+    """Decisions during a try on sending the request again.
+
+    `may_abandon` decides on a retry at another backend server instead of the
+    running try, `may_resend` on sending to the same one on a new connection.
+    """
+
+    may_abandon: Callable[[RequestState], bool]
+    may_resend: Callable[[RequestState], bool]
+
+
 class _StreamedBody:
     """A body that is streamed from the caller and can be sent only once."""
 
@@ -162,7 +175,7 @@
     state: RequestState,
     backend: Backend,
     header_codec: HeaderCodec,
-    may_abandon: Callable[[RequestState], bool],
+    guards: TryGuards,
     now: float,
 ) -> OutgoingRequest:
     """Return the request to send to a backend server.
@@ -175,8 +188,8 @@
         Where it is sent.
     header_codec : HeaderCodec
         Writes the added headers.
-    may_abandon : callable
-        Returns whether the try may be abandoned for a retry.
+    guards : TryGuards
+        Decide on sending the request again.
     now : float
         Monotonic time in seconds.
 
@@ -195,7 +208,8 @@
         state.deadline,
         state.request.caller if route.kind.is_idempotent else None,
         retry_at,
-        lambda: may_abandon(state),
+        lambda: guards.may_abandon(state),
+        lambda: guards.may_resend(state),
     )
 
 
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -48,6 +48,9 @@
         retry.
     may_abandon : callable
         Called at `retry_at`; the try goes on if it returns False.
+    may_resend : callable
+        Called after a kept connection broke; returns whether the request may
+        be sent to the same backend server on a new one.
 
     """
 
@@ -60,6 +63,7 @@
     caller: socket.socket | None
     retry_at: float = math.inf
     may_abandon: Callable[[], bool] = bool
+    may_resend: Callable[[], bool] = bool
 
 
 @dataclass(slots=True)
@@ -126,24 +130,41 @@
         pooled_connection = (
             None if new_connection else self.connections.take_idle(target)
         )
-        if pooled_connection is not None:
-            try:
-                return self._exchange(pooled_connection, outgoing)
-            except TryError as error:
-                if error.outcome is not Outcome.LOST:
-                    raise
-                _logger.info(
-                    'connection replaced',
-                    extra={
-                        'request': outgoing.identifier,
-                        'target': '{0}:{1}'.format(*target),
-                        'why': error.message,
-                    },
-                )
-                # The other pooled connections to this server are likely
-                # broken, too.
-                self.connections.close_idle(target)
-        return self._exchange(self._connect(target, outgoing), outgoing)
+        if pooled_connection is None:
+            return self._exchange(self._connect(target, outgoing), outgoing)
+        try:
+            return self._exchange(pooled_connection, outgoing)
+        except TryError as error:
+            if error.outcome is not Outcome.LOST:
+                raise
+            # The other pooled connections to this server are likely broken,
+            # too.
+            self.connections.close_idle(target)
+            return self._resend(target, outgoing, error)
+
+    def _resend(
+        self, target: tuple[str, int], outgoing: OutgoingRequest, lost: TryError
+    ) -> ReceivedAnswer:
+        """Send again on a new connection, or raise the first error.
+
+        A server that closed an idle connection takes a new one. One that
+        crashed under the request does not: the request has been lost then.
+        """
+        if not outgoing.may_resend():
+            raise lost
+        try:
+            connection = self._connect(target, outgoing)
+        except TryError as error:
+            raise lost from error
+        _logger.info(
+            'connection replaced',
+            extra={
+                'request': outgoing.identifier,
+                'target': '{0}:{1}'.format(*target),
+                'why': lost.message,
+            },
+        )
+        return self._exchange(connection, outgoing)
 
     def _connect(
         self,
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -251,7 +251,9 @@
     harness = ForwarderHarness(
         ScriptedServer('silent'), ScriptedServer('whole')
     )
-    harness.forwarder.retries = RetryBudgets(FleetRetryBudget(0, 0), lambda: 1)
+    harness.forwarder.guards.retries = RetryBudgets(
+        FleetRetryBudget(0, 0), lambda: 1
+    )
     started = time.monotonic()
     assert harness.forward()[0] == 504
     assert time.monotonic() - started >= 0.6 - 0.01
@@ -271,7 +273,7 @@
     harness = ForwarderHarness(
         ScriptedServer('silent'), ScriptedServer('whole')
     )
-    harness.forwarder.retries.is_leaving = lambda: True
+    harness.forwarder.guards.retries.is_leaving = lambda: True
     started = time.monotonic()
     assert harness.forward()[0] == 504
     assert time.monotonic() - started >= 0.6 - 0.01
--- a/sesameroute/quarantine/_quarantine.py
+++ b/sesameroute/quarantine/_quarantine.py
@@ -85,6 +85,12 @@
                 self.suspects_.compute_remaining_seconds(suspect),
             )
 
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Whether a request must not be sent."""
+        with self._lock:
+            suspect = self.suspects_.find(fingerprint)
+        return suspect is not None and suspect.losses >= self.max_losses
+
     def check_attempt(self, fingerprint: str) -> None:
         """Refuse a quarantined request, and a suspected one without a trial.
 
@@ -127,13 +133,13 @@
             was_suspected = self.suspects_.record_answer(fingerprint)
         if was_suspected:
             _log_clearance(fingerprint, self.vm)
-            self._broadcast(ClearanceReport(fingerprint))
+            _broadcast(self.peers, self.vm, ClearanceReport(fingerprint))
 
     def observe_loss(self, fingerprint: str, upstream: str) -> None:
         """Count a loss seen by this VM and report it to all peers."""
         report = LossReport(fingerprint, upstream)
         if self.count_loss(report, self.vm):
-            self._broadcast(report)
+            _broadcast(self.peers, self.vm, report)
 
     def count_loss(self, report: LossReport, reporter: str) -> bool:
         """Count a loss; return False if the request was answered recently.
@@ -192,14 +198,17 @@
         except PeerError:
             return False
 
-    def _broadcast(self, message: LossReport | ClearanceReport) -> None:
-        for vm in self.peers.list_connected():
-            if vm != self.vm:
-                self.peers.send_one_way(vm, message)
-
 
 def _log_clearance(fingerprint: str, answered_on: str) -> None:
     _LOG.info(
         'suspicion withdrawn',
         extra={'fingerprint': fingerprint, 'answered_on': answered_on},
     )
+
+
+def _broadcast(
+    peers: Peers, vm: str, message: LossReport | ClearanceReport
+) -> None:
+    for peer in peers.list_connected():
+        if peer != vm:
+            peers.send_one_way(peer, message)
