Answer 502 if any of several tries may have run

Callers of a request that was lost at one backend server and turned away by the next got 503, which says that it has not run. Only the last failure decided. Only requests that may be repeated are sent on after such a loss.

Change: RequestState.may_have_run stays set for all tries.

Evidence: test_no_503_if_an_earlier_try_may_have_run failed before with 503 (lost, then shed or misdirected), passes now.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -319,6 +319,7 @@
     ) -> Answer | None:
         """Return None to retry, or the final answer."""
         state.last_error = error
+        state.may_have_run = state.may_have_run or error.may_have_run
         if error.outcome is Outcome.LOST:
             self.guards.quarantine.observe_loss(state.fingerprint, backend.name)
         if error.outcome is Outcome.CANCELLED:
@@ -342,18 +343,23 @@
             return None
         _release_reserved(self.allocator, state)
         log_event(state, 'request failed', error.code, backend.name)
-        return build_failure_answer(
-            error, state.compute_retry_after(self.clock.read_monotonic())
+        return _build_final_answer(
+            state, state.compute_retry_after(self.clock.read_monotonic())
         )
 
     def _answer_refusal(self, state: RequestState, refusal: Refusal) -> Answer:
         log_event(state, 'request turned away', refusal.reason.value, '')
-        last_error = state.last_error
-        if last_error is not None and last_error.may_have_run:
-            return build_failure_answer(last_error, 0)
+        if state.may_have_run:
+            return _build_final_answer(state, 0)
         return build_refusal_answer(refusal)
 
 
+def _build_final_answer(state: RequestState, retry_after: float) -> Answer:
+    return build_failure_answer(
+        state.last_error, retry_after, may_have_run=state.may_have_run
+    )
+
+
 def _release_reserved(allocator: SlotAllocator, state: RequestState) -> None:
     """Release the slot reserved for a retry that will not be sent."""
     if state.reserved is not None:
--- a/sesameroute/forward/_local_answers.py
+++ b/sesameroute/forward/_local_answers.py
@@ -48,12 +48,14 @@
     )
 
 
-def build_failure_answer(error: TryError, retry_after: float) -> Answer:
+def build_failure_answer(
+    error: TryError, retry_after: float, *, may_have_run: bool
+) -> Answer:
     """Return the answer to a request whose last try failed.
 
     503 guarantees that the request has not run; with 502 and 504 it may have.
     """
-    if not error.may_have_run:
+    if not may_have_run:
         return build_answer(_UNAVAILABLE, error.code, retry_after)
     if error.outcome is Outcome.TIMED_OUT:
         return build_answer(_GATEWAY_TIMEOUT, error.code)
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -74,6 +74,8 @@
         Backend servers that the next try must not use.
     last_error : TryError or None
         How the last try failed.
+    may_have_run : bool
+        Whether any failed try may have run.
     reserved : tuple of (SlotRequest, Grant) or None
         Slot of the next try, reserved while the last one ran.
     waited : float
@@ -97,6 +99,7 @@
     tries: int = 0
     excluded: tuple[str, ...] = ()
     last_error: TryError | None = None
+    may_have_run: bool = False
     reserved: tuple[SlotRequest, Grant] | None = None
     waited: float = 0
     decided_at: float = 0
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -90,6 +90,15 @@
     assert harness.forward()[0] == 502
 
 
+@pytest.mark.parametrize('second', ['shed', 'misdirected'])
+def test_no_503_if_an_earlier_try_may_have_run(second):
+    """The second try was not run, but the first may have been."""
+    harness = ForwarderHarness(
+        ScriptedServer('no answer'), ScriptedServer(second)
+    )
+    assert harness.forward()[0] == 502
+
+
 @pytest.mark.parametrize(
     ('path', 'host', 'status'),
     [('/other', 'h', 404), ('/p/x', 'else', 404), ('/p/x', 'h', 200)],
