Count the crashes of a server that restarts within a second

Losses of one server within a second of each other count as one crash. Each merged loss also moved the second on, so a request that came more often than once a second, to a server that was back at once, counted one crash for ever.

Change: only a counted loss starts the second.

Evidence: test_server_that_restarts_at_once_counts_again failed before for a pause of 0.6 s (1 loss where 5 are due), passes now.

--- a/sesameroute/quarantine/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -32,8 +32,8 @@
     losses : int
         Number of crashes counted.
     loss_times : dict of str to float
-        Monotonic time in seconds of the last loss of each backend server,
-        by the server's name.
+        Monotonic time in seconds of the last loss of each backend server
+        that was counted, by the server's name.
     trial_until : float
         Monotonic time in seconds until which a trial is running.
 
@@ -52,7 +52,7 @@
             >= _SAME_CRASH_SECONDS
         ):
             self.losses += 1
-        self.loss_times[upstream] = now
+            self.loss_times[upstream] = now
         self.last_loss = now
 
 
