Repeat losses to nodes that missed their report

Callers' requests that had crashed three backend servers were sent on by nodes that had started since, or had been cut off from the reporter: each loss was reported once, to the peers connected at that moment, and such a node counted to three by itself.

Class: an event told once stands for a state that must be shared.

Losses of one server within a second of each other still count once, wherever they come from, so repeats add nothing. The entry VMs' own path shares it from Pipeline.refresh.

A node that can't ask for a trial now logs why.

--- a/sesameroute/delivery/_handler.py
+++ b/sesameroute/delivery/_handler.py
@@ -14,7 +14,9 @@
 from sesameroute.delivery._witness import Witness
 from sesameroute.quarantine import (
     ClearanceReport,
+    LossExchange,
     LossReport,
+    PastLosses,
     Quarantine,
     TrialReply,
     TrialRequest,
@@ -39,6 +41,7 @@
         """Store the parameters."""
         self.witness = witness
         self.quarantine = quarantine
+        self.loss_exchange = LossExchange(quarantine)
 
     def handle(self, sender: str, message: Any) -> Any:
         """Return the reply to a message, None if there is none."""
@@ -73,6 +76,10 @@
     def _handle_loss(self, message: LossReport, sender: str) -> None:
         self.quarantine.handle_loss_report(message, sender)
 
+    @_handle.register
+    def _handle_past_losses(self, message: PastLosses, sender: str) -> None:
+        self.loss_exchange.receive(message, sender)
+
     @_handle.register
     def _handle_acquittal(self, message: ClearanceReport, sender: str) -> None:
         self.quarantine.handle_clearance(message, sender)
--- a/sesameroute/delivery/_pipeline.py
+++ b/sesameroute/delivery/_pipeline.py
@@ -105,6 +105,7 @@
         """Open new and forget old epochs; call it about once a second."""
         self.components.epoch_manager.refresh()
         self.components.record.expire(self.ports.clock.read_monotonic())
+        self.components.peer_handler.loss_exchange.share_with_next()
 
     def stop(self, deadline: float) -> StopReport:
         """Refuse new keys, let requests end, hand the record to witnesses.
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -7,7 +7,12 @@
 from sesameroute.node._fleet import Fleet, NodeState
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.node._store_connection import StoreConnection
-from sesameroute.quarantine import ClearanceReport, LossReport, Quarantine
+from sesameroute.quarantine import (
+    ClearanceReport,
+    LossExchange,
+    LossReport,
+    PastLosses,
+)
 
 __all__ = ['MessageDispatch']
 
@@ -23,7 +28,7 @@
         Handles updates of store items and queries for them.
     allocator : FleetSlotAllocator
         Handles all other messages, which concern slots.
-    quarantine : Quarantine
+    loss_exchange : LossExchange
         Handles reports about requests that crash backend servers.
 
     """
@@ -33,10 +38,11 @@
         fleet: Fleet,
         store: StoreConnection,
         allocator: FleetSlotAllocator,
-        quarantine: Quarantine,
+        loss_exchange: LossExchange,
     ) -> None:
         """Store the handlers by message type."""
         self.allocator = allocator
+        quarantine = loss_exchange.quarantine
         self._handlers: dict[type, Callable[[str, Any], Any]] = {
             NodeState: lambda _sender, state: fleet.receive_state(state),
             MirrorUpdate: store.sync.receive,
@@ -46,6 +52,9 @@
             LossReport: lambda sender, report: quarantine.handle_loss_report(
                 report, sender
             ),
+            PastLosses: lambda sender, message: loss_exchange.receive(
+                message, sender
+            ),
             ClearanceReport: lambda sender, message: (
                 quarantine.handle_clearance(message, sender)
             ),
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -16,6 +16,7 @@
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.node._store_connection import StoreConnection
 from sesameroute.ports import PeerIdentity, SystemClock, TcpWire
+from sesameroute.quarantine import LossExchange
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
 
@@ -99,11 +100,12 @@
         self._servers = list(self._node_servers.servers)
         if settings.listen.metrics:
             self._add_metrics_server(settings.listen.metrics)
+        self.loss_exchange = LossExchange(self._node_servers.quarantine)
         self._dispatch = MessageDispatch(
             self.fleet,
             self._store,
             self.allocator,
-            self._node_servers.quarantine,
+            self.loss_exchange,
         )
         self._is_stopped = threading.Event()
         self._connected: frozenset[str] = frozenset()
@@ -201,6 +203,7 @@
             self.allocator.release_node(lost)
         for found in connected - self._connected:
             self.peers.send_one_way(found, self.fleet.build_state())
+            self.loss_exchange.share_with(found)
         self._connected = connected
         self.allocator.refresh()
         self._node_servers.apply_limits()
@@ -214,6 +217,7 @@
     def _run_heartbeat_loop(self) -> None:
         while not self._is_stopped.wait(_HEARTBEAT_INTERVAL_SECONDS):
             self._broadcast_state()
+            self.loss_exchange.share_with_next()
             _dial(self.fleet, self.peers, self.settings)
             self._store.sync.fetch_if_empty()
 
--- a/sesameroute/node/tests/test_crashing_requests.py
+++ b/sesameroute/node/tests/test_crashing_requests.py
@@ -1,11 +1,19 @@
 """Tests of nodes that get a request which crashes the servers that run it."""
 
+import re
 import time
 
 import pytest
 
 from sesameroute.node.tests.backends import CRASH_PATH, BackendStandIn
-from sesameroute.node.tests.cluster import Cluster, send, wait_for_directory
+from sesameroute.node.tests.cluster import (
+    METRICS_PORT,
+    Cluster,
+    call,
+    send,
+    wait_for,
+    wait_for_directory,
+)
 
 _SERVERS = 6
 _MAX_CRASHES = 3
@@ -80,3 +88,42 @@
     statuses = send_crashing(servers, 1, 2, 3)
     assert (statuses[0], statuses[-1]) == (502, 503)
     assert not count_arrivals_after_quarantine(servers)
+
+
+def count_quarantined(number):
+    """Return how many requests a node refuses."""
+    page = call(number, METRICS_PORT, '/metrics')[2].decode()
+    return int(
+        re.search(r'^sesame_quarantined_requests\S* (\d+)', page, re.M)[1]
+    )
+
+
+def restart_node(cluster, number, *others):
+    """Kill a node and start it again, knowing others as its seeds."""
+    cluster.nodes[number].kill()
+    cluster.add_node(number, seeds=others)
+    assert wait_for_directory(number, *others)
+
+
+def test_restarted_node_knows_earlier_losses(cluster, servers):
+    """A node that missed the reports counted to three by itself."""
+    start_nodes(cluster, 1, 2)
+    send_crashing(servers, 1, rounds=4)
+    restart_node(cluster, 2, 1)
+    crashed = len(list_crashes(servers))
+    assert wait_for(lambda: count_quarantined(2))
+    send_crashing(servers, 2, rounds=2)
+    assert len(list_crashes(servers)) == crashed
+
+
+def test_cut_off_node_hears_of_losses_later(cluster, servers):
+    """Losses that no peer heard of were never reported again."""
+    start_nodes(cluster, 1, 2)
+    peers = cluster.nodes[1].peers
+    list_connected, peers.list_connected = peers.list_connected, tuple
+    send_crashing(servers, 1, rounds=4)
+    peers.list_connected = list_connected
+    assert wait_for(lambda: count_quarantined(2))
+    crashed = len(list_crashes(servers))
+    send_crashing(servers, 2, rounds=2)
+    assert len(list_crashes(servers)) == crashed
--- a/sesameroute/quarantine/__init__.py
+++ b/sesameroute/quarantine/__init__.py
@@ -1,8 +1,10 @@
 """Protects backend servers from requests that crash them."""
 
+from sesameroute.quarantine._exchange import LossExchange
 from sesameroute.quarantine._messages import (
     ClearanceReport,
     LossReport,
+    PastLosses,
     TrialReply,
     TrialRequest,
 )
@@ -10,7 +12,9 @@
 
 __all__ = [
     'ClearanceReport',
+    'LossExchange',
     'LossReport',
+    'PastLosses',
     'Quarantine',
     'TrialRequest',
     'TrialReply',
--- a/sesameroute/quarantine/_messages.py
+++ b/sesameroute/quarantine/_messages.py
@@ -4,7 +4,14 @@
 
 from sesameroute.ports import register_message
 
-__all__ = ['ClearanceReport', 'LossReport', 'TrialRequest', 'TrialReply']
+__all__ = [
+    'ClearanceReport',
+    'LossReport',
+    'PastLoss',
+    'PastLosses',
+    'TrialReply',
+    'TrialRequest',
+]
 
 
 @register_message('loss-report')
@@ -25,6 +32,37 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class PastLoss:
+    """A loss that the receiver may have missed.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest that identifies the request.
+    upstream : str
+        Name of the lost backend server.
+    reporter : str
+        Name of the VM that saw the request's first loss.
+    seconds_ago : float
+        Age of the loss in seconds when the message was sent.
+
+    """
+
+    fingerprint: str
+    upstream: str
+    reporter: str
+    seconds_ago: float
+
+
+@register_message('past-losses')
+@dataclass(frozen=True, slots=True)
+class PastLosses:
+    """Losses under requests that are still suspected."""
+
+    losses: tuple[PastLoss, ...]
+
+
 @register_message('acquittal')
 @dataclass(frozen=True, slots=True)
 class ClearanceReport:
--- a/sesameroute/quarantine/_quarantine.py
+++ b/sesameroute/quarantine/_quarantine.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from itertools import islice
 from typing import Final
 
 from sesameroute.exceptions import PeerError, RequestError
@@ -9,6 +10,7 @@
 from sesameroute.quarantine._messages import (
     ClearanceReport,
     LossReport,
+    PastLoss,
     TrialReply,
     TrialRequest,
 )
@@ -104,10 +106,15 @@
         self.check(fingerprint)
         with self._lock:
             suspect = self.suspects_.find(fingerprint)
-        if suspect and not self._is_trial_granted(
-            suspect.reporter,
-            fingerprint,
-        ):
+        if suspect is None:
+            return
+        if suspect.reporter == self.vm:
+            is_granted = self.grant_trial(TrialRequest(fingerprint)).allowed
+        else:
+            is_granted = _call_for_trial(
+                self.peers, suspect.reporter, fingerprint
+            )
+        if not is_granted:
             raise RequestError(
                 'a backend server was lost while it ran this request',
                 Verdict.NOT_RUN,
@@ -138,37 +145,31 @@
     def observe_loss(self, fingerprint: str, upstream: str) -> None:
         """Count a loss seen by this VM and report it to all peers."""
         report = LossReport(fingerprint, upstream)
-        if self.count_loss(report, self.vm):
+        if self._count_loss(report, self.vm, 0):
             _broadcast(self.peers, self.vm, report)
 
-    def count_loss(self, report: LossReport, reporter: str) -> bool:
-        """Count a loss; return False if the request was answered recently.
+    def handle_loss_report(
+        self,
+        report: LossReport,
+        sender: str,
+        reporter: str = '',
+        seconds_ago: float = 0,
+    ) -> None:
+        """Count a loss, or answer that the request was answered here.
 
         Parameters
         ----------
         report : LossReport
             The request and the lost backend server.
-        reporter : str
-            Name of the VM that saw the loss.
+        sender : str
+            Name of the VM that sent the report.
+        reporter : str, optional
+            Name of the VM that saw the first loss; by default the sender.
+        seconds_ago : float, optional
+            Age of the loss.
 
         """
-        with self._lock:
-            is_counted = self.suspects_.record_loss(report, reporter)
-            suspect = self.suspects_.find(report.fingerprint)
-        _LOG.warning(
-            'upstream-lost' if is_counted else 'loss not counted',
-            extra={
-                'fingerprint': report.fingerprint,
-                'upstream': report.upstream,
-                'reporter': reporter,
-                'losses': suspect.losses if suspect else 0,
-            },
-        )
-        return is_counted
-
-    def handle_loss_report(self, report: LossReport, sender: str) -> None:
-        """Count a loss seen by a peer, or answer that the request is fine."""
-        if not self.count_loss(report, sender):
+        if not self._count_loss(report, reporter or sender, seconds_ago):
             self.peers.send_one_way(sender, ClearanceReport(report.fingerprint))
 
     def handle_clearance(self, clearance: ClearanceReport, sender: str) -> None:
@@ -181,22 +182,37 @@
     def count_suspects(self) -> tuple[int, int]:
         """Return the numbers of suspected and of quarantined requests."""
         with self._lock:
-            losses = self.suspects_.list_losses()
-        quarantined = sum(each >= self.max_losses for each in losses)
+            losses = [each.losses for _, each in self.suspects_.list_active()]
+        quarantined = sum(count >= self.max_losses for count in losses)
         return len(losses) - quarantined, quarantined
 
-    def _is_trial_granted(self, reporter: str, fingerprint: str) -> bool:
-        trial_request = TrialRequest(fingerprint)
-        if reporter == self.vm:
-            return self.grant_trial(trial_request).allowed
-        try:
-            return self.peers.call(
-                reporter,
-                trial_request,
-                _TRIAL_REPLY_TIMEOUT_SECONDS,
-            ).allowed
-        except PeerError:
-            return False
+    def list_losses(self, limit: int) -> tuple[PastLoss, ...]:
+        """Return losses of suspected requests, at most `limit` of them."""
+        with self._lock:
+            return tuple(islice(self.suspects_.iterate_losses(), limit))
+
+    def _count_loss(
+        self, report: LossReport, reporter: str, seconds_ago: float
+    ) -> bool:
+        """Count a loss; return False if the request was answered recently."""
+        fingerprint = report.fingerprint
+        with self._lock:
+            before = self.suspects_.count_losses(fingerprint)
+            is_counted = self.suspects_.record_loss(
+                report, reporter, seconds_ago
+            )
+            losses = self.suspects_.count_losses(fingerprint)
+        if losses > before or not is_counted:
+            _LOG.warning(
+                'upstream-lost' if is_counted else 'loss not counted',
+                extra={
+                    'fingerprint': fingerprint,
+                    'upstream': report.upstream,
+                    'reporter': reporter,
+                    'losses': losses,
+                },
+            )
+        return is_counted
 
 
 def _log_clearance(fingerprint: str, answered_on: str) -> None:
@@ -212,3 +228,18 @@
     for peer in peers.list_connected():
         if peer != vm:
             peers.send_one_way(peer, message)
+
+
+def _call_for_trial(peers: Peers, reporter: str, fingerprint: str) -> bool:
+    """Ask the VM that saw the first loss; without an answer, no trial."""
+    try:
+        reply = peers.call(
+            reporter, TrialRequest(fingerprint), _TRIAL_REPLY_TIMEOUT_SECONDS
+        )
+    except PeerError as error:
+        _LOG.info(
+            'trial not granted',
+            extra={'reporter': reporter, 'why': error.code},
+        )
+        return False
+    return reply.allowed
--- a/sesameroute/quarantine/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -1,11 +1,12 @@
 """Tables of requests suspected of crashing backend servers."""
 
 from collections import OrderedDict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
 from sesameroute.ports import Clock
-from sesameroute.quarantine._messages import LossReport
+from sesameroute.quarantine._messages import LossReport, PastLoss
 
 __all__ = ['Suspect', 'SuspectList']
 
@@ -29,11 +30,9 @@
         Name of the VM that saw the first loss.
     last_loss : float
         Monotonic time in seconds of the last loss.
-    losses : int
-        Number of crashes counted.
-    loss_times : dict of str to float
-        Monotonic time in seconds of the last loss of each backend server
-        that was counted, by the server's name.
+    loss_times : dict of str to list of float
+        Monotonic times in seconds of the crashes of each backend server, by
+        the server's name.
     trial_until : float
         Monotonic time in seconds until which a trial is running.
 
@@ -41,19 +40,20 @@
 
     reporter: str
     last_loss: float
-    losses: int = 0
-    loss_times: dict[str, float] = field(default_factory=dict)
+    loss_times: dict[str, list[float]] = field(default_factory=dict)
     trial_until: float = 0
 
-    def observe(self, upstream: str, now: float) -> None:
+    @property
+    def losses(self) -> int:
+        """Number of crashes counted."""
+        return sum(map(len, self.loss_times.values()))
+
+    def observe(self, upstream: str, lost_at: float) -> None:
         """Count a loss; several requests lost in one crash count once."""
-        if (
-            now - self.loss_times.get(upstream, -_SAME_CRASH_SECONDS)
-            >= _SAME_CRASH_SECONDS
-        ):
-            self.losses += 1
-            self.loss_times[upstream] = now
-        self.last_loss = now
+        times = self.loss_times.setdefault(upstream, [])
+        if all(abs(lost_at - each) >= _SAME_CRASH_SECONDS for each in times):
+            times.append(lost_at)
+        self.last_loss = max(self.last_loss, lost_at)
 
 
 class SuspectList:
@@ -88,19 +88,27 @@
             return None
         return suspect
 
+    def count_losses(self, fingerprint: str) -> int:
+        """Return how many losses of a request are known."""
+        suspect = self.find(fingerprint)
+        return suspect.losses if suspect else 0
+
     def compute_remaining_seconds(self, suspect: Suspect) -> float:
         """Return the seconds until the suspicion expires."""
         age = self.clock.read_monotonic() - suspect.last_loss
         return _SUSPICION_SECONDS - age
 
-    def record_loss(self, report: LossReport, reporter: str) -> bool:
+    def record_loss(
+        self, report: LossReport, reporter: str, seconds_ago: float = 0
+    ) -> bool:
         """Count a loss; return False if the request is cleared."""
         now = self.clock.read_monotonic()
         answered = self.cleared_.get(report.fingerprint)
         if answered is not None and now - answered < _CLEARED_SECONDS:
             return False
-        suspect = self.find(report.fingerprint) or Suspect(reporter, now)
-        suspect.observe(report.upstream, now)
+        lost_at = now - max(seconds_ago, 0)
+        suspect = self.find(report.fingerprint) or Suspect(reporter, lost_at)
+        suspect.observe(report.upstream, lost_at)
         self.suspects_[report.fingerprint] = suspect
         self.suspects_.move_to_end(report.fingerprint)
         if len(self.suspects_) > _MAX_FINGERPRINTS:
@@ -115,13 +123,28 @@
             self.cleared_.popitem(last=False)
         return self.drop(fingerprint)
 
-    def list_losses(self) -> list[int]:
-        """Return the number of losses of each suspect."""
-        return [
-            suspect.losses
-            for suspect in self.suspects_.values()
+    def list_active(self) -> list[tuple[str, Suspect]]:
+        """Return the suspects with their fingerprints, most losses first."""
+        active = [
+            (fingerprint, suspect)
+            for fingerprint, suspect in self.suspects_.items()
             if self.compute_remaining_seconds(suspect) > 0
         ]
+        return sorted(
+            active,
+            key=lambda item: (item[1].losses, item[1].last_loss),
+            reverse=True,
+        )
+
+    def iterate_losses(self) -> Iterator[PastLoss]:
+        """Yield all counted losses, those of the most lost request first."""
+        now = self.clock.read_monotonic()
+        for fingerprint, suspect in self.list_active():
+            for upstream, times in suspect.loss_times.items():
+                for lost_at in times:
+                    yield PastLoss(
+                        fingerprint, upstream, suspect.reporter, now - lost_at
+                    )
 
     def drop(self, fingerprint: str) -> bool:
         """Remove a suspect; return whether there was one."""
