Check the quarantine again once a slot is granted

A request may wait for a slot for most of its time. Losses that were reported meanwhile did not stop it: the quarantine was asked before the wait only.

Evidence: test_loss_during_wait_for_slot_stops_request failed before (502, and the server got the request), passes now.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -163,6 +163,10 @@
             raise CallerClosedError(
                 'caller closed its connection before the request was sent'
             )
+        if self.guards.quarantine.is_quarantined(state.fingerprint):
+            # Servers were lost under it while it waited for the slot.
+            self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
+            return None
         entry = self.registry.find(decision.backend)
         if not self.registry.may_receive_requests(
             decision.backend, decision.incarnation
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -378,6 +378,28 @@
     assert statuses == [502, 502, 502, 503, 503]
 
 
+def test_loss_during_wait_for_slot_stops_request():
+    """A request that waited for a slot was sent despite its quarantine."""
+    servers = [ScriptedServer('no answer') for _ in range(4)]
+    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
+    quarantine = harness.forwarder.guards.quarantine
+    place = harness.allocator.place
+
+    def place_after_losses(slot_request):
+        if servers[0].heads:
+            for name in 'bcd':
+                fingerprint = next(iter(quarantine.suspects_.suspects_))
+                quarantine.observe_loss(fingerprint, name)
+        return place(slot_request)
+
+    harness.allocator.place = place_after_losses
+    assert harness.forward(body=b'harm')[0] == 502
+    harness.allocator.names.pop(0)
+    assert harness.forward(body=b'harm')[0] == 503
+    assert not servers[1].heads
+    assert len(harness.allocator.releases) == 2
+
+
 def test_answered_request_is_not_quarantined():
     """Later losses do not quarantine a request that was answered once."""
     names = ['whole', *['no answer'] * 5]
