Lengthen the quarantine of a request that crashes servers again

Callers' requests that crash backend servers were forgotten 60 s after their last loss and then crashed as many again, each time.

Change: a request that was quarantined is remembered for ten minutes; a single loss puts it back for twice as long. A whole, good answer still clears it.

--- a/sesameroute/quarantine/_quarantine.py
+++ b/sesameroute/quarantine/_quarantine.py
@@ -45,7 +45,8 @@
     After its first loss a request is suspected: the VM that saw this loss
     grants trials, one attempt at a time for all entry VMs together. At
     `max_losses` the request is quarantined. Both states expire some time
-    after the last loss.
+    after the last loss. A request that was quarantined is remembered for
+    longer: then a single loss puts it back, for twice as long.
 
     Losses of a request that was answered recently aren't counted, because
     such a request doesn't crash backend servers. Otherwise the loss of a
@@ -64,8 +65,7 @@
         self.vm = vm
         self.clock = clock
         self.peers = peers
-        self.max_losses = max_losses
-        self.suspects_ = SuspectList(clock)
+        self.suspects_ = SuspectList(clock, max_losses)
         self._lock = threading.Lock()
 
     def check(self, fingerprint: str) -> None:
@@ -78,20 +78,19 @@
 
         """
         with self._lock:
-            suspect = self.suspects_.find(fingerprint)
-        if suspect and suspect.losses >= self.max_losses:
+            remaining = self.suspects_.compute_quarantine_seconds(fingerprint)
+        if remaining > 0:
             raise RequestError(
                 'backend servers were lost while they ran this request',
                 Verdict.NOT_RUN,
                 'quarantined',
-                self.suspects_.compute_remaining_seconds(suspect),
+                remaining,
             )
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Whether a request must not be sent."""
         with self._lock:
-            suspect = self.suspects_.find(fingerprint)
-        return suspect is not None and suspect.losses >= self.max_losses
+            return self.suspects_.compute_quarantine_seconds(fingerprint) > 0
 
     def check_attempt(self, fingerprint: str) -> None:
         """Refuse a quarantined request, and a suspected one without a trial.
@@ -129,7 +128,13 @@
             suspect = self.suspects_.find(trial_request.fingerprint)
             if suspect is None:
                 return TrialReply(allowed=True)
-            if suspect.losses >= self.max_losses or suspect.trial_until > now:
+            if (
+                self.suspects_.compute_quarantine_seconds(
+                    trial_request.fingerprint
+                )
+                > 0
+                or suspect.trial_until > now
+            ):
                 return TrialReply(allowed=False)
             suspect.trial_until = now + _TRIAL_SECONDS
         return TrialReply(allowed=True)
@@ -182,9 +187,12 @@
     def count_suspects(self) -> tuple[int, int]:
         """Return the numbers of suspected and of quarantined requests."""
         with self._lock:
-            losses = [each.losses for _, each in self.suspects_.list_active()]
-        quarantined = sum(count >= self.max_losses for count in losses)
-        return len(losses) - quarantined, quarantined
+            remaining = [
+                self.suspects_.compute_quarantine_seconds(fingerprint)
+                for fingerprint, _ in self.suspects_.list_active()
+            ]
+        quarantined = sum(seconds > 0 for seconds in remaining)
+        return len(remaining) - quarantined, quarantined
 
     def list_losses(self, limit: int) -> tuple[PastLoss, ...]:
         """Return losses of suspected requests, at most `limit` of them."""
--- a/sesameroute/quarantine/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -10,8 +10,13 @@
 
 __all__ = ['Suspect', 'SuspectList']
 
-# How long a request stays suspected after its last loss.
+# How long a request stays suspected, and then quarantined, after its last
+# loss. Each loss after a quarantine doubles the next one.
 _SUSPICION_SECONDS: Final = 60.0
+# How long a request that was quarantined is remembered, and the longest
+# quarantine.
+_MEMORY_SECONDS: Final = 600.0
+_MAX_DOUBLINGS: Final = 4
 # How long losses of a request are ignored after it has been answered.
 _CLEARED_SECONDS: Final = 60.0
 # Losses of one backend server within this time count as one crash.
@@ -63,6 +68,8 @@
     ----------
     clock : Clock
         Source of time.
+    max_losses : int
+        Number of losses at which a request is quarantined.
 
     Attributes
     ----------
@@ -74,9 +81,10 @@
 
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, max_losses: int) -> None:
         """Start with empty tables."""
         self.clock = clock
+        self.max_losses = max_losses
         self.suspects_: OrderedDict[str, Suspect] = OrderedDict()
         self.cleared_: OrderedDict[str, float] = OrderedDict()
 
@@ -94,9 +102,21 @@
         return suspect.losses if suspect else 0
 
     def compute_remaining_seconds(self, suspect: Suspect) -> float:
-        """Return the seconds until the suspicion expires."""
+        """Return the seconds until the suspect is forgotten."""
         age = self.clock.read_monotonic() - suspect.last_loss
-        return _SUSPICION_SECONDS - age
+        if suspect.losses < self.max_losses:
+            return _SUSPICION_SECONDS - age
+        return _MEMORY_SECONDS - age
+
+    def compute_quarantine_seconds(self, fingerprint: str) -> float:
+        """Return the seconds until a request may be sent; 0 if it may now."""
+        suspect = self.find(fingerprint)
+        if suspect is None or suspect.losses < self.max_losses:
+            return 0
+        excess_losses = suspect.losses - self.max_losses
+        age = self.clock.read_monotonic() - suspect.last_loss
+        seconds = _SUSPICION_SECONDS * 2 ** min(excess_losses, _MAX_DOUBLINGS)
+        return max(min(seconds, _MEMORY_SECONDS) - age, 0)
 
     def record_loss(
         self, report: LossReport, reporter: str, seconds_ago: float = 0
--- a/sesameroute/quarantine/tests/test_suspects.py
+++ b/sesameroute/quarantine/tests/test_suspects.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sesameroute.quarantine import Quarantine
 from sesameroute.quarantine._messages import LossReport
 from sesameroute.quarantine._suspects import SuspectList
 
@@ -25,8 +26,44 @@
 def test_server_that_restarts_at_once_counts_again(pause, losses):
     """Crashes less than a second apart counted as one without end."""
     clock = ManualClock()
-    suspects = SuspectList(clock)
+    suspects = SuspectList(clock, max_losses=3)
     for _ in range(10):
         suspects.record_loss(LossReport('f', 'server'), 'node')
         clock.now += pause
     assert suspects.find('f').losses == losses
+
+
+class NoPeers:
+    """Peer connections of a VM without peers."""
+
+    def list_connected(self):
+        """Return no peers."""
+        return ()
+
+
+def test_request_that_crashes_again_waits_longer():
+    """After each minute of quarantine, it could crash as many as before."""
+    clock = ManualClock()
+    quarantine = Quarantine('vm', clock, NoPeers(), max_losses=3)
+    crashes = []
+    for second in range(600):
+        clock.now = 1000 + second
+        if not quarantine.is_quarantined('f'):
+            quarantine.observe_loss('f', 'server')
+            crashes.append(second)
+    assert crashes == [0, 1, 2, 62, 182, 422]
+
+
+def test_request_is_forgiven_after_a_good_answer():
+    """A request that runs well after its quarantine starts anew."""
+    clock = ManualClock()
+    quarantine = Quarantine('vm', clock, NoPeers(), max_losses=3)
+    for name in 'abc':
+        quarantine.observe_loss('f', name)
+    assert quarantine.is_quarantined('f')
+    clock.now += 61
+    assert not quarantine.is_quarantined('f')
+    quarantine.observe_answer('f')
+    clock.now += 61
+    quarantine.observe_loss('f', 'a')
+    assert not quarantine.is_quarantined('f')
