Record the limits that backend servers name, with events and gauges

The platform's header codec reads Server-Limit (a finite decimal from 0 up; anything else is no limit). Nothing acts on the limit yet.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -13,7 +13,10 @@
     build_failure_answer,
     build_refusal_answer,
 )
-from sesameroute.forward._message import CallerRequest, TryError
+from sesameroute.forward._message import (
+    CallerRequest,
+    TryError,
+)
 from sesameroute.forward._request_log import (
     Observer,
     RequestRecord,
@@ -24,7 +27,7 @@
     HOP_BY_HOP_HEADERS,
     MAX_BUFFERED_BYTES,
     RequestState,
-    TryGuards,
+    TryHooks,
     build_outgoing_request,
     compute_fingerprint,
     is_consumed,
@@ -223,6 +226,7 @@
     ) -> Answer | None:
         state.tries += 1
         state.backend = backend.name
+        state.incarnation = backend.incarnation
         state.excluded = (*state.excluded, backend.name)
         started_at = self.clock.read_monotonic()
         try:
@@ -232,7 +236,11 @@
                     state,
                     backend,
                     self.sender.header_codec,
-                    TryGuards(self._reserve_retry, self.guards.may_resend),
+                    TryHooks(
+                        self._reserve_retry,
+                        self.guards.may_resend,
+                        self.guards.observe_metadata,
+                    ),
                     started_at,
                 ),
                 new_connection=not state.route.kind.is_idempotent,
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -5,13 +5,14 @@
 
 from sesameroute.exceptions import RequestError
 from sesameroute.forward._local_answers import build_answer
-from sesameroute.forward._message import TryError
+from sesameroute.forward._message import AnswerMetadata, TryError
 from sesameroute.forward._request_log import log_event
 from sesameroute.forward._request_state import RequestState, is_consumed
 from sesameroute.forward._retries import RetryBudgets
 from sesameroute.placement import Outcome
-from sesameroute.ports import Answer
+from sesameroute.ports import Answer, Clock
 from sesameroute.quarantine import Quarantine
+from sesameroute.registry import Announcement, Announcements
 
 __all__ = ['Guards']
 
@@ -21,11 +22,14 @@
     """Checks that limit or stop tries.
 
     `retries` limits the tries after the first, `quarantine` stops requests
-    that crash backend servers.
+    that crash backend servers, `announcements` records the limits that the
+    servers name, `clock` is the source of time.
     """
 
     retries: RetryBudgets
     quarantine: Quarantine
+    announcements: Announcements
+    clock: Clock
 
     def check(self, state: RequestState) -> Answer | None:
         """Return an error answer if the request is quarantined, else None."""
@@ -56,6 +60,19 @@
         if status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self.quarantine.observe_answer(state.fingerprint)
 
+    def observe_metadata(
+        self, state: RequestState, metadata: AnswerMetadata
+    ) -> None:
+        """Record the limit that a server named in its answer, or none."""
+        self.announcements.record(
+            Announcement(
+                state.backend,
+                state.incarnation,
+                self.clock.read_monotonic(),
+                metadata.request_limit,
+            )
+        )
+
     def observe_failure(self, state: RequestState, error: TryError) -> None:
         """Count the loss of a backend server that ran the request."""
         if error.outcome is Outcome.LOST:
--- a/sesameroute/forward/_message.py
+++ b/sesameroute/forward/_message.py
@@ -87,6 +87,9 @@
         Whether the seal header shows that the server itself answered.
     queue_length : int
         Requests in the server's queue; -1 if not given.
+    request_limit : float or None
+        Requests per second that the server takes from all nodes together;
+        None if it names no limit.
 
     """
 
@@ -95,6 +98,7 @@
     is_misdirected: bool
     is_sealed: bool
     queue_length: int = -1
+    request_limit: float | None = None
 
 
 class HeaderCodec:
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from sesameroute.forward._message import (
+    AnswerMetadata,
     CallerRequest,
     HeaderCodec,
     RequestMetadata,
@@ -23,7 +24,7 @@
     'HOP_BY_HOP_HEADERS',
     'MAX_BUFFERED_BYTES',
     'RequestState',
-    'TryGuards',
+    'TryHooks',
     'build_outgoing_request',
     'compute_fingerprint',
     'is_consumed',
@@ -84,6 +85,8 @@
         Monotonic time in seconds at which a slot was last granted or refused.
     backend : str
         Backend server of the last try.
+    incarnation : int
+        Its incarnation.
     fingerprint : str
         Digest that is equal for repetitions of the same request.
 
@@ -104,6 +107,7 @@
     waited: float = 0
     decided_at: float = 0
     backend: str = ''
+    incarnation: int = 0
     fingerprint: str = ''
 
     def compute_retry_after(self, now: float) -> float:
@@ -112,15 +116,17 @@
         return min(remaining * _RETRY_AFTER_FRACTION, _MAX_RETRY_AFTER_SECONDS)
 
 
-class TryGuards(NamedTuple):
-    """Decisions during a try on sending the request again.
+class TryHooks(NamedTuple):
+    """Functions that are called during a try.
 
     `may_abandon` decides on a retry at another backend server instead of the
     running try, `may_resend` on sending to the same one on a new connection.
+    `observe_metadata` gets what the server says of itself in its answer.
     """
 
     may_abandon: Callable[[RequestState], bool]
     may_resend: Callable[[RequestState], bool]
+    observe_metadata: Callable[[RequestState, AnswerMetadata], None]
 
 
 class _StreamedBody:
@@ -178,7 +184,7 @@
     state: RequestState,
     backend: Backend,
     header_codec: HeaderCodec,
-    guards: TryGuards,
+    hooks: TryHooks,
     now: float,
 ) -> OutgoingRequest:
     """Return the request to send to a backend server.
@@ -191,8 +197,8 @@
         Where it is sent.
     header_codec : HeaderCodec
         Writes the added headers.
-    guards : TryGuards
-        Decide on sending the request again.
+    hooks : TryHooks
+        Called during the try.
     now : float
         Monotonic time in seconds.
 
@@ -211,8 +217,9 @@
         state.deadline,
         state.request.caller if route.kind.is_idempotent else None,
         retry_at,
-        lambda: guards.may_abandon(state),
-        lambda: guards.may_resend(state),
+        lambda: hooks.may_abandon(state),
+        lambda: hooks.may_resend(state),
+        lambda metadata: hooks.observe_metadata(state, metadata),
     )
 
 
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -51,6 +51,8 @@
     may_resend : callable
         Called after a kept connection broke; returns whether the request may
         be sent to the same backend server on a new one.
+    observe_metadata : callable
+        Called with the metadata of each answer that the server itself gave.
 
     """
 
@@ -64,6 +66,7 @@
     retry_at: float = math.inf
     may_abandon: Callable[[], bool] = bool
     may_resend: Callable[[], bool] = bool
+    observe_metadata: Callable[[AnswerMetadata], None] = bool
 
 
 @dataclass(slots=True)
@@ -201,15 +204,10 @@
         response = self._read_head(pooled_connection, outgoing)
         answer = _convert_head(response)
         answer_metadata = self.header_codec.read_answer_metadata(answer)
-        if (
-            answer_metadata.identifier
-            and answer_metadata.identifier != outgoing.identifier
-        ):
-            raise _build_error(
-                'answer carries another attempt identifier', Outcome.LOST
-            )
-        if pooled_connection.http_connection.has_header_defects:
-            raise _build_error('answer has a malformed header', Outcome.LOST)
+        _check_identity(pooled_connection, outgoing, answer_metadata)
+        is_own = answer_metadata.is_sealed or answer_metadata.is_not_run
+        if is_own and not answer_metadata.is_misdirected:
+            outgoing.observe_metadata(answer_metadata)
         body = AnswerBody(
             response, pooled_connection, self.connections, outgoing.deadline
         )
@@ -294,6 +292,21 @@
     return Answer(response.status, headers, length=length)
 
 
+def _check_identity(
+    pooled_connection: PooledConnection,
+    outgoing: OutgoingRequest,
+    answer_metadata: AnswerMetadata,
+) -> None:
+    """Raise an error if the answer is malformed or belongs elsewhere."""
+    identifier = answer_metadata.identifier
+    if identifier and identifier != outgoing.identifier:
+        raise _build_error(
+            'answer carries another attempt identifier', Outcome.LOST
+        )
+    if pooled_connection.http_connection.has_header_defects:
+        raise _build_error('answer has a malformed header', Outcome.LOST)
+
+
 def _classify_error(error: Exception) -> TryError:
     """Convert an error on the connection to a TryError."""
     if isinstance(error, TryError):
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -108,6 +108,8 @@
             Guards(
                 RetryBudgets(FleetRetryBudget(0.2, 8), lambda: 1),
                 Quarantine('n', self.clock, NoPeers(), 3),
+                self.registry.announcements,
+                self.clock,
             ),
             self.clock,
         )
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -96,10 +96,20 @@
     def _update_gauges(self) -> None:
         for metric, amount in self._list_gauges():
             self.meter_.set(metric, amount)
+        for metric, backend, amount in self._list_backend_gauges():
+            self.meter_.set(metric, amount, backend=backend)
         for service, held, usable in self.allocator.count_slots():
             self.meter_.set(Metric.SLOTS_HELD, held, service=service)
             self.meter_.set(Metric.SLOTS, usable, service=service)
 
+    def _list_backend_gauges(self) -> Iterator[tuple[Metric, str, float]]:
+        for announced in self.registry.announcements.list_newest():
+            limit = -1 if announced.limit is None else announced.limit
+            yield Metric.BACKEND_LIMIT, announced.backend, limit
+        for pool in self.allocator.pools:
+            for state in pool.states:
+                yield Metric.BACKEND_GRANTS, state.name, state.total_grants
+
     def _list_gauges(self) -> Iterator[tuple[Metric, float]]:
         current_configuration = self.active_configuration.configuration
         version = current_configuration.version if current_configuration else 0
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -17,7 +17,7 @@
 from sesameroute.node._store_connection import StoreConnection
 from sesameroute.ports import PeerIdentity, SystemClock, TcpWire
 from sesameroute.quarantine import LossExchange
-from sesameroute.registry import Registry
+from sesameroute.registry import Announcement, Registry
 from sesameroute.routes import ActiveConfiguration
 
 __all__ = ['FleetNode']
@@ -107,6 +107,7 @@
             self.allocator,
             self.loss_exchange,
         )
+        self.registry.announcements.listener_ = _log_limit
         self._is_stopped = threading.Event()
         self._connected: frozenset[str] = frozenset()
 
@@ -229,6 +230,17 @@
             self.peers.send_one_way(peer, state)
 
 
+def _log_limit(announcement: Announcement) -> None:
+    _logger.info(
+        'backend server limit changed',
+        extra={
+            'backend': announcement.backend,
+            'limit': announcement.limit,
+            'source': announcement.source or '-',
+        },
+    )
+
+
 def _add_seeds(fleet: Fleet, settings: NodeSettings) -> None:
     for seed in settings.peers.seeds:
         fleet.add_address(seed.rpartition(':')[0])
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -92,7 +92,12 @@
             registry,
             allocator,
             Sender(connections, PlatformHeaderCodec(), self.clock),
-            Guards(self._retries, self.quarantine),
+            Guards(
+                self._retries,
+                self.quarantine,
+                registry.announcements,
+                self.clock,
+            ),
             self.clock,
         )
         self._directory = DirectoryHandler(fleet, settings.bounds.longest_ttl)
--- a/sesameroute/placement/_active_grants.py
+++ b/sesameroute/placement/_active_grants.py
@@ -53,6 +53,7 @@
         number = next(self._numbers)
         self._grants[number] = grant
         grant.state.granted_slots += 1
+        grant.state.total_grants += 1
         return number
 
     def pop(self, number: int) -> ActiveGrant | None:
--- a/sesameroute/placement/_upstream.py
+++ b/sesameroute/placement/_upstream.py
@@ -54,6 +54,8 @@
         Limits the rate of requests while it is cold.
     granted_slots : int
         Slots in use by this pool's grants.
+    total_grants : int
+        Grants of this pool so far.
     reports : dict of str to tuple of int and float
         By reporting node, the slots in use by its grants and the monotonic
         time of the report in seconds.
@@ -79,6 +81,7 @@
     recent: RecentKeys = field(default_factory=RecentKeys)
     cold_start_budget: ColdStartBudget = field(default_factory=ColdStartBudget)
     granted_slots: int = 0
+    total_grants: int = 0
     reports: dict[str, tuple[int, float]] = field(default_factory=dict)
     slowdown: float = 1.0
     failure_rate: float = 0
--- a/sesameroute/platform/_header_codec.py
+++ b/sesameroute/platform/_header_codec.py
@@ -1,11 +1,14 @@
 """Reader and writer of the platform's HTTP headers."""
 
+import math
+
 from sesameroute.forward import AnswerMetadata, HeaderCodec, RequestMetadata
 from sesameroute.platform._names import (
     AFFINITY_HEADER,
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
     EXPECTED_INSTANCE_HEADER,
+    LIMIT_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
     SEAL_HEADER,
@@ -66,6 +69,7 @@
             is_misdirected,
             SEAL_HEADER.lower() in by_name,
             _parse_queue_length(by_name.get(LOAD_HEADER.lower(), '')),
+            _parse_limit(by_name.get(LIMIT_HEADER.lower(), '')),
         )
 
 
@@ -80,6 +84,24 @@
     return int(text) / _MILLISECONDS
 
 
+def _parse_limit(text: str) -> float | None:
+    """Return a limit in requests per second, None if it is not valid.
+
+    Examples
+    --------
+    >>> _parse_limit('7.1'), _parse_limit('0'), _parse_limit('-1')
+    (7.1, 0.0, None)
+    >>> _parse_limit('nan'), _parse_limit('1e999'), _parse_limit('many')
+    (None, None, None)
+
+    """
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if 0 <= limit < math.inf else None
+
+
 def _parse_queue_length(text: str) -> int:
     """Return the queue length from a load header, -1 if it is not valid.
 
--- a/sesameroute/platform/_names.py
+++ b/sesameroute/platform/_names.py
@@ -7,6 +7,7 @@
     'DEADLINE_HEADER',
     'EVACUATION_PREFIX',
     'EXPECTED_INSTANCE_HEADER',
+    'LIMIT_HEADER',
     'LOAD_HEADER',
     'MEMBER_PREFIX',
     'NOT_RUN_HEADER',
@@ -28,6 +29,8 @@
 EXPECTED_INSTANCE_HEADER = 'Sesameroute-Expect-Instance'
 # Requests running, requests waiting and slots of the backend server.
 LOAD_HEADER = 'Sesameroute-Server-Load'
+# Requests per second that the backend server takes from all nodes together.
+LIMIT_HEADER = 'Server-Limit'
 # Guarantees that the backend server has not run the request.
 NOT_RUN_HEADER = 'Sesameroute-Not-Run'
 
--- a/sesameroute/platform/tests/test_documents.py
+++ b/sesameroute/platform/tests/test_documents.py
@@ -259,6 +259,7 @@
                 ('Sesameroute-Server-Seal', 's'),
                 ('Sesameroute-Attempt-Id', 'a'),
                 ('Sesameroute-Server-Load', '3,2,8'),
+                ('Server-Limit', '7.1'),
             ),
             AnswerMetadata(
                 'a',
@@ -266,6 +267,7 @@
                 is_misdirected=False,
                 is_sealed=True,
                 queue_length=2,
+                request_limit=7.1,
             ),
         ),
     ],
--- a/sesameroute/registry/__init__.py
+++ b/sesameroute/registry/__init__.py
@@ -1,6 +1,14 @@
 """Registry of the backend servers listed by the platform."""
 
+from sesameroute.registry._announcements import Announcement, Announcements
 from sesameroute.registry._backend import Backend, BackendState
 from sesameroute.registry._registry import Registry, RegistryEntry
 
-__all__ = ['Backend', 'BackendState', 'RegistryEntry', 'Registry']
+__all__ = [
+    'Announcement',
+    'Announcements',
+    'Backend',
+    'BackendState',
+    'RegistryEntry',
+    'Registry',
+]
--- a/sesameroute/registry/_registry.py
+++ b/sesameroute/registry/_registry.py
@@ -4,6 +4,7 @@
 import threading
 from dataclasses import dataclass
 
+from sesameroute.registry._announcements import Announcements
 from sesameroute.registry._backend import Backend, BackendState
 
 __all__ = ['RegistryEntry', 'Registry']
@@ -49,6 +50,8 @@
     ----------
     change_count_ : int
         Counter that increases with each change.
+    announcements : Announcements
+        What the backend servers say in their answers.
 
     """
 
@@ -59,6 +62,7 @@
         self._entries: dict[str, RegistryEntry] = {}
         self._evacuated: frozenset[str] = frozenset()
         self.change_count_ = 0
+        self.announcements = Announcements()
 
     def put(self, backend: Backend, now: float) -> bool:
         """Add or update a backend server.
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -97,6 +97,16 @@
         'sesame_backends',
         'Backend servers in the registry.',
     )
+    BACKEND_LIMIT = _MetricSpecification(
+        Gauge,
+        'sesame_backend_limit',
+        'Requests per second that a backend server takes; -1 without a limit.',
+    )
+    BACKEND_GRANTS = _MetricSpecification(
+        Gauge,
+        'sesame_backend_grants',
+        'Slots that the pools on this node have granted, by backend server.',
+    )
     STORE_CALLS = _MetricSpecification(
         Counter,
         'sesame_store_calls_total',
