Move the repetition of news to peers into a class of its own

LossExchange repeats losses to each peer on connecting and to one in turn each second. What servers name as their limit needs the same. No behaviour changes.

--- /dev/null
+++ b/sesameroute/gossip/__init__.py
@@ -0,0 +1,5 @@
+"""Spreads what one VM knows to the others."""
+
+from sesameroute.gossip._gossip import Gossip
+
+__all__ = ['Gossip']
--- a/sesameroute/quarantine/_exchange.py
+++ b/sesameroute/quarantine/_exchange.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from sesameroute.gossip import Gossip
 from sesameroute.quarantine._messages import LossReport, PastLosses
 from sesameroute.quarantine._quarantine import Quarantine
 
@@ -11,12 +12,9 @@
 _MAX_LOSSES: Final = 32
 
 
-class LossExchange:
+class LossExchange(Gossip):
     """Repeats the losses of suspected requests to peers.
 
-    Each loss is reported once to the peers that are connected then. A VM
-    that starts later, or was cut off, hears of it here.
-
     Parameters
     ----------
     quarantine : Quarantine
@@ -26,26 +24,13 @@
 
     def __init__(self, quarantine: Quarantine) -> None:
         """Store the quarantine."""
+        super().__init__(quarantine.vm, quarantine.peers)
         self.quarantine = quarantine
-        self._turn = 0
 
-    def share_with(self, vm: str) -> None:
-        """Send the losses of the suspected requests to a peer."""
+    def build_message(self) -> PastLosses | None:
+        """Return the losses of the suspected requests."""
         losses = self.quarantine.list_losses(_MAX_LOSSES)
-        if losses:
-            self.quarantine.peers.send_one_way(vm, PastLosses(losses))
-
-    def share_with_next(self) -> None:
-        """Send the losses to one of the peers, a different one each time."""
-        quarantine = self.quarantine
-        others = [
-            vm
-            for vm in sorted(quarantine.peers.list_connected())
-            if vm != quarantine.vm
-        ]
-        if others:
-            self._turn += 1
-            self.share_with(others[self._turn % len(others)])
+        return PastLosses(losses) if losses else None
 
     def receive(self, message: PastLosses, sender: str) -> None:
         """Count the losses that were unknown here."""
