Keep the limit that a backend server names, summed over all nodes

Cause: no node read Server-Limit. Class: a bound on a sum over all nodes that nobody holds.

Change: the pools hold it, since every request needs a grant. The leader of the server's own region uses 0.55 of the limit, the leaders of all other regions 0.15 together, a node that leads by its own view of the fleet only; the others none. So two leaders of a region at once, as at a change of leader, still stay within 1.5 times the limit. A server at its limit counts as neither warm nor free, waits for it don't begin, and its room is away; the cap on shifts is lifted by a loss of servers only, not by a limit. No request is repeated on a new connection to such a server, since its grant is for one request.

--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -44,9 +44,14 @@
         return None
 
     def may_resend(self, state: RequestState) -> bool:
-        """Whether the same backend server may get the request again."""
+        """Whether the same backend server may get the request again.
+
+        Not if it has named a limit: the grant is for one request.
+        """
+        limit = self.announcements.find_limit(state.backend, state.incarnation)
         return (
-            not is_consumed(state.body)
+            limit is None
+            and not is_consumed(state.body)
             and not self.quarantine.is_quarantined(state.fingerprint)
             and self.retries.acquire(state.service)
         )
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -5,6 +5,7 @@
 
 from sesameroute.mirror import MirrorCopyRequest, MirrorUpdate
 from sesameroute.node._fleet import Fleet, NodeState
+from sesameroute.node._limit_exchange import LimitExchange, LimitReport
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.node._store_connection import StoreConnection
 from sesameroute.quarantine import (
@@ -30,6 +31,8 @@
         Handles all other messages, which concern slots.
     loss_exchange : LossExchange
         Handles reports about requests that crash backend servers.
+    limit_exchange : LimitExchange
+        Handles reports about limits that backend servers name.
 
     """
 
@@ -39,6 +42,7 @@
         store: StoreConnection,
         allocator: FleetSlotAllocator,
         loss_exchange: LossExchange,
+        limit_exchange: LimitExchange,
     ) -> None:
         """Store the handlers by message type."""
         self.allocator = allocator
@@ -52,6 +56,9 @@
             LossReport: lambda sender, report: quarantine.handle_loss_report(
                 report, sender
             ),
+            LimitReport: lambda sender, message: limit_exchange.receive(
+                message, sender
+            ),
             PastLosses: lambda sender, message: loss_exchange.receive(
                 message, sender
             ),
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -8,6 +8,7 @@
 from sesameroute.exceptions import SesameError
 from sesameroute.node._dispatch import MessageDispatch
 from sesameroute.node._fleet import Fleet, NodeState
+from sesameroute.node._limit_exchange import LimitExchange
 from sesameroute.node._metrics import MetricsServer, NodeMeter
 from sesameroute.node._pools import PoolTable
 from sesameroute.node._receiver import NodeReceiver
@@ -16,8 +17,7 @@
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.node._store_connection import StoreConnection
 from sesameroute.ports import PeerIdentity, SystemClock, TcpWire
-from sesameroute.quarantine import LossExchange
-from sesameroute.registry import Announcement, Registry
+from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
 
 __all__ = ['FleetNode']
@@ -100,14 +100,20 @@
         self._servers = list(self._node_servers.servers)
         if settings.listen.metrics:
             self._add_metrics_server(settings.listen.metrics)
-        self.loss_exchange = LossExchange(self._node_servers.quarantine)
+        self._limit_exchange = LimitExchange(
+            node_settings.address,
+            self.peers,
+            self.registry.announcements,
+            self.clock,
+        )
+        self.registry.announcements.listener_ = self._limit_exchange.publish
         self._dispatch = MessageDispatch(
             self.fleet,
             self._store,
             self.allocator,
-            self.loss_exchange,
+            self._node_servers.loss_exchange,
+            self._limit_exchange,
         )
-        self.registry.announcements.listener_ = _log_limit
         self._is_stopped = threading.Event()
         self._connected: frozenset[str] = frozenset()
 
@@ -204,7 +210,8 @@
             self.allocator.release_node(lost)
         for found in connected - self._connected:
             self.peers.send_one_way(found, self.fleet.build_state())
-            self.loss_exchange.share_with(found)
+            self._node_servers.loss_exchange.share_with(found)
+            self._limit_exchange.share_with(found)
         self._connected = connected
         self.allocator.refresh()
         self._node_servers.apply_limits()
@@ -218,7 +225,8 @@
     def _run_heartbeat_loop(self) -> None:
         while not self._is_stopped.wait(_HEARTBEAT_INTERVAL_SECONDS):
             self._broadcast_state()
-            self.loss_exchange.share_with_next()
+            self._node_servers.loss_exchange.share_with_next()
+            self._limit_exchange.share_with_next()
             _dial(self.fleet, self.peers, self.settings)
             self._store.sync.fetch_if_empty()
 
@@ -230,17 +238,6 @@
             self.peers.send_one_way(peer, state)
 
 
-def _log_limit(announcement: Announcement) -> None:
-    _logger.info(
-        'backend server limit changed',
-        extra={
-            'backend': announcement.backend,
-            'limit': announcement.limit,
-            'source': announcement.source or '-',
-        },
-    )
-
-
 def _add_seeds(fleet: Fleet, settings: NodeSettings) -> None:
     for seed in settings.peers.seeds:
         fleet.add_address(seed.rpartition(':')[0])
--- a/sesameroute/node/_pools.py
+++ b/sesameroute/node/_pools.py
@@ -5,7 +5,12 @@
 from collections.abc import Iterator, Mapping
 
 from sesameroute.node._fleet import Fleet
-from sesameroute.placement import Grant, Pool, PoolIdentity
+from sesameroute.placement import (
+    Grant,
+    LimitShares,
+    Pool,
+    PoolIdentity,
+)
 from sesameroute.ports import Clock
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
@@ -18,6 +23,11 @@
 _FALLBACK_COLD_FRACTION = 0.05
 # Rate while no configuration is known, in requests per second.
 _DEFAULT_COLD_RATE_PER_SECOND = 5.0
+# Parts of the limit that a backend server names which the leader of its own
+# region uses, and the leaders of all other regions together. While two nodes
+# lead a region, as at a change of leader, the sum may double.
+_OWN_LIMIT_FRACTION = 0.55
+_REMOTE_LIMIT_FRACTION = 0.15
 
 
 class PoolTable:
@@ -64,7 +74,8 @@
             if pool is None:
                 own_state = self.fleet.own_state
                 pool = Pool(
-                    PoolIdentity(service, own_state.region, own_state.address)
+                    PoolIdentity(service, own_state.region, own_state.address),
+                    self.registry.announcements,
                 )
                 self._pools[service] = pool
             is_synced = self._synced_changes.get(service) == changes
@@ -77,12 +88,14 @@
             )
         return pool
 
-    def set_cold_rate(self, pool: Pool, *, is_leader: bool) -> None:
-        """Set the rate of requests that a pool may send to cold servers.
+    def set_start_rates(self, pool: Pool, *, is_leader: bool) -> None:
+        """Set the rates of requests to cold servers and to limited ones.
 
-        The rate is shared by the leader and the nodes that can't reach it:
-        together they must not exceed it.
+        The rate of a cold server is shared by the leader and the nodes that
+        can't reach it: together they must not exceed it.
         """
+        if self.registry.announcements.has_any:
+            self.share_named_limits(pool)
         current_configuration = self.active_configuration.configuration
         terms = (
             current_configuration.services.get(pool.identity.service)
@@ -95,6 +108,22 @@
             _LEADER_COLD_FRACTION if is_leader else _FALLBACK_COLD_FRACTION,
         )
 
+    def share_named_limits(self, pool: Pool) -> None:
+        """Set the parts that a pool may use of the limits servers name.
+
+        Only a node that leads by its own view uses any: the number of nodes
+        that can't reach their leader has no bound.
+        """
+        own_state = self.fleet.own_state
+        leader = self.fleet.find_leader(pool.identity.service, own_state.region)
+        if leader != own_state.address:
+            pool.states.limit_shares = LimitShares(0, 0)
+            return
+        others = len(self.list_regions() - {own_state.region})
+        pool.states.limit_shares = LimitShares(
+            _OWN_LIMIT_FRACTION, _REMOTE_LIMIT_FRACTION / max(others, 1)
+        )
+
     def replace_regions(self, regions: Mapping[str, str]) -> None:
         """Replace the map from zones to regions and update all pools."""
         with self._lock:
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -22,7 +22,7 @@
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.platform import PlatformHeaderCodec
 from sesameroute.ports import SystemClock, TcpWire
-from sesameroute.quarantine import Quarantine
+from sesameroute.quarantine import LossExchange, Quarantine
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
 
@@ -82,6 +82,7 @@
             fleet.peers,
             _MAX_BACKEND_LOSSES,
         )
+        self.loss_exchange = LossExchange(self.quarantine)
         connections = ConnectionPool(
             TcpWire(),
             settings.node.address,
--- a/sesameroute/node/_slot_allocator.py
+++ b/sesameroute/node/_slot_allocator.py
@@ -129,6 +129,7 @@
         for pool in self.pools:
             service = pool.identity.service
             self.pools.find(service).tick(now)
+            self.pools.share_named_limits(pool)
             pool.refresh(now)
             for leader, report in self._list_reports(pool, now):
                 self.peers.send_one_way(leader, report)
@@ -190,7 +191,7 @@
         self, slot_request: SlotRequest, *, is_leader: bool
     ) -> Grant | Refusal:
         pool = self.pools.find(slot_request.service)
-        self.pools.set_cold_rate(pool, is_leader=is_leader)
+        self.pools.set_start_rates(pool, is_leader=is_leader)
         pending = _PendingResult()
         now = self.clock.read_monotonic()
         decision = pool.place(
@@ -209,7 +210,7 @@
         pool: Pool,
         now: float,
     ) -> Grant | Refusal | DeferredReply:
-        self.pools.set_cold_rate(pool, is_leader=True)
+        self.pools.set_start_rates(pool, is_leader=True)
         reply = DeferredReply()
         decision = pool.place(slot_request, sender, reply.set_reply, now)
         return reply if decision is None else decision
--- a/sesameroute/node/tests/backends.py
+++ b/sesameroute/node/tests/backends.py
@@ -39,6 +39,8 @@
         Number of requests that still get a 500 instead of being run.
     headers : str
         Lines that are added to the head of each answer.
+    body : str
+        Body of the answers.
 
     """
 
@@ -51,6 +53,7 @@
         self.before_crash = ''
         self.failing = 0
         self.headers = ''
+        self.body = 'whole'
         self._lock = threading.Lock()
         self._open = set()
         self._is_stopped = False
@@ -107,7 +110,7 @@
             is_failing = self.failing > 0
             self.failing -= is_failing
         time.sleep(self.work_seconds)
-        answer = build_answer(200, 'whole', self.headers)
+        answer = build_answer(200, self.body, self.headers)
         if is_failing:
             answer = build_answer(500, 'failed', self.headers)
         elif target == CRASH_PATH:
--- a/sesameroute/node/tests/test_named_limits.py
+++ b/sesameroute/node/tests/test_named_limits.py
@@ -2,12 +2,15 @@
 
 import threading
 import time
+from collections import namedtuple
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from sesameroute.forward.tests.servers import LONG_BODY_BYTES
 from sesameroute.node.tests.backends import BackendStandIn
 from sesameroute.node.tests.cluster import Cluster, send, wait_for_directory
+from sesameroute.ports import DeferredReply
 
 _LIMIT_PER_SECOND = 4.0
 # The bound as it is stated: in each window, one and a half times the limit
@@ -19,6 +22,8 @@
 _GRACE_SECONDS = 3.0
 _CALLERS = 8
 
+CallerAnswer = namedtuple('CallerAnswer', ('time', 'status', 'seconds'))
+
 
 @pytest.fixture
 def cluster():
@@ -44,15 +49,15 @@
 
     Attributes
     ----------
-    statuses : list of tuple of (float, int)
-        Monotonic time and status of each answer.
+    answers : list of CallerAnswer
+        Monotonic time, status and duration of each answer.
 
     """
 
     def __init__(self, numbers):
         """Start to send."""
         self.numbers = list(numbers)
-        self.statuses = []
+        self.answers = []
         self._is_stopped = threading.Event()
         self._threads = ThreadPoolExecutor(_CALLERS)
         for caller in range(_CALLERS):
@@ -68,11 +73,13 @@
         while not self._is_stopped.is_set():
             count += _CALLERS
             number = self.numbers[count % len(self.numbers)]
+            started_at = time.monotonic()
             try:
                 status = send(number, key=str(count % 24))[0]
             except OSError:
                 status = 0  # the node is being restarted
-            self.statuses.append((time.monotonic(), status))
+            now = time.monotonic()
+            self.answers.append(CallerAnswer(now, status, now - started_at))
             self._is_stopped.wait(0.01)
 
 
@@ -99,17 +106,104 @@
     return _MAX_RATIO * limit * _WINDOW_SECONDS + _SLACK_REQUESTS
 
 
-def test_server_that_names_a_limit_gets_no_more(cluster, servers):
+def start_nodes(cluster, *numbers):
+    """Start nodes and wait until they know each other."""
+    for number in numbers:
+        cluster.add_node(number, seeds=numbers)
+    assert wait_for_directory(*numbers)
+
+
+def find_leader(cluster, number):
+    """Return the number of the node that leads, as another one sees it."""
+    leader = cluster.nodes[number].fleet.find_leader('s', 'north')
+    return int(leader.rpartition('.')[2])
+
+
+@pytest.mark.parametrize(
+    ('kind', 'body'),
+    [
+        ('safe', 'whole'),
+        ('unsafe', 'whole'),
+        ('download', 'x' * LONG_BODY_BYTES),
+    ],
+)
+def test_server_that_names_a_limit_gets_no_more(cluster, servers, kind, body):
     """Nodes sent on as if no limit had been named."""
-    for number in (1, 2, 3):
-        cluster.add_node(number, seeds=(1, 2, 3))
-    assert wait_for_directory(1, 2, 3)
+    cluster.configure(kind=kind)
+    for each in servers:
+        each.body = body
+    start_nodes(cluster, 1, 2, 3)
     callers = Callers((1, 2, 3))
     time.sleep(1)
     named_at = name_limit(servers[0])
     time.sleep(_GRACE_SECONDS + _WINDOW_SECONDS + 1)
     callers.stop()
     since = named_at + _GRACE_SECONDS
-    assert find_busiest_window(servers[0], since) <= compute_allowance()
-    assert find_busiest_window(servers[0], since)
+    assert 0 < find_busiest_window(servers[0], since) <= compute_allowance()
     assert find_busiest_window(servers[1], since) > compute_allowance()
+
+
+def test_named_limit_holds_while_leaders_change(cluster, servers):
+    """A new leader did not know the limits that servers had named."""
+    start_nodes(cluster, 1, 2, 3, 4)
+    callers = Callers((1, 2, 3, 4))
+    time.sleep(1)
+    named_at = name_limit(servers[0])
+    time.sleep(_GRACE_SECONDS)
+    lost = find_leader(cluster, 1)
+    cluster.nodes[lost].kill()
+    time.sleep(2)
+    cluster.add_node(lost, seeds=(1, 2, 3, 4))
+    time.sleep(2)
+    cluster.add_node(5, seeds=(1, 2, 3, 4))
+    callers.numbers.append(5)
+    time.sleep(_WINDOW_SECONDS)
+    callers.stop()
+    since = named_at + _GRACE_SECONDS
+    assert 0 < find_busiest_window(servers[0], since) <= compute_allowance()
+
+
+def test_frozen_leader_is_replaced_within_named_limit(cluster, servers):
+    """Nodes that can't reach their leader grant nothing beyond the limit."""
+    start_nodes(cluster, 1, 2, 3)
+    leader = find_leader(cluster, 1)
+    others = [number for number in (1, 2, 3) if number != leader]
+    callers = Callers(others)
+    time.sleep(1)
+    named_at = name_limit(servers[0])
+    time.sleep(_GRACE_SECONDS)
+    allocator = cluster.nodes[leader].allocator
+    allocator.handle = lambda _sender, _message: DeferredReply()
+    time.sleep(_WINDOW_SECONDS + 1)
+    callers.stop()
+    since = named_at + _GRACE_SECONDS
+    assert find_busiest_window(servers[0], since) <= compute_allowance()
+
+
+def test_withdrawn_limit_ends(cluster, servers):
+    """A server that names no limit any more gets its full share again."""
+    start_nodes(cluster, 1, 2)
+    callers = Callers((1, 2))
+    name_limit(servers[0])
+    time.sleep(2)
+    servers[0].headers = ''
+    time.sleep(_WINDOW_SECONDS + 2)
+    callers.stop()
+    since = time.monotonic() - _WINDOW_SECONDS
+    assert find_busiest_window(servers[0], since) > compute_allowance()
+
+
+def test_requests_beyond_all_limits_are_refused_at_once(cluster, servers):
+    """Requests beyond the limits of all servers do not wait in vain."""
+    start_nodes(cluster, 1, 2)
+    for each in servers:
+        name_limit(each)
+    callers = Callers((1, 2))
+    time.sleep(_GRACE_SECONDS)
+    since = time.monotonic()
+    time.sleep(2)
+    callers.stop()
+    late = [each for each in callers.answers if each.time >= since]
+    assert {each.status for each in late} == {200, 503}
+    refused = [each.seconds for each in late if each.status == 503]
+    assert sorted(refused)[len(refused) * 9 // 10] < 0.1
--- a/sesameroute/placement/__init__.py
+++ b/sesameroute/placement/__init__.py
@@ -13,10 +13,12 @@
 from sesameroute.placement._pool import Pool, PoolIdentity
 from sesameroute.placement._queue import SettleCallback
 from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
+from sesameroute.placement._states import LimitShares
 
 __all__ = [
     'SlotRequest',
     'Grant',
+    'LimitShares',
     'Outcome',
     'Pool',
     'PoolIdentity',
--- a/sesameroute/placement/_candidates.py
+++ b/sesameroute/placement/_candidates.py
@@ -117,11 +117,13 @@
         return state.cold_start_budget.take(self.cold_rate, self.now)
 
     def compute_utilization(self) -> float:
-        """Return the fraction of the slots that is in use."""
-        slots = sum(state.slots for state in self.states)
+        """Return the fraction in use of the slots of unlimited servers."""
+        unlimited = [
+            state for state in self.states if not state.start_limit.is_set
+        ]
+        slots = sum(state.slots for state in unlimited)
         busy = sum(
-            min(state.count_busy(self.now), state.slots)
-            for state in self.states
+            min(state.count_busy(self.now), state.slots) for state in unlimited
         )
         return busy / slots if slots else 1.0
 
@@ -130,8 +132,11 @@
         return load + state.compute_penalty(self.now)
 
     def _is_impaired(self, state: UpstreamState) -> bool:
-        return state.is_cold(self.now) or (
-            self._has_high_penalty(state) or not state.entry.is_listed()
+        return (
+            state.is_cold(self.now)
+            or state.start_limit.is_reached(self.now)
+            or self._has_high_penalty(state)
+            or not state.entry.is_listed()
         )
 
     def _has_high_penalty(self, state: UpstreamState) -> bool:
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -155,6 +155,7 @@
         )
         if not slot_request.homes:
             self.plan.record_request(state.region, now)
+        state.start_limit.count_start(now)
         if slot_request.key:
             state.recent.add(slot_request.key, now)
         return Grant(
--- a/sesameroute/placement/_pool.py
+++ b/sesameroute/placement/_pool.py
@@ -27,7 +27,7 @@
 from sesameroute.placement._region_reports import RegionReports
 from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
 from sesameroute.placement._states import UpstreamStates
-from sesameroute.registry import RegistryEntry
+from sesameroute.registry import Announcements, RegistryEntry
 
 __all__ = ['Pool', 'PoolIdentity']
 
@@ -59,15 +59,23 @@
     ----------
     identity : PoolIdentity
         Service, region and node of the pool.
+    announcements : Announcements, optional
+        Limits that the backend servers name.
 
     """
 
-    def __init__(self, identity: PoolIdentity) -> None:
+    def __init__(
+        self,
+        identity: PoolIdentity,
+        announcements: Announcements | None = None,
+    ) -> None:
         """Start without backend servers."""
         self.identity = identity
         self.plan = SpilloverPlan(identity.region)
         self.estimates = Estimates()
-        self.states = UpstreamStates(identity.region)
+        self.states = UpstreamStates(
+            identity.region, announcements or Announcements()
+        )
         self._lock = threading.RLock()
         self._demand = Demand()
         self._region_reports = RegionReports(identity.region)
@@ -208,4 +216,4 @@
             self._demand.estimate_slots(now),
             self.states.count_usable_slots(now),
         )
-        self.plan.update(loads, now)
+        self.plan.update(loads, now, self.states.count_available_slots(now))
--- a/sesameroute/placement/_spillover.py
+++ b/sesameroute/placement/_spillover.py
@@ -114,12 +114,29 @@
         if now - self._initialized_at <= _ADOPTION_SECONDS:
             self.shares_ = dict(shares)
 
-    def update(self, loads: Mapping[str, RegionLoad], now: float) -> None:
-        """Move the shares towards those that the loads require."""
+    def update(
+        self,
+        loads: Mapping[str, RegionLoad],
+        now: float,
+        available_capacity: float,
+    ) -> None:
+        """Move the shares towards those that the loads require.
+
+        Parameters
+        ----------
+        loads : mapping of str to RegionLoad
+            Load of each region.
+        now : float
+            Monotonic time in seconds.
+        available_capacity : float
+            Capacity of this region with the servers that have named a limit.
+            Only its loss lifts the cap on shifts.
+
+        """
         own = loads[self.region]
-        if own.capacity < _CAPACITY_LOSS_RATIO * self._own_capacity:
+        if available_capacity < _CAPACITY_LOSS_RATIO * self._own_capacity:
             self._unlimited_until = now + _UNLIMITED_CHANGE_SECONDS
-        self._own_capacity = own.capacity
+        self._own_capacity = available_capacity
         step = _MAX_SHARE_CHANGE_PER_SECOND * min(
             max(now - self._updated_at, 0), 1
         )
--- a/sesameroute/placement/_states.py
+++ b/sesameroute/placement/_states.py
@@ -1,13 +1,15 @@
 """State of the backend servers of a pool's service in all regions."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from sesameroute.placement._candidates import Candidates
 from sesameroute.placement._messages import PoolReport, SlotRequest
 from sesameroute.placement._object_cache import CacheDepthModel
 from sesameroute.placement._upstream import UpstreamState
-from sesameroute.registry import RegistryEntry
+from sesameroute.registry import Announcements, RegistryEntry
 
 __all__ = ['UpstreamStates']
 
@@ -16,6 +18,24 @@
 # Fraction of the rate of a cold backend server in another region that may be
 # used.
 _REMOTE_COLD_SHARE = 0.05
+# Lowest limit that is used, in requests per second. Only an answer can tell
+# that a limit has been withdrawn.
+_MIN_LIMIT_PER_SECOND = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class LimitShares:
+    """Parts that a pool may use of the limits that servers name.
+
+    Attributes
+    ----------
+    own, remote : float
+        Part for servers in the pool's own region, and in other regions.
+
+    """
+
+    own: float
+    remote: float
 
 
 class UpstreamStates:
@@ -25,9 +45,13 @@
     ----------
     region : str
         The pool's own region.
+    announcements : Announcements
+        Limits that the backend servers name.
 
     Attributes
     ----------
+    limit_shares : LimitShares
+        Parts of these limits that this pool may use.
     model : CacheDepthModel
         Cache depths at which objects are probably still cached.
     cold_share : float
@@ -37,9 +61,12 @@
 
     """
 
-    def __init__(self, region: str) -> None:
+    def __init__(self, region: str, announcements: Announcements) -> None:
         """Start without backend servers."""
         self.region = region
+        self.announcements = announcements
+        self.limit_shares = LimitShares(1, 1)
+        self._applied_limits: tuple[int, LimitShares] | None = None
         self.model = CacheDepthModel()
         self.cold_share = 0.8
         self.cold_rate = 1.0
@@ -63,6 +90,7 @@
                 state = UpstreamState(entry, region, last_outcome_at=now)
             state.update_entry(entry)
             self._states[backend.name] = state
+        self._applied_limits = None
 
     def list_candidates(
         self,
@@ -85,6 +113,7 @@
             Consider only these; by default all.
 
         """
+        self._apply_limits()
         states = [
             state
             for state in among or self._states.values()
@@ -128,15 +157,47 @@
         return dict(slots_by_region)
 
     def count_usable_slots(self, now: float) -> float:
-        """Return the slots on listed servers of its region that aren't cold."""
+        """Return the available slots on servers without a named limit."""
+        self._apply_limits()
         return sum(
             state.slots
-            for state in self._states.values()
-            if state.region == self.region
-            and not state.is_cold(now)
-            and state.entry.is_listed()
+            for state in self._list_available(now)
+            if not state.start_limit.is_set
         )
 
+    def count_available_slots(self, now: float) -> float:
+        """Return the slots on listed servers of its region that aren't cold."""
+        return sum(state.slots for state in self._list_available(now))
+
     def __iter__(self) -> Iterable[UpstreamState]:
         """Iterate over a copy."""
         return iter(tuple(self._states.values()))
+
+    def _list_available(self, now: float) -> list[UpstreamState]:
+        return [
+            state
+            for state in self._states.values()
+            if state.region == self.region
+            and not state.is_cold(now)
+            and state.entry.is_listed()
+        ]
+
+    def _apply_limits(self) -> None:
+        """Set the rates of the servers if limits or shares have changed."""
+        current = self.announcements.change_count_, self.limit_shares
+        if current == self._applied_limits:
+            return
+        self._applied_limits = current
+        for state in self._states.values():
+            backend = state.entry.backend
+            limit = self.announcements.find_limit(
+                backend.name, backend.incarnation
+            )
+            share = self.limit_shares.remote
+            if state.region == self.region:
+                share = self.limit_shares.own
+            state.start_limit.apply_rate(
+                math.inf
+                if limit is None
+                else share * max(limit, _MIN_LIMIT_PER_SECOND)
+            )
--- a/sesameroute/placement/_upstream.py
+++ b/sesameroute/placement/_upstream.py
@@ -3,9 +3,9 @@
 import math
 from dataclasses import dataclass, field
 
-from sesameroute.placement._cold_start import ColdStartBudget
 from sesameroute.placement._messages import Outcome
 from sesameroute.placement._object_cache import RecentKeys
+from sesameroute.placement._start_budget import StartBudget, StartLimit
 from sesameroute.registry import RegistryEntry
 
 __all__ = ['UpstreamState']
@@ -50,8 +50,11 @@
         Region of the backend server.
     recent : RecentKeys
         Objects that are probably in its cache.
-    cold_start_budget : ColdStartBudget
+    cold_start_budget : StartBudget
         Limits the rate of requests while it is cold.
+    start_limit : StartLimit
+        Limits the requests that this pool starts on it, if it has named a
+        limit.
     granted_slots : int
         Slots in use by this pool's grants.
     total_grants : int
@@ -79,7 +82,8 @@
     entry: RegistryEntry
     region: str
     recent: RecentKeys = field(default_factory=RecentKeys)
-    cold_start_budget: ColdStartBudget = field(default_factory=ColdStartBudget)
+    cold_start_budget: StartBudget = field(default_factory=StartBudget)
+    start_limit: StartLimit = field(default_factory=StartLimit)
     granted_slots: int = 0
     total_grants: int = 0
     reports: dict[str, tuple[int, float]] = field(default_factory=dict)
@@ -110,7 +114,7 @@
 
     def count_free(self, now: float) -> int:
         """Return the number of free slots; at most one after a failure."""
-        if now < self.suspended_until:
+        if now < self.suspended_until or self.start_limit.is_reached(now):
             return 0
         if self.failure_streak:
             return 1 - self.granted_slots
--- a/sesameroute/registry/_announcements.py
+++ b/sesameroute/registry/_announcements.py
@@ -81,6 +81,11 @@
         """Return the limit in requests per second; None if there is none."""
         return _find_limit(self._newest.get(backend), incarnation)
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any backend server has named a limit."""
+        return bool(self._newest)
+
     def list_newest(self) -> list[Announcement]:
         """Return the announcements, the latest first."""
         with self._lock:
