Replace the settings file in one step in its test

test_changed_settings_are_reloaded was red now and then: settings-refused named the missing field node where grace is expected. The node is right to refuse half a file and to go on with the settings in force.

--- a/sesameroute/programs/tests/test_node.py
+++ b/sesameroute/programs/tests/test_node.py
@@ -34,7 +34,10 @@
         seeds='',
         store=f'{ADDRESS}:9',
     )
-    path.write_text(text.replace('grace = 3', f'grace = {grace}'))
+    # The node may read the file at any moment, and must not find half of it.
+    draft = path.with_suffix('.draft')
+    draft.write_text(text.replace('grace = 3', f'grace = {grace}'))
+    draft.replace(path)
 
 
 @contextmanager
