Wait for all entry VMs before the tests of processes

test_graceful_stop_loses_no_request saw exit status -15 instead of 0 now and then, and two tests after it failed with it. The fixture waited for one entry VM that answers; SIGTERM could meet the other before it had installed its handler. Run by hand: an entry process that gets SIGTERM 0, 0.1 and 0.3 s after its start ends with -15, after 3 s with 0. A process that is still loading holds no request, so the program is right.

The fixture waits until every entry VM listens.

--- a/sesameroute/programs/tests/test_processes.py
+++ b/sesameroute/programs/tests/test_processes.py
@@ -3,9 +3,11 @@
 import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
+from functools import partial
 from http import HTTPStatus
 from pathlib import Path
 
@@ -111,6 +113,10 @@
         for vm in running_fleet.statement.vms
     }
     running_fleet.submit()
+    # A process that listens has its signal handlers.
+    for vm in running_fleet.statement.vms.values():
+        target = vm.address, running_fleet.statement.entry_port
+        wait_for(partial(accepts_connections, target))
     caller = running_fleet.build_caller()
     wait_for(lambda: send_order(running_fleet, caller).verdict is Verdict.RAN)
     yield running_fleet
@@ -119,6 +125,12 @@
         process.wait()
 
 
+def accepts_connections(target):
+    """Return whether a process listens at an address."""
+    with socket.create_connection(target, timeout=1):
+        return True
+
+
 def send_order(fleet, caller):
     """Send one order and return its outcome."""
     return caller.send(fleet.statement.kinds['batch-order'], body=b'pallets')
