Release the slot reserved for a retry that the quarantine stops

A request that is abandoned for a retry reserves the retry's slot. If it was quarantined meanwhile, it was answered without releasing that slot: it stayed in use at the pool until a second after the deadline, and in the node's own count for ever. Found by reading.

Evidence: test_reserved_slot_is_released_in_quarantine failed before (one release for two grants), passes now.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -130,6 +130,7 @@
         while answer is None:
             answer = self.guards.check(state)
             answer = answer or self._try_once(state)
+        _release_reserved(self.allocator, state)
         self.observer_(log_answer(state, answer, self.clock.read_monotonic()))
         return answer
 
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -400,6 +400,31 @@
     assert len(harness.allocator.releases) == 2
 
 
+def test_reserved_slot_is_released_in_quarantine():
+    """A slot that was reserved for a retry stayed in use for ever."""
+    harness = ForwarderHarness(
+        ScriptedServer('silent'), ScriptedServer('whole')
+    )
+    quarantine = harness.forwarder.guards.quarantine
+    check, place = quarantine.check, harness.allocator.place
+    fingerprints = []
+
+    def check_and_note(fingerprint):
+        fingerprints.append(fingerprint)
+        check(fingerprint)
+
+    def place_after_losses(slot_request):
+        if slot_request.excluded:
+            for name in 'xyz':
+                quarantine.observe_loss(fingerprints[0], name)
+        return place(slot_request)
+
+    quarantine.check = check_and_note
+    harness.allocator.place = place_after_losses
+    assert harness.forward()[0] == 502
+    assert len(harness.allocator.releases) == len(harness.allocator.asks)
+
+
 def test_answered_request_is_not_quarantined():
     """Later losses do not quarantine a request that was answered once."""
     names = ['whole', *['no answer'] * 5]
