Forget old words of servers in what nodes repeat to each other

The limits of servers that no node used for a minute, and old withdrawals, were repeated each second for as long as a node ran, up to 5 KB a message; what a node had told grew with the number of servers. Found by reading.

Bounds: a minute and 64 entries a message, 1,024 servers told.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -13,10 +13,7 @@
     build_failure_answer,
     build_refusal_answer,
 )
-from sesameroute.forward._message import (
-    CallerRequest,
-    TryError,
-)
+from sesameroute.forward._message import CallerRequest, TryError
 from sesameroute.forward._request_log import (
     Observer,
     RequestRecord,
--- a/sesameroute/node/_limit_exchange.py
+++ b/sesameroute/node/_limit_exchange.py
@@ -2,7 +2,6 @@
 
 import logging
 from dataclasses import dataclass
-from itertools import islice
 
 from sesameroute.gossip import Gossip
 from sesameroute.ports import Clock, Peers, register_message
@@ -10,8 +9,12 @@
 
 __all__ = ['LimitExchange', 'LimitReport']
 
-# Announcements in one message; the latest come first.
+# Announcements in one message; the latest come first. Older ones than this
+# are not repeated: the server was not used since.
 _MAX_ANNOUNCEMENTS = 64
+_MAX_AGE_SECONDS = 60.0
+# Servers whose last told limit is remembered.
+_MAX_TOLD_LIMITS = 1024
 # A limit is told at once if it differs by more than this part of the one told
 # before; smaller changes are told with the next gossip.
 _MIN_CHANGE = 0.1
@@ -83,6 +86,7 @@
     def build_message(self) -> LimitReport | None:
         """Return the latest announcements."""
         now = self.clock.read_monotonic()
+        newest = self.announcements.list_newest()[:_MAX_ANNOUNCEMENTS]
         limits = tuple(
             NamedLimit(
                 each.backend,
@@ -90,19 +94,19 @@
                 each.limit,
                 max(now - each.said_at, 0),
             )
-            for each in islice(
-                self.announcements.list_newest(), _MAX_ANNOUNCEMENTS
-            )
+            for each in newest
+            if now - each.said_at <= _MAX_AGE_SECONDS
         )
         return LimitReport(limits) if limits else None
 
     def publish(self, announcement: Announcement) -> None:
         """Log a change; tell all peers if this node has read it first."""
         told = self._told_limits.get(announcement.backend)
-        self._told_limits[announcement.backend] = announcement.limit
         if not _differs(told, announcement.limit):
-            self._told_limits[announcement.backend] = told
             return
+        if len(self._told_limits) >= _MAX_TOLD_LIMITS:
+            self._told_limits.clear()  # costs a repeated message at most
+        self._told_limits[announcement.backend] = announcement.limit
         _logger.info(
             'backend server limit changed',
             extra={
