Repeat a request on a new connection only right after a dropped one

A request whose kept connection broke while its backend server worked was sent to the same server again, with the time limit computed for the first send. Found by reading: only a connection that the server had dropped while idle deserves the repeat, and that shows within a round trip. A later failure is a loss: it counts for the quarantine, and the retry goes elsewhere with its own time limit.

Evidence: test_late_loss_on_kept_connection_is_not_repeated_there failed before (200 from the same server where 502 is due), passes now.

--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -22,6 +22,9 @@
 
 _CONNECT_TIMEOUT_SECONDS = 0.5  # opening a connection takes one round trip
 _MIN_WAIT_SECONDS = 0.001
+# A connection that the server dropped while it was idle fails within a round
+# trip. A later failure is a loss of the server that ran the request.
+_MAX_DROPPED_SECONDS = 0.25
 _CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 _TRY_ERRORS = (TryError, RequestError, *_CONNECTION_ERRORS)
 
@@ -135,6 +138,7 @@
         )
         if pooled_connection is None:
             return self._exchange(self._connect(target, outgoing), outgoing)
+        started_at = self.clock.read_monotonic()
         try:
             return self._exchange(pooled_connection, outgoing)
         except TryError as error:
@@ -143,6 +147,9 @@
             # The other pooled connections to this server are likely broken,
             # too.
             self.connections.close_idle(target)
+            seconds = self.clock.read_monotonic() - started_at
+            if seconds > _MAX_DROPPED_SECONDS:
+                raise
             return self._resend(target, outgoing, error)
 
     def _resend(
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 SEAL_HEADER = 'Sesameroute-Server-Seal: s\r\n'
 IDENTIFIER_HEADER = 'Sesameroute-Attempt-Id: {0}\r\n'
@@ -15,6 +16,7 @@
     )
 
 
+LATE_LOSS_SECONDS = 0.35  # later than a dropped idle connection shows
 LONG_BODY_BYTES = 400_000  # more than is buffered before an answer is sent
 COMPLETE_ANSWER = build_answer(200, 'whole')
 SCRIPTS = {
@@ -50,6 +52,7 @@
     ),
     'other answer': (COMPLETE_ANSWER.replace('{0}', 'stranger'), 'keep'),
     'no answer': ('', 'close'),
+    'late loss': ('', 'close late'),
     'junk': ('\x00\x01 nonsense\r\n\r\n', 'close'),
     'extra': (
         COMPLETE_ANSWER + COMPLETE_ANSWER.replace('{0}', 'stranger'),
@@ -124,6 +127,8 @@
             if not connection.recv(1):
                 self.closed.set()
             return False
+        if end == 'close late':
+            time.sleep(LATE_LOSS_SECONDS)
         if end == 'reset':
             linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -182,6 +182,15 @@
     assert server.connections == 2
 
 
+def test_late_loss_on_kept_connection_is_not_repeated_there():
+    """A server that ended while it worked got the request a second time."""
+    server = ScriptedServer('whole', 'late loss', 'whole')
+    harness = ForwarderHarness(server)
+    assert harness.forward()[0] == 200
+    assert harness.forward()[0] == 502
+    assert server.connections == 1
+
+
 def test_request_of_closed_caller_is_not_sent():
     """A request is not sent if its caller has closed the connection.
 
