Split the forwarder's tests, share the fixtures of the node's tests

The tests about requests under which servers are lost stand in a file of their own; the cluster fixture and the start of several nodes stand once. No assertion changed.

--- /dev/null
+++ b/sesameroute/forward/tests/test_crashing_requests.py
@@ -0,0 +1,125 @@
+"""Tests of requests under which backend servers are lost."""
+
+import contextlib
+from collections import deque
+
+import pytest
+
+from sesameroute.forward import TryError
+from sesameroute.forward.tests.harness import ForwarderHarness
+from sesameroute.forward.tests.servers import ScriptedServer
+from sesameroute.routes import RequestKind
+
+
+def test_late_loss_on_kept_connection_is_not_repeated_there():
+    """A server that ended while it worked got the request a second time."""
+    server = ScriptedServer('whole', 'late loss', 'whole')
+    harness = ForwarderHarness(server)
+    assert harness.forward()[0] == 200
+    assert harness.forward()[0] == 502
+    assert server.connections == 1
+
+
+def test_request_that_crashes_servers_is_quarantined():
+    """A request that crashed three servers is refused, others are not."""
+    servers = [ScriptedServer('no answer') for _ in range(6)]
+    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
+    statuses = []
+    for _ in range(5):
+        statuses.append(harness.forward(body=b'harm')[0])
+        harness.allocator.names.pop(0)
+    assert statuses == [502, 502, 502, 503, 503]
+    assert harness.forward(body=b'other')[0] == 502
+
+
+@pytest.mark.parametrize(
+    ('first', 'status'), [('failed', 500), ('long cut', 200)]
+)
+def test_failed_answer_withdraws_no_suspicion(first, status):
+    """A failure, or an answer that breaks off, hid losses for a minute."""
+    names = [first, *['no answer'] * 5]
+    harness = ForwarderHarness(
+        *(ScriptedServer(name) for name in names),
+        kind=RequestKind.UNSAFE,
+    )
+    statuses = []
+    for _ in names:
+        answer = harness.open(body=b'harm')
+        statuses.append(answer.status)
+        with contextlib.suppress(TryError):
+            deque(answer.chunks, maxlen=0)
+        harness.allocator.names.pop(0)
+    assert statuses[0] == status
+    assert statuses[-1] == 503
+
+
+def test_affinity_key_does_not_hide_a_crashing_request():
+    """The same request under other affinity keys was another request."""
+    servers = [ScriptedServer('no answer') for _ in range(6)]
+    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
+    statuses = []
+    for key in range(5):
+        statuses.append(harness.forward(body=b'harm', key=str(key))[0])
+        harness.allocator.names.pop(0)
+    assert statuses == [502, 502, 502, 503, 503]
+
+
+def test_loss_during_wait_for_slot_stops_request():
+    """A request that waited for a slot was sent despite its quarantine."""
+    servers = [ScriptedServer('no answer') for _ in range(4)]
+    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
+    quarantine = harness.forwarder.guards.quarantine
+    place = harness.allocator.place
+
+    def place_after_losses(slot_request):
+        if servers[0].heads:
+            for name in 'bcd':
+                fingerprint = next(iter(quarantine.suspects_.suspects_))
+                quarantine.observe_loss(fingerprint, name)
+        return place(slot_request)
+
+    harness.allocator.place = place_after_losses
+    assert harness.forward(body=b'harm')[0] == 502
+    harness.allocator.names.pop(0)
+    assert harness.forward(body=b'harm')[0] == 503
+    assert not servers[1].heads
+    assert len(harness.allocator.releases) == 2
+
+
+def test_reserved_slot_is_released_in_quarantine():
+    """A slot that was reserved for a retry stayed in use for ever."""
+    harness = ForwarderHarness(
+        ScriptedServer('silent'), ScriptedServer('whole')
+    )
+    quarantine = harness.forwarder.guards.quarantine
+    check, place = quarantine.check, harness.allocator.place
+    fingerprints = []
+
+    def check_and_note(fingerprint):
+        fingerprints.append(fingerprint)
+        check(fingerprint)
+
+    def place_after_losses(slot_request):
+        if slot_request.excluded:
+            for name in 'xyz':
+                quarantine.observe_loss(fingerprints[0], name)
+        return place(slot_request)
+
+    quarantine.check = check_and_note
+    harness.allocator.place = place_after_losses
+    assert harness.forward()[0] == 502
+    assert len(harness.allocator.releases) == len(harness.allocator.asks)
+
+
+def test_answered_request_is_not_quarantined():
+    """Later losses do not quarantine a request that was answered once."""
+    names = ['whole', *['no answer'] * 5]
+    harness = ForwarderHarness(
+        *(ScriptedServer(name) for name in names),
+        kind=RequestKind.UNSAFE,
+    )
+    statuses = []
+    for _ in names:
+        statuses.append(harness.forward(body=b'good')[0])
+        harness.allocator.names.pop(0)
+    assert statuses == [200, 502, 502, 502, 502, 502]
--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -138,6 +138,12 @@
         self.nodes[number] = node
         return node
 
+    def start_nodes(self, *numbers):
+        """Start nodes in one zone and wait until they know each other."""
+        for number in numbers:
+            self.add_node(number, seeds=numbers)
+        assert wait_for_directory(*numbers)
+
     def stop(self):
         """Stop the nodes and the store."""
         with ThreadPoolExecutor() as stopping:
--- /dev/null
+++ b/sesameroute/node/tests/conftest.py
@@ -0,0 +1,13 @@
+"""Fixtures of the tests with nodes."""
+
+import pytest
+
+from sesameroute.node.tests.cluster import Cluster
+
+
+@pytest.fixture
+def cluster():
+    """Return a cluster that is stopped after the test."""
+    running = Cluster()
+    yield running
+    running.stop()
--- a/sesameroute/node/tests/test_crashing_requests.py
+++ b/sesameroute/node/tests/test_crashing_requests.py
@@ -8,7 +8,6 @@
 from sesameroute.node.tests.backends import CRASH_PATH, BackendStandIn
 from sesameroute.node.tests.cluster import (
     METRICS_PORT,
-    Cluster,
     call,
     send,
     wait_for,
@@ -21,14 +20,6 @@
 _PROPAGATION_SECONDS = 0.5
 
 
-@pytest.fixture
-def cluster():
-    """Return a cluster that is stopped after the test."""
-    running = Cluster()
-    yield running
-    running.stop()
-
-
 @pytest.fixture
 def servers(cluster):
     """Return registered backend servers that may crash."""
@@ -40,13 +31,6 @@
         each.stop()
 
 
-def start_nodes(cluster, *numbers):
-    """Start nodes and wait until they know each other."""
-    for number in numbers:
-        cluster.add_node(number, seeds=numbers)
-    assert wait_for_directory(*numbers)
-
-
 def warm_up(*numbers):
     """Let each node keep connections to the servers."""
     for key in range(24):
@@ -83,7 +67,7 @@
 def test_request_crashes_three_servers_only(cluster, servers, kind):
     """A loss on a kept connection was not counted."""
     cluster.configure(kind=kind)
-    start_nodes(cluster, 1, 2, 3)
+    cluster.start_nodes(1, 2, 3)
     warm_up(1, 2, 3)
     statuses = send_crashing(servers, 1, 2, 3)
     assert (statuses[0], statuses[-1]) == (502, 503)
@@ -107,7 +91,7 @@
 
 def test_restarted_node_knows_earlier_losses(cluster, servers):
     """A node that missed the reports counted to three by itself."""
-    start_nodes(cluster, 1, 2)
+    cluster.start_nodes(1, 2)
     send_crashing(servers, 1, rounds=4)
     restart_node(cluster, 2, 1)
     crashed = len(list_crashes(servers))
@@ -118,7 +102,7 @@
 
 def test_cut_off_node_hears_of_losses_later(cluster, servers):
     """Losses that no peer heard of were never reported again."""
-    start_nodes(cluster, 1, 2)
+    cluster.start_nodes(1, 2)
     peers = cluster.nodes[1].peers
     list_connected, peers.list_connected = peers.list_connected, tuple
     send_crashing(servers, 1, rounds=4)
--- a/sesameroute/node/tests/test_named_limits.py
+++ b/sesameroute/node/tests/test_named_limits.py
@@ -9,7 +9,7 @@
 
 from sesameroute.forward.tests.servers import LONG_BODY_BYTES
 from sesameroute.node.tests.backends import BackendStandIn
-from sesameroute.node.tests.cluster import Cluster, send, wait_for_directory
+from sesameroute.node.tests.cluster import send
 from sesameroute.ports import DeferredReply
 
 _LIMIT_PER_SECOND = 4.0
@@ -25,14 +25,6 @@
 CallerAnswer = namedtuple('CallerAnswer', ('time', 'status', 'seconds'))
 
 
-@pytest.fixture
-def cluster():
-    """Return a cluster that is stopped after the test."""
-    running = Cluster()
-    yield running
-    running.stop()
-
-
 @pytest.fixture
 def servers(cluster):
     """Return three registered backend servers."""
@@ -106,13 +98,6 @@
     return _MAX_RATIO * limit * _WINDOW_SECONDS + _SLACK_REQUESTS
 
 
-def start_nodes(cluster, *numbers):
-    """Start nodes and wait until they know each other."""
-    for number in numbers:
-        cluster.add_node(number, seeds=numbers)
-    assert wait_for_directory(*numbers)
-
-
 def find_leader(cluster, number):
     """Return the number of the node that leads, as another one sees it."""
     leader = cluster.nodes[number].fleet.find_leader('s', 'north')
@@ -132,7 +117,7 @@
     cluster.configure(kind=kind)
     for each in servers:
         each.body = body
-    start_nodes(cluster, 1, 2, 3)
+    cluster.start_nodes(1, 2, 3)
     callers = Callers((1, 2, 3))
     time.sleep(1)
     named_at = name_limit(servers[0])
@@ -145,7 +130,7 @@
 
 def test_named_limit_holds_while_leaders_change(cluster, servers):
     """A new leader did not know the limits that servers had named."""
-    start_nodes(cluster, 1, 2, 3, 4)
+    cluster.start_nodes(1, 2, 3, 4)
     callers = Callers((1, 2, 3, 4))
     time.sleep(1)
     named_at = name_limit(servers[0])
@@ -165,7 +150,7 @@
 
 def test_frozen_leader_is_replaced_within_named_limit(cluster, servers):
     """Nodes that can't reach their leader grant nothing beyond the limit."""
-    start_nodes(cluster, 1, 2, 3)
+    cluster.start_nodes(1, 2, 3)
     leader = find_leader(cluster, 1)
     others = [number for number in (1, 2, 3) if number != leader]
     callers = Callers(others)
@@ -182,7 +167,7 @@
 
 def test_withdrawn_limit_ends(cluster, servers):
     """A server that names no limit any more gets its full share again."""
-    start_nodes(cluster, 1, 2)
+    cluster.start_nodes(1, 2)
     callers = Callers((1, 2))
     name_limit(servers[0])
     time.sleep(2)
@@ -195,7 +180,7 @@
 
 def test_requests_beyond_all_limits_are_refused_at_once(cluster, servers):
     """Requests beyond the limits of all servers do not wait in vain."""
-    start_nodes(cluster, 1, 2)
+    cluster.start_nodes(1, 2)
     for each in servers:
         name_limit(each)
     callers = Callers((1, 2))
--- a/sesameroute/node/tests/test_node.py
+++ b/sesameroute/node/tests/test_node.py
@@ -13,7 +13,6 @@
     FRONT_PORT,
     METRICS_PORT,
     NETWORK_PREFIX,
-    Cluster,
     call,
     is_ready,
     resolve,
@@ -23,14 +22,6 @@
 )
 
 
-@pytest.fixture
-def cluster():
-    """Return a cluster that is stopped after the test."""
-    running = Cluster()
-    yield running
-    running.stop()
-
-
 @pytest.fixture
 def server(cluster):
     """Return a registered backend server."""
