--- a/sesameroute/node/tests/backends.py
+++ b/sesameroute/node/tests/backends.py
@@ -33,10 +33,6 @@
         Monotonic time, node and path of each request.
     crashes : list of float
         Monotonic time of each crash.
-    before_crash : str
-        Part of an answer that is sent before a crash.
-    failing : int
-        Number of requests that still get a 500 instead of being run.
     headers : str
         Lines that are added to the head of each answer.
     body : str
@@ -50,8 +46,6 @@
         self.down_seconds = down_seconds
         self.arrivals = []
         self.crashes = []
-        self.before_crash = ''
-        self.failing = 0
         self.headers = ''
         self.body = 'whole'
         self._lock = threading.Lock()
@@ -107,19 +101,13 @@
         target = head.split(' ', 2)[1]
         with self._lock:
             self.arrivals.append(Arrival(time.monotonic(), node, target))
-            is_failing = self.failing > 0
-            self.failing -= is_failing
         time.sleep(self.work_seconds)
+        if target == CRASH_PATH:
+            self._crash()
+            return False
         answer = build_answer(200, self.body, self.headers)
-        if is_failing:
-            answer = build_answer(500, 'failed', self.headers)
-        elif target == CRASH_PATH:
-            answer = self.before_crash
         identifier = find_header(head, 'sesameroute-attempt-id')
         connection.sendall(answer.replace('{0}', identifier).encode())
-        if target == CRASH_PATH and not is_failing:
-            self._crash()
-            return False
         return True
 
     def _crash(self):
