Log and count suspended backend servers and the nodes that report failures

Callers of nodes that had kept their links got 503 'no-room' beside nodes that were cut off; the lines could not tell a shortage of slots from suspended servers, nor which node's tries had suspended them. A suspension is logged with its reporter, and two metrics count suspended servers and the outcomes of a node's own tries. No decision changes.

--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -11,6 +11,7 @@
 from sesameroute.forward import RequestRecord
 from sesameroute.node._address import parse_address
 from sesameroute.node._slot_allocator import FleetSlotAllocator
+from sesameroute.placement import Outcome
 from sesameroute.ports import Answer, Peers
 from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Registry
@@ -89,6 +90,10 @@
             service=record.service,
         )
 
+    def observe_try(self, service: str, outcome: Outcome) -> None:
+        """Count a try at a backend server that has ended."""
+        self.meter_.add(Metric.TRIES, service=service, outcome=outcome.value)
+
     def observe_call(self, name: str, result: str) -> None:
         """Count a call to the platform's store."""
         self.meter_.add(Metric.STORE_CALLS, call=name, result=result)
@@ -101,6 +106,14 @@
         for service, held, usable in self.allocator.count_slots():
             self.meter_.set(Metric.SLOTS_HELD, held, service=service)
             self.meter_.set(Metric.SLOTS, usable, service=service)
+        for name, suspended in self._count_suspended():
+            self.meter_.set(Metric.BACKENDS_SUSPENDED, suspended, service=name)
+
+    def _count_suspended(self) -> Iterator[tuple[str, int]]:
+        now = self.allocator.clock.read_monotonic()
+        for pool in self.allocator.pools:
+            suspended = [each for each in pool.states if each.is_suspended(now)]
+            yield pool.identity.service, len(suspended)
 
     def _list_backend_gauges(self) -> Iterator[tuple[Metric, str, float]]:
         for announced in self.registry.announcements.list_newest():
--- a/sesameroute/node/_slot_allocator.py
+++ b/sesameroute/node/_slot_allocator.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from sesameroute.exceptions import PeerError
@@ -27,6 +27,8 @@
 # Without the leader's reply after this time, the local pool grants the slot.
 _MAX_LEADER_WAIT_SECONDS = 0.4
 
+TryObserver = Callable[[str, Outcome], None]
+
 _logger = logging.getLogger(__name__)
 
 
@@ -48,6 +50,11 @@
     clock : Clock
         Source of time.
 
+    Attributes
+    ----------
+    observer_ : callable
+        Called with the service and the outcome of each try that has ended.
+
     """
 
     def __init__(
@@ -62,6 +69,7 @@
         self.peers = peers
         self.pools = pools
         self.clock = clock
+        self.observer_: TryObserver = _discard_outcome
         self._running = RunningGrants()
 
     def place(self, slot_request: SlotRequest) -> Grant | Refusal:
@@ -90,6 +98,7 @@
     ) -> None:
         """Release a slot at the pool that granted it."""
         self._running.remove(slot_request.service, grant)
+        self.observer_(slot_request.service, outcome)
         release = Release(slot_request.service, grant.number, outcome, seconds)
         if grant.holder == self.fleet.own_state.address:
             now = self.clock.read_monotonic()
@@ -232,3 +241,7 @@
         """Return the result, or a refusal if there is none in time."""
         self._event.wait(seconds)
         return self._result or Refusal(Reason.TOO_LATE, 0)
+
+
+def _discard_outcome(_service: str, _outcome: Outcome) -> None:
+    """Discard the outcome; the default observer."""
--- a/sesameroute/placement/_learner.py
+++ b/sesameroute/placement/_learner.py
@@ -1,5 +1,7 @@
 """Updates estimates from completed requests."""
 
+import logging
+
 from sesameroute.placement._active_grants import ActiveGrant
 from sesameroute.placement._estimates import Estimates
 from sesameroute.placement._messages import Outcome, Release
@@ -13,6 +15,9 @@
     (Outcome.SHED, Outcome.UNREACHED, Outcome.MISDIRECTED),
 )
 _MIN_RUN_SECONDS = 0.001
+_MILLISECONDS = 1000
+
+_logger = logging.getLogger(__name__)
 
 
 class Learner:
@@ -35,7 +40,8 @@
     def observe(self, grant: ActiveGrant, release: Release, now: float) -> None:
         """Update the estimates after a try has ended."""
         state, key = grant.state, grant.slot_request.key
-        state.record_outcome(release.outcome, now)
+        if state.record_outcome(release.outcome, now):
+            _log_suspension(grant, release, now)
         if release.outcome is Outcome.ANSWERED:
             self._observe_answer(grant, release.seconds, now)
             if key and state.recent.find_depth(key, now) is None:
@@ -69,3 +75,18 @@
             )
         if is_typical:
             estimate.observe(seconds)
+
+
+def _log_suspension(grant: ActiveGrant, release: Release, now: float) -> None:
+    pause = grant.state.suspended_until - now
+    _logger.info(
+        'backend server suspended',
+        extra={
+            'backend': grant.state.name,
+            'service': release.service,
+            'why': release.outcome.value,
+            'reporter': grant.node,
+            'pause_ms': round(pause * _MILLISECONDS),
+            'failures': grant.state.failure_streak,
+        },
+    )
--- a/sesameroute/placement/_upstream.py
+++ b/sesameroute/placement/_upstream.py
@@ -114,7 +114,7 @@
 
     def count_free(self, now: float) -> int:
         """Return the number of free slots; at most one after a failure."""
-        if now < self.suspended_until or self.start_limit.is_reached(now):
+        if self.is_suspended(now) or self.start_limit.is_reached(now):
             return 0
         if self.failure_streak:
             return 1 - self.granted_slots
@@ -151,10 +151,17 @@
             self.slowdown = 1.0
         self.entry = entry
 
-    def record_outcome(self, outcome: Outcome, now: float) -> None:
-        """Update the health after a try has ended."""
+    def record_outcome(self, outcome: Outcome, now: float) -> bool:
+        """Update the health after a try has ended.
+
+        Returns
+        -------
+        bool
+            Whether the backend server has been suspended.
+
+        """
         if outcome is Outcome.CANCELLED:
-            return
+            return False
         age = max(now - self.last_outcome_at, 0)
         decayed = self.failure_rate * 0.5 ** (age / _FAILURE_HALF_LIFE_SECONDS)
         is_failure = outcome in _FAILURES
@@ -162,6 +169,7 @@
             is_failure - decayed
         )
         self.last_outcome_at = now
+        suspended_until = self.suspended_until
         if outcome is Outcome.MISDIRECTED:
             self.suspended_until = now + _MISDIRECTED_SUSPENSION_SECONDS
         elif outcome is Outcome.UNREACHED:
@@ -169,6 +177,11 @@
         elif outcome is Outcome.ANSWERED and self.failure_streak:
             self.failure_streak = 0
             self.warming_until = now + _WARMING_SECONDS
+        return self.suspended_until > suspended_until
+
+    def is_suspended(self, now: float) -> bool:
+        """Whether it gets no requests after a failure."""
+        return now < self.suspended_until
 
     def observe_slowdown(self, ratio: float) -> None:
         """Update the slowdown after a run of `ratio` times the estimate."""
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -97,6 +97,11 @@
         'sesame_backends',
         'Backend servers in the registry.',
     )
+    BACKENDS_SUSPENDED = _MetricSpecification(
+        Gauge,
+        'sesame_backends_suspended',
+        'Backend servers that the pool on this node has suspended, by service.',
+    )
     BACKEND_LIMIT = _MetricSpecification(
         Gauge,
         'sesame_backend_limit',
