--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -16,7 +16,7 @@
 from sesameroute.node._settings import NodeSettings
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.node._store_connection import StoreConnection
-from sesameroute.ports import PeerIdentity, SystemClock, TcpWire
+from sesameroute.ports import PeerIdentity, SystemClock, TcpWire, Wire
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
 
@@ -40,10 +40,14 @@
     ----------
     settings : NodeSettings
         Validated settings.
+    server_wire : Wire, optional
+        Opens the connections to backend servers.
 
     """
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(
+        self, settings: NodeSettings, server_wire: Wire | None = None
+    ) -> None:
         """Build the components without starting them."""
         self.settings = settings
         self.clock = SystemClock()
@@ -91,11 +95,9 @@
         )
         self._node_servers = NodeServers(
             settings,
-            self.active_configuration,
-            self.registry,
-            self.fleet,
             self.allocator,
             self._is_leaving,
+            server_wire or TcpWire(),
         )
         self._servers = list(self._node_servers.servers)
         if settings.listen.metrics:
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -12,7 +12,6 @@
     Sender,
 )
 from sesameroute.node._address import parse_address
-from sesameroute.node._fleet import Fleet
 from sesameroute.node._front import (
     DirectoryHandler,
     ForwardHandler,
@@ -21,10 +20,8 @@
 from sesameroute.node._settings import NodeSettings
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.platform import PlatformHeaderCodec
-from sesameroute.ports import SystemClock, TcpWire
+from sesameroute.ports import SystemClock, Wire
 from sesameroute.quarantine import LossExchange, Quarantine
-from sesameroute.registry import Registry
-from sesameroute.routes import ActiveConfiguration
 
 __all__ = ['NodeServers']
 
@@ -46,29 +43,26 @@
     ----------
     settings : NodeSettings
         Addresses and bounds.
-    active_configuration : ActiveConfiguration
-        Holds the configuration in force.
-    registry : Registry
-        Known backend servers.
-    fleet : Fleet
-        The live nodes.
     allocator : FleetSlotAllocator
         Grants slots on backend servers.
     is_leaving : threading.Event
         Set when the node begins to shut down.
+    server_wire : Wire
+        Opens the connections to backend servers.
 
     """
 
     def __init__(
         self,
         settings: NodeSettings,
-        active_configuration: ActiveConfiguration,
-        registry: Registry,
-        fleet: Fleet,
         allocator: FleetSlotAllocator,
         is_leaving: threading.Event,
+        server_wire: Wire,
     ) -> None:
         """Build the servers."""
+        fleet = allocator.fleet
+        registry = allocator.pools.registry
+        active_configuration = allocator.pools.active_configuration
         self.active_configuration = active_configuration
         self.clock = SystemClock()
         self._retries = RetryBudgets(
@@ -84,7 +78,7 @@
         )
         self.loss_exchange = LossExchange(self.quarantine)
         connections = ConnectionPool(
-            TcpWire(),
+            server_wire,
             settings.node.address,
             self.clock,
         )
--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -8,6 +8,7 @@
 from http.client import HTTPConnection
 
 from sesameroute.node import FleetNode, parse_node_settings
+from sesameroute.node.tests.partition import PartitionableWire
 from sesameroute.platform.tests.store_standin import StoreStandIn
 
 # Test runs at the same time on one machine use different addresses.
@@ -27,13 +28,14 @@
 directory = {address}:{directory}
 metrics = {address}:18414
 [peers]
-ports = {peers},{peers}
+ports = {peers},18415
 key = key of this test 0123456789
 seeds = {seeds}
 [store]
 address = {store}
 [zones]
 north-a = north
+north-b = north
 south-a = south
 [bounds]
 grace = 3
@@ -57,6 +59,7 @@
         """Start the store with an initial configuration."""
         self.store = StoreStandIn()
         self.nodes = {}
+        self.wires = {}
         self.version = 1
         self.configure(prefix='/a/')
 
@@ -133,7 +136,8 @@
             seeds=','.join(f'{NETWORK_PREFIX}.{seed}:1' for seed in seeds),
             store='{0}:{1}'.format(*self.store.address),
         )
-        node = FleetNode(parse_node_settings(text))
+        self.wires.setdefault(number, PartitionableWire())
+        node = FleetNode(parse_node_settings(text), self.wires[number])
         node.start()
         self.nodes[number] = node
         return node
--- /dev/null
+++ b/sesameroute/node/tests/partition.py
@@ -0,0 +1,94 @@
+"""Connections to backend servers that can be cut off, for tests."""
+
+import contextlib
+import select
+import socket
+import threading
+import time
+from enum import Enum
+
+from sesameroute.ports import TcpWire
+
+_POLL_SECONDS = 0.01
+_CHUNK_BYTES = 65_536
+
+
+class Cut(Enum):
+    """What a partition does to connections."""
+
+    HANG = 'open connections fall silent, new ones are never set up'
+    RESET = 'open connections are reset, new ones are refused'
+    REFUSE_NEW = 'open connections live on, new ones are refused'
+    DROP_NEW = 'open connections live on, new ones are never set up'
+
+
+_SETS_UP_NONE = frozenset((Cut.HANG, Cut.DROP_NEW))
+
+
+class PartitionableWire(TcpWire):
+    """Opens connections to backend servers that a test can cut off.
+
+    Attributes
+    ----------
+    cut : Cut or None
+        The partition in force.
+
+    """
+
+    def __init__(self):
+        """Start without a partition."""
+        self.cut = None
+        self._open = set()
+
+    def apply(self, cut):
+        """Cut off all backend servers."""
+        self.cut = cut
+        if cut is Cut.RESET:
+            for each in tuple(self._open):
+                with contextlib.suppress(OSError):  # it may be closed already
+                    each.shutdown(socket.SHUT_RDWR)
+
+    def heal(self):
+        """End the partition; bytes that were held up arrive."""
+        self.cut = None
+
+    def connect(self, source, target, timeout):
+        """Return a connection to a backend server."""
+        self._wait_if_cut(time.monotonic() + timeout)
+        far = super().connect(source, target, timeout)
+        near, inner = socket.socketpair()
+        near.settimeout(timeout)
+        threading.Thread(
+            target=self._forward, args=(inner, far), daemon=True
+        ).start()
+        return near
+
+    def _wait_if_cut(self, until):
+        while self.cut in _SETS_UP_NONE:
+            if time.monotonic() >= until:
+                raise TimeoutError('timed out')
+            time.sleep(_POLL_SECONDS)
+        if self.cut is not None:
+            raise ConnectionRefusedError('refused')
+
+    def _forward(self, inner, far):
+        ends = {inner: far, far: inner}
+        self._open.add(inner)
+        with inner, far:
+            while self._forward_once(ends):
+                pass
+            self._open.discard(inner)
+
+    def _forward_once(self, ends):
+        if self.cut is Cut.HANG:
+            time.sleep(_POLL_SECONDS)
+            return True
+        try:
+            for end in select.select(list(ends), (), (), _POLL_SECONDS)[0]:
+                chunk = end.recv(_CHUNK_BYTES)
+                if not chunk:
+                    return False
+                ends[end].sendall(chunk)
+        except OSError:
+            return False
+        return True
