Hold back failures of tries until the links of the node are known to work

Cause: a pool suspends a server after one failed connection, whichever node reports it, leaves it one slot and takes it for cold. A node without links fails at each server in turn, so it suspended all of them for everybody. Class: a node's own fault taken as evidence against what it observes.

Change: the outcome of a try that ended unreached, lost or timed out goes to the pool once a new connection to any server shows that the links work. If none of three servers, in different zones where possible, takes one, the node is cut off, and the outcome counts as cancelled, unless no other node reaches servers either. A check opens at most three connections, and only after 50 ms in which no request has opened one. Silence under running requests is checked after 0.5 s, so that connections which hang are noticed before their time-out.

--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -32,6 +32,8 @@
         Whether the node is shutting down.
     known : tuple of str
         IP addresses of the nodes that it considers live.
+    reaches_servers : bool
+        Whether it reaches any backend server.
 
     """
 
@@ -42,6 +44,7 @@
     is_ready: bool = False
     is_leaving: bool = False
     known: tuple[str, ...] = ()
+    reaches_servers: bool = True
 
 
 @dataclass(slots=True)
@@ -77,11 +80,9 @@
         self._received: dict[str, _ReceivedState] = {}
         self._addresses: dict[str, float] = {}
 
-    def update_own_state(self, *, is_ready: bool, is_leaving: bool) -> bool:
-        """Update this node's state; return whether it has changed."""
-        updated = replace(
-            self.own_state, is_ready=is_ready, is_leaving=is_leaving
-        )
+    def update_own_state(self, **changes: bool) -> bool:
+        """Update fields of this node's state; return whether it has changed."""
+        updated = replace(self.own_state, **changes)
         has_changed = updated != self.own_state
         self.own_state = updated
         return has_changed
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -127,6 +127,7 @@
         self._store.start()
         for server in self._servers:
             server.start()
+        self._node_servers.prober.start()
         for name, loop in (
             ('tick', self._run_pool_loop),
             ('beat', self._run_heartbeat_loop),
@@ -166,6 +167,7 @@
 
     def _stop_components(self) -> None:
         self._is_stopped.set()
+        self._node_servers.prober.stop()
         self._store.stop()
         self.peers.stop()
         for server in self._servers:
@@ -222,6 +224,7 @@
         if self.fleet.update_own_state(
             is_ready=is_ready and not self._is_leaving.is_set(),
             is_leaving=self._is_leaving.is_set(),
+            reaches_servers=not self.allocator.reachability.is_cut_off_,
         ):
             self._broadcast_state()
 
--- a/sesameroute/node/_pools.py
+++ b/sesameroute/node/_pools.py
@@ -1,5 +1,6 @@
 """The pools of a node and the running requests by granting node."""
 
+import random
 import threading
 from collections import Counter
 from collections.abc import Iterator, Mapping
@@ -12,7 +13,7 @@
     PoolIdentity,
 )
 from sesameroute.ports import Clock
-from sesameroute.registry import Registry
+from sesameroute.registry import Backend, Registry
 from sesameroute.routes import ActiveConfiguration
 
 __all__ = ['PoolTable', 'RunningGrants']
@@ -124,6 +125,19 @@
             _OWN_LIMIT_FRACTION, _REMOTE_LIMIT_FRACTION / max(others, 1)
         )
 
+    def list_backends(self) -> list[Backend]:
+        """Return all ready backend servers, those of its own region first.
+
+        They are in random order otherwise.
+        """
+        backends = [entry.backend for entry in self.registry.list_ready()]
+        random.shuffle(backends)
+        own_region = self.fleet.own_state.region
+        return sorted(
+            backends,
+            key=lambda backend: self.regions.get(backend.zone) != own_region,
+        )
+
     def replace_regions(self, regions: Mapping[str, str]) -> None:
         """Replace the map from zones to regions and update all pools."""
         with self._lock:
@@ -163,6 +177,11 @@
             if self._running[grant_key] <= 0:
                 self._running.pop(grant_key)
 
+    def count_all(self) -> int:
+        """Return the number of all requests."""
+        with self._lock:
+            return self._running.total()
+
     def count(self, service: str, excluded_holder: str) -> dict[str, int]:
         """Return the number of a service's requests by backend server.
 
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -22,6 +22,7 @@
 from sesameroute.platform import PlatformHeaderCodec
 from sesameroute.ports import SystemClock, Wire
 from sesameroute.quarantine import LossExchange, Quarantine
+from sesameroute.reachability import ObservedWire, Prober
 
 __all__ = ['NodeServers']
 
@@ -78,10 +79,13 @@
         )
         self.loss_exchange = LossExchange(self.quarantine)
         connections = ConnectionPool(
-            server_wire,
+            ObservedWire(server_wire, allocator.reachability),
             settings.node.address,
             self.clock,
         )
+        self.prober = Prober(
+            allocator.reachability, connections, allocator.pools.list_backends
+        )
         self.forwarder = Forwarder(
             active_configuration,
             registry,
--- a/sesameroute/node/_slot_allocator.py
+++ b/sesameroute/node/_slot_allocator.py
@@ -8,6 +8,8 @@
 from sesameroute.exceptions import PeerError
 from sesameroute.node._fleet import Fleet
 from sesameroute.node._pools import PoolTable, RunningGrants
+from sesameroute.node._relay_peers import RelayPeers
+from sesameroute.node._releases import ReleaseSender
 from sesameroute.placement import (
     Grant,
     Outcome,
@@ -19,6 +21,7 @@
     SlotRequest,
 )
 from sesameroute.ports import Clock, DeferredReply, Peers
+from sesameroute.reachability import Reachability
 
 __all__ = ['FleetSlotAllocator']
 
@@ -54,6 +57,8 @@
     ----------
     observer_ : callable
         Called with the service and the outcome of each try that has ended.
+    reachability : Reachability
+        Tells whether backend servers are at fault for failed tries.
 
     """
 
@@ -70,7 +75,9 @@
         self.pools = pools
         self.clock = clock
         self.observer_: TryObserver = _discard_outcome
+        self.reachability = Reachability(clock, RelayPeers(fleet).has_any)
         self._running = RunningGrants()
+        self._releases = ReleaseSender(pools, peers, self.reachability, clock)
 
     def place(self, slot_request: SlotRequest) -> Grant | Refusal:
         """Return a grant, or a refusal with its reason.
@@ -96,15 +103,14 @@
         outcome: Outcome,
         seconds: float,
     ) -> None:
-        """Release a slot at the pool that granted it."""
+        """Release a slot at the pool that granted it.
+
+        After a failure that may be this node's own, the pool learns of it
+        only once the backend server is known to be at fault.
+        """
         self._running.remove(slot_request.service, grant)
         self.observer_(slot_request.service, outcome)
-        release = Release(slot_request.service, grant.number, outcome, seconds)
-        if grant.holder == self.fleet.own_state.address:
-            now = self.clock.read_monotonic()
-            self.pools.find(slot_request.service).release(release, now)
-        else:
-            self.peers.send_one_way(grant.holder, release)
+        self._releases.release(slot_request, grant, outcome, seconds)
 
     def handle(self, sender: str, message: Any) -> Any:
         """Handle a message from a peer about slots; return the reply if any."""
@@ -135,6 +141,7 @@
     def refresh(self) -> None:
         """Update the pools from the registry and send reports to leaders."""
         now = self.clock.read_monotonic()
+        self.reachability.observe_running(self._running.count_all())
         for pool in self.pools:
             service = pool.identity.service
             self.pools.find(service).tick(now)
--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -153,6 +153,8 @@
         with ThreadPoolExecutor() as stopping:
             for node in self.nodes.values():
                 stopping.submit(node.kill)
+        for wire in self.wires.values():
+            wire.close()
         self.store.stop()
 
 
--- a/sesameroute/node/tests/partition.py
+++ b/sesameroute/node/tests/partition.py
@@ -10,6 +10,7 @@
 from sesameroute.ports import TcpWire
 
 _POLL_SECONDS = 0.01
+_POLL_MILLISECONDS = 100
 _CHUNK_BYTES = 65_536
 
 
@@ -42,16 +43,21 @@
 
     def apply(self, cut):
         """Cut off all backend servers."""
-        self.cut = cut
         if cut is Cut.RESET:
-            for each in tuple(self._open):
-                with contextlib.suppress(OSError):  # it may be closed already
-                    each.shutdown(socket.SHUT_RDWR)
+            self.close()
+        self.cut = cut
 
     def heal(self):
         """End the partition; bytes that were held up arrive."""
         self.cut = None
 
+    def close(self):
+        """Close all connections."""
+        self.cut = None
+        for each in tuple(self._open):
+            with contextlib.suppress(OSError):  # it may be closed already
+                each.shutdown(socket.SHUT_RDWR)
+
     def connect(self, source, target, timeout):
         """Return a connection to a backend server."""
         self._wait_if_cut(time.monotonic() + timeout)
@@ -72,23 +78,27 @@
             raise ConnectionRefusedError('refused')
 
     def _forward(self, inner, far):
-        ends = {inner: far, far: inner}
+        ends = {inner.fileno(): (inner, far), far.fileno(): (far, inner)}
+        poller = select.poll()
+        for number in ends:
+            poller.register(number, select.POLLIN)
         self._open.add(inner)
         with inner, far:
-            while self._forward_once(ends):
+            while self._forward_once(poller, ends):
                 pass
             self._open.discard(inner)
 
-    def _forward_once(self, ends):
+    def _forward_once(self, poller, ends):
         if self.cut is Cut.HANG:
             time.sleep(_POLL_SECONDS)
             return True
         try:
-            for end in select.select(list(ends), (), (), _POLL_SECONDS)[0]:
-                chunk = end.recv(_CHUNK_BYTES)
+            for number, _event in poller.poll(_POLL_MILLISECONDS):
+                source, sink = ends[number]
+                chunk = source.recv(_CHUNK_BYTES)
                 if not chunk:
                     return False
-                ends[end].sendall(chunk)
+                sink.sendall(chunk)
         except OSError:
             return False
         return True
--- a/sesameroute/registry/_registry.py
+++ b/sesameroute/registry/_registry.py
@@ -144,12 +144,19 @@
 
     def list_service(self, service: str) -> list[RegistryEntry]:
         """Return a service's ready backend servers outside evacuated zones."""
+        return [
+            entry
+            for entry in self.list_ready()
+            if entry.backend.service == service
+        ]
+
+    def list_ready(self) -> list[RegistryEntry]:
+        """Return all ready backend servers outside evacuated zones."""
         with self._lock:
             return [
                 entry
                 for entry in self._entries.values()
-                if entry.backend.service == service
-                and entry.backend.state is BackendState.READY
+                if entry.backend.state is BackendState.READY
                 and entry.backend.zone not in self._evacuated
             ]
 
