Pass requests on to a peer while a node reaches no backend server

Cause: a node sends to backend servers itself only. It is in touch with its callers, the store and all other nodes, but nobody sends for it.

Change: a node that is cut off, while another one is not, passes each request on to a peer of its region (or of another one that the route permits), over the last of the ports for traffic between nodes. The peer treats it as its own: slot, retries, deadline, quarantine; the answer is passed on as it comes. It goes on once at most, so it can't circulate. A peer declines, and so has not run it, if it is cut off too or knows an older configuration only. What a peer may have run is repeated for idempotent requests within the retry budget only, and told as 502 or 504 otherwise; a connection that a peer does not take is a certain 'not run'. Nodes announce whether they reach servers; builds before this one ignore the new fields and get nothing passed on.

The answer's way to the caller is one function for both senders. A streamed answer with a status of 500 or more now counts as failed, as a short one did.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -1,10 +1,10 @@
 """Forwards one request: finds a route, gets a slot, sends and retries."""
 
-from collections.abc import Iterator
 from http import HTTPStatus
-from typing import Protocol
 
 from sesameroute.adapters import has_disconnected
+from sesameroute.forward._allocator import SlotAllocator
+from sesameroute.forward._answers import pass_on
 from sesameroute.forward._caller_retries import CallerRetryDetector
 from sesameroute.forward._guards import Guards
 from sesameroute.forward._local_answers import (
@@ -14,6 +14,7 @@
     build_refusal_answer,
 )
 from sesameroute.forward._message import CallerRequest, TryError
+from sesameroute.forward._relay import NoRelay, Relay
 from sesameroute.forward._request_log import (
     Observer,
     RequestRecord,
@@ -21,8 +22,6 @@
     log_event,
 )
 from sesameroute.forward._request_state import (
-    HOP_BY_HOP_HEADERS,
-    MAX_BUFFERED_BYTES,
     RequestState,
     TryHooks,
     build_outgoing_request,
@@ -36,7 +35,7 @@
 from sesameroute.registry import Backend, Registry
 from sesameroute.routes import ActiveConfiguration, Route
 
-__all__ = ['Forwarder', 'SlotAllocator']
+__all__ = ['Forwarder']
 
 # No retry is started with less time left before the deadline.
 _MIN_RETRY_SECONDS = 0.03
@@ -44,39 +43,14 @@
 _CONFIGURATION_RETRY_SECONDS = 0.3
 
 
-class SlotAllocator(Protocol):
-    """Grants slots on backend servers to requests."""
-
-    def place(self, slot_request: SlotRequest) -> Grant | Refusal:
-        """Return a grant, or a refusal with its reason.
-
-        Blocks while the request waits for a free slot.
-        """
-
-    def release(
-        self,
-        slot_request: SlotRequest,
-        grant: Grant,
-        outcome: Outcome,
-        seconds: float,
-    ) -> None:
-        """Release the slot granted to a request; report how its try ended.
-
-        Parameters
-        ----------
-        seconds : float
-            How long the try took.
-
-        """
-
-
 class Forwarder:
     """Forwards requests to backend servers and returns their answers.
 
     `active_configuration` holds the configuration in force, `registry` the
     known backend servers. `allocator` grants slots on them, `sender` sends
     requests to them, `guards` limit or stop tries, `clock` is the source of
-    time. `observer_` is called with the record of each answered request.
+    time. `observer_` is called with the record of each answered request,
+    `relay_` passes requests on while this node reaches no backend server.
     """
 
     def __init__(
@@ -96,6 +70,7 @@
         self.guards = guards
         self.clock = clock
         self.observer_: Observer = _discard_record
+        self.relay_: Relay | NoRelay = NoRelay()
         self._caller_retries = CallerRetryDetector()
 
     def forward(self, request: CallerRequest) -> Answer:
@@ -137,7 +112,9 @@
         )
         seconds = route.timeout
         earlier_seconds = 0
-        if request_metadata.timeout_seconds is not None:
+        if request.relayed is not None:
+            earlier_seconds = request.relayed.elapsed
+        elif request_metadata.timeout_seconds is not None:
             seconds = min(seconds, request_metadata.timeout_seconds)
             earlier_seconds = self._caller_retries.compute_earlier_seconds(
                 route.name, request_metadata.timeout_seconds
@@ -153,6 +130,11 @@
 
     def _try_once(self, state: RequestState) -> Answer | None:
         """Get a slot and send; return the final answer, or None to retry."""
+        if self.relay_.is_needed(state):
+            _release_reserved(self.allocator, state)
+            answer = self.relay_.forward(state)
+            if answer is not None:
+                return answer
         slot_request, decision = self._get_slot(state)
         if isinstance(decision, Refusal):
             return self._answer_refusal(state, decision)
@@ -164,8 +146,10 @@
             raise CallerClosedError(
                 'caller closed its connection before the request was sent'
             )
-        if self.guards.quarantine.is_quarantined(state.fingerprint):
-            # Servers were lost under it while it waited for the slot.
+        if self.guards.quarantine.is_quarantined(
+            state.fingerprint
+        ) or self.relay_.is_needed(state):
+            # Servers, or all links, were lost while it waited for the slot.
             self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
             return None
         entry = self.registry.find(decision.backend)
@@ -199,7 +183,6 @@
     ) -> SlotRequest:
         now = self.clock.read_monotonic()
         route = state.route
-        elapsed = now - state.request.arrived + state.earlier_seconds
         return SlotRequest(
             state.service,
             route.name,
@@ -208,7 +191,7 @@
             else '',
             route.priority,
             route.latency_target,
-            route.latency_target - elapsed,
+            route.latency_target - state.compute_elapsed(now),
             state.deadline - now,
             may_wait,
             tuple(sorted(route.homes)),
@@ -264,55 +247,26 @@
         received: ReceivedAnswer,
         started_at: float,
     ) -> Answer:
-        """Return the answer: a short body is buffered, a long one streamed."""
-        first, is_whole = received.body.read_up_to(MAX_BUFFERED_BYTES)
-        answer = received.answer
-        answer.headers = tuple(
-            (name, text)
-            for name, text in answer.headers
-            if name.lower() not in HOP_BY_HOP_HEADERS
-        )
+        """Return the answer, which releases the slot at its end."""
+        status = received.answer.status
         seconds = self.clock.read_monotonic() - started_at
-        outcome = Outcome.ANSWERED
-        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            outcome = Outcome.FAILED
-        if is_whole:
-            self.guards.observe_answer(state, answer.status)
-            self.allocator.release(*slot, outcome, seconds)
-            answer.length = len(first)
-            answer.chunks = iter((first,))
-            return answer
-        chunks = self._stream_answer(state, slot, received, first, seconds)
-        # Closing a generator runs its finally block, which releases the slot,
-        # only if the generator has been started.
-        next(chunks)
-        answer.chunks = chunks
-        return answer
 
-    def _stream_answer(
-        self,
-        state: RequestState,
-        slot: tuple[SlotRequest, Grant],
-        received: ReceivedAnswer,
-        first: bytes,
-        seconds: float,
-    ) -> Iterator[bytes]:
-        outcome = Outcome.CANCELLED
-        try:
-            yield from (b'', first)
-            yield from received.body
-            outcome = Outcome.ANSWERED
-        except TryError as error:
-            outcome = error.outcome
-            self.guards.observe_failure(state, error)
-            log_event(state, 'answer cut midway', outcome.value, state.backend)
-            raise
-        else:
-            self.guards.observe_answer(state, received.answer.status)
-        finally:
-            received.body.close()
+        def observe_end(
+            outcome: Outcome, error: TryError | None = None
+        ) -> None:
+            if error is not None:
+                self.guards.observe_failure(state, error)
+                log_event(
+                    state, 'answer cut midway', outcome.value, state.backend
+                )
+            elif outcome is Outcome.ANSWERED:
+                self.guards.observe_answer(state, status)
+                if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                    outcome = Outcome.FAILED
             self.allocator.release(*slot, outcome, seconds)
 
+        return pass_on(received, observe_end)
+
     def _reserve_retry(self, state: RequestState) -> bool:
         """Reserve a slot for a retry; return whether to abandon this try.
 
@@ -345,12 +299,13 @@
             state.deadline - self.clock.read_monotonic() > _MIN_RETRY_SECONDS
         )
         may_repeat = may_repeat and not is_consumed(state.body)
-        if (
-            may_repeat
-            and has_time
-            and state.tries < state.route.max_attempts
+        # Another node's first try at a server is no retry of one that failed.
+        is_relayed = not state.may_have_run and self.relay_.is_needed(state)
+        is_permitted = is_relayed or (
+            state.tries < state.route.max_attempts
             and (state.reserved or self.guards.retries.acquire(state.service))
-        ):
+        )
+        if may_repeat and has_time and is_permitted:
             log_event(state, 'request sent again', error.code, backend.name)
             return None
         _release_reserved(self.allocator, state)
--- a/sesameroute/forward/_message.py
+++ b/sesameroute/forward/_message.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     'CallerRequest',
+    'RelayedRequest',
     'RequestMetadata',
     'HeaderCodec',
     'AnswerMetadata',
@@ -37,6 +38,23 @@
     timeout_seconds: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class RelayedRequest:
+    """What another node tells of a request that it passes on.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration by which it was accepted.
+    elapsed : float
+        Seconds that it and the caller's earlier attempts have taken.
+
+    """
+
+    version: int
+    elapsed: float
+
+
 @dataclass(slots=True)
 class CallerRequest:
     """A caller's request, with its body unread.
@@ -53,6 +71,8 @@
         Monotonic time in seconds at which its headers were read.
     caller : socket.socket
         The caller's connection.
+    relayed : RelayedRequest or None
+        Set if another node has passed the request on.
 
     """
 
@@ -64,6 +84,7 @@
     length: int | None
     arrived: float
     caller: socket.socket
+    relayed: RelayedRequest | None = None
 
     @property
     def path(self) -> str:
@@ -121,6 +142,10 @@
         """
         raise NotImplementedError
 
+    def build_deadline_header(self, seconds: float) -> Headers:
+        """Return the header with the time until the deadline."""
+        raise NotImplementedError
+
     def is_replaced_per_hop(self, name: str) -> bool:
         """Return whether a header is replaced at each hop."""
         raise NotImplementedError
--- a/sesameroute/forward/_request_log.py
+++ b/sesameroute/forward/_request_log.py
@@ -27,6 +27,8 @@
         Time from the arrival of the request to the head of its answer.
     waited : float
         Part of `seconds` that was spent waiting for slots.
+    is_relayed : bool
+        Whether it was passed on to another node.
     is_late : bool
         Whether the route's latency objective was missed, counting the time
         of the caller's earlier attempts.
@@ -38,6 +40,7 @@
     status: int
     seconds: float
     waited: float
+    is_relayed: bool
     is_late: bool
 
 
@@ -82,6 +85,7 @@
         answer.status,
         seconds,
         state.waited,
+        bool(state.relayed_to),
         is_late,
     )
 
@@ -94,6 +98,7 @@
         'backend': backend or '-',
         'attempt': state.tries,
         'waited_ms': round(state.waited * _MILLISECONDS),
+        **({'relay': state.relayed_to[-1]} if state.relayed_to else {}),
     }
 
 
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -26,6 +26,7 @@
     'RequestState',
     'TryHooks',
     'build_outgoing_request',
+    'build_relayed_request',
     'compute_fingerprint',
     'is_consumed',
     'read_body',
@@ -89,6 +90,8 @@
         Its incarnation.
     fingerprint : str
         Digest that is equal for repetitions of the same request.
+    relayed_to : tuple of str
+        Nodes that the request was passed on to.
 
     """
 
@@ -109,6 +112,11 @@
     backend: str = ''
     incarnation: int = 0
     fingerprint: str = ''
+    relayed_to: tuple[str, ...] = ()
+
+    def compute_elapsed(self, now: float) -> float:
+        """Return the seconds since the caller's first attempt."""
+        return now - self.request.arrived + self.earlier_seconds
 
     def compute_retry_after(self, now: float) -> float:
         """Return the Retry-After for a failed request, in seconds."""
@@ -211,7 +219,13 @@
     return OutgoingRequest(
         state.request.method,
         state.request.target,
-        _list_headers(state, backend, header_codec, state.deadline - now),
+        _list_headers(
+            state,
+            header_codec,
+            header_codec.build_backend_headers(
+                state.deadline - now, backend.name
+            ),
+        ),
         state.body,
         state.request_metadata.identifier,
         state.deadline,
@@ -223,11 +237,41 @@
     )
 
 
-def _list_headers(
+def build_relayed_request(
     state: RequestState,
-    backend: Backend,
     header_codec: HeaderCodec,
-    seconds: float,
+    context: Headers,
+    now: float,
+) -> OutgoingRequest:
+    """Return the request to pass on to another node.
+
+    Parameters
+    ----------
+    state : RequestState
+        The request.
+    header_codec : HeaderCodec
+        Writes the added headers.
+    context : Headers
+        Headers that tell the other node about the request.
+    now : float
+        Monotonic time in seconds.
+
+    """
+    deadline_header = header_codec.build_deadline_header(state.deadline - now)
+    return OutgoingRequest(
+        state.request.method,
+        state.request.target,
+        _list_headers(state, header_codec, (*deadline_header, *context)),
+        state.body,
+        state.request_metadata.identifier,
+        state.deadline,
+        state.request.caller if state.route.kind.is_idempotent else None,
+        may_resend=lambda: not is_consumed(state.body),
+    )
+
+
+def _list_headers(
+    state: RequestState, header_codec: HeaderCodec, added: Headers
 ) -> Headers:
     forwarded = tuple(
         (name, text)
@@ -235,7 +279,6 @@
         if name.lower() not in HOP_BY_HOP_HEADERS
         and not header_codec.is_replaced_per_hop(name)
     )
-    added = header_codec.build_backend_headers(seconds, backend.name)
     if state.request.length and isinstance(state.body, _StreamedBody):
         added = (*added, ('Content-Length', str(state.request.length)))
     return (*forwarded, *added)
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -34,6 +34,9 @@
         IP addresses of the nodes that it considers live.
     reaches_servers : bool
         Whether it reaches any backend server.
+    relay : str
+        Address for requests that other nodes pass on, ``IP:PORT``; empty if
+        it takes none.
 
     """
 
@@ -45,6 +48,7 @@
     is_leaving: bool = False
     known: tuple[str, ...] = ()
     reaches_servers: bool = True
+    relay: str = ''
 
 
 @dataclass(slots=True)
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -46,7 +46,7 @@
     def __call__(self, request: Any) -> Answer | None:
         """Return the answer, or None if no answer can be sent."""
         try:
-            return self.forwarder.forward(self._read(request))
+            return self.respond(self._read(request))
         except InputError as error:
             request.close_connection = True
             _logger.info('request not valid', extra={'why': error.message})
@@ -54,6 +54,10 @@
         except SesameError:
             return None  # the forwarder has logged the reason
 
+    def respond(self, request: CallerRequest) -> Answer:
+        """Return the answer to a caller's request."""
+        return self.forwarder.forward(request)
+
     def _read(self, request: Any) -> CallerRequest:
         headers = tuple(
             (name.decode(_HEADER_ENCODING), text.decode(_HEADER_ENCODING))
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -79,6 +79,8 @@
             kind=record.route,
             outcome=_name_outcome(record),
         )
+        if record.is_relayed:
+            self.meter_.add(Metric.RELAYS)
         self.meter_.observe(
             Metric.REQUEST_SECONDS,
             record.seconds,
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -64,6 +64,7 @@
             node_settings.zone,
             node_settings.region,
             settings.listen.front,
+            relay=settings.relay_address,
         )
         self.fleet = Fleet(own_state, self.peers, self.clock)
         self.active_configuration = ActiveConfiguration()
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -8,6 +8,8 @@
     FleetRetryBudget,
     Forwarder,
     Guards,
+    Relay,
+    RelayCodec,
     RetryBudgets,
     Sender,
 )
@@ -17,10 +19,12 @@
     ForwardHandler,
     ReadyHandler,
 )
+from sesameroute.node._relay_handler import RelayHandler
+from sesameroute.node._relay_peers import RelayPeers
 from sesameroute.node._settings import NodeSettings
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.platform import PlatformHeaderCodec
-from sesameroute.ports import SystemClock, Wire
+from sesameroute.ports import SystemClock, TcpWire, Wire
 from sesameroute.quarantine import LossExchange, Quarantine
 from sesameroute.reachability import ObservedWire, Prober
 
@@ -28,6 +32,8 @@
 
 # A request is quarantined after it has crashed this many backend servers.
 _MAX_BACKEND_LOSSES = 3
+# Room for the header that nodes add to requests that they pass on.
+_RELAY_HEADER_BYTES = 64
 # Threads of each server for readiness checks and the directory.
 _AUXILIARY_THREADS = 2
 # Interval at which shutdown polls the running requests.
@@ -116,6 +122,10 @@
             threads=_AUXILIARY_THREADS,
         )
         self.servers = (self._front, ready, directory)
+        # Servers that take requests, and the header bytes that nodes add.
+        self._taking = {self._front: 0}
+        if settings.relay_address:
+            self._add_relay(settings, allocator, is_leaving)
 
     def apply_settings(self, settings: NodeSettings) -> None:
         """Apply changed retry and TTL bounds."""
@@ -127,16 +137,17 @@
         current_configuration = self.active_configuration.configuration
         if current_configuration is not None:
             limits = current_configuration.limits
-            self._front.set_limits(
-                limits.header_bytes,
-                limits.body_bytes,
-                limits.header_seconds,
-                limits.idle_seconds,
-            )
+            for server, added_bytes in self._taking.items():
+                server.set_limits(
+                    limits.header_bytes + added_bytes,
+                    limits.body_bytes,
+                    limits.header_seconds,
+                    limits.idle_seconds,
+                )
 
     def count_running(self) -> int:
         """Return the number of requests that are being served."""
-        return self._front.running_.count
+        return sum(server.running_.count for server in self._taking)
 
     def shut_down(self, deadline: float) -> None:
         """Serve until callers have moved away and no request is running.
@@ -155,17 +166,52 @@
         self._wait_until_idle(
             deadline - self._find_longest_timeout(deadline - now)
         )
-        self._front.stop_accepting()
+        for server in self._taking:
+            server.stop_accepting()
         while self.count_running() and self.clock.read_monotonic() < deadline:
             time.sleep(_POLL_SECONDS)
 
+    def _add_relay(
+        self,
+        settings: NodeSettings,
+        allocator: FleetSlotAllocator,
+        is_leaving: threading.Event,
+    ) -> None:
+        """Take requests from other nodes, and pass requests on to them."""
+        reachability = allocator.reachability
+        relay_server = FrontServer(
+            parse_address(settings.relay_address),
+            RelayHandler(
+                self.forwarder,
+                self.clock,
+                lambda: reachability.is_cut_off_,
+            ),
+            is_leaving.is_set,
+            threads=_AUXILIARY_THREADS,
+        )
+        self._taking[relay_server] = _RELAY_HEADER_BYTES
+        self.servers = (*self.servers, relay_server)
+        self.forwarder.relay_ = Relay(
+            Sender(
+                ConnectionPool(TcpWire(), settings.node.address, self.clock),
+                RelayCodec(self.forwarder.sender.header_codec),
+                self.clock,
+            ),
+            RelayPeers(allocator.fleet),
+            lambda: reachability.should_detour,
+            self._retries,
+            lambda: self.active_configuration.version,
+        )
+
     def _wait_until_idle(self, accept_until: float) -> None:
         idle_since = self.clock.read_monotonic()
         while self.clock.read_monotonic() < accept_until:
             time.sleep(_POLL_SECONDS)
             now = self.clock.read_monotonic()
-            running = self._front.running_
-            if running.count or running.last_change_at > idle_since:
+            changed_at = max(
+                server.running_.last_change_at for server in self._taking
+            )
+            if self.count_running() or changed_at > idle_since:
                 idle_since = now
             if now - idle_since > _IDLE_SECONDS:
                 return
--- a/sesameroute/node/_settings.py
+++ b/sesameroute/node/_settings.py
@@ -79,6 +79,12 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     log: Log = msgspec.field(default_factory=Log)
 
+    @property
+    def relay_address(self) -> str:
+        """Address for requests that other nodes pass on; empty: not served."""
+        first, last = self.peers.ports[0], self.peers.ports[-1]
+        return '' if first == last else f'{self.node.address}:{last}'
+
 
 def parse_node_settings(text: str, source: str = '<text>') -> NodeSettings:
     """Return the settings of an INI text.
--- a/sesameroute/platform/_header_codec.py
+++ b/sesameroute/platform/_header_codec.py
@@ -51,10 +51,15 @@
 
         """
         return (
-            (DEADLINE_HEADER, str(max(int(seconds * _MILLISECONDS), 1))),
+            *self.build_deadline_header(seconds),
             (EXPECTED_INSTANCE_HEADER, backend),
         )
 
+    def build_deadline_header(self, seconds: float) -> Headers:
+        """Return the header with the time left until the deadline."""
+        milliseconds = max(int(seconds * _MILLISECONDS), 1)
+        return ((DEADLINE_HEADER, str(milliseconds)),)
+
     def is_replaced_per_hop(self, name: str) -> bool:
         """Return whether a node replaces this header itself."""
         return name.lower() in _PER_HOP_HEADERS
--- a/sesameroute/programs/explain.py
+++ b/sesameroute/programs/explain.py
@@ -26,6 +26,7 @@
     'connection-replaced': 'lost a kept connection to {target}',
     'answer-cut-midway': 'lost its answer midway from {backend}',
     'request-dropped': 'was dropped',
+    'relay-failed': 'was passed on to {backend} in vain',
     'request-late': (
         'was answered late by {backend} (status {status}):'
         ' {took_ms} ms here, {waited_ms} ms of them without a slot,'
--- a/sesameroute/programs/tests/test_compatibility.py
+++ b/sesameroute/programs/tests/test_compatibility.py
@@ -23,6 +23,9 @@
 # Importing these packages registers their messages with the decoder.
 MESSAGE_PACKAGES = (delivery, mirror, quarantine, routing)
 MESSAGES = json.loads((RECORDED / 'messages.json').read_text('utf-8'))
+EARLIER_MESSAGES = json.loads(
+    (RECORDED / 'earlier_messages.json').read_text('utf-8')
+)
 LOG_LINES = (RECORDED / 'nodes.log').read_text('utf-8').splitlines()
 
 
@@ -35,6 +38,18 @@
     assert msgpack.packb(encode_message(message)) == packed
 
 
+@pytest.mark.parametrize('tag', sorted(EARLIER_MESSAGES))
+def test_earlier_and_later_builds_read_extended_messages(tag):
+    """Fields that were added have defaults, and unknown ones are ignored."""
+    earlier = msgpack.unpackb(bytes.fromhex(EARLIER_MESSAGES[tag]))
+    packed = msgpack.packb(encode_message(decode_message(earlier)))
+    fields = msgpack.unpackb(packed)[1]
+    assert {name: fields[name] for name in earlier[1]} == earlier[1]
+    assert set(fields) > set(earlier[1])
+    later = [tag, {**fields, 'added_later': 1}]
+    assert msgpack.packb(encode_message(decode_message(later))) == packed
+
+
 def test_stored_configuration_round_trip_keeps_its_bytes():
     """The bytes in the store and the statement's text stay the same."""
     packed = (RECORDED / 'configuration.json').read_bytes()
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -55,7 +55,7 @@
     RELAYS = _MetricSpecification(
         Counter,
         'sesame_relays_total',
-        'Requests passed on to their home VM.',
+        'Requests passed on to another VM.',
     )
     LOOKUPS = _MetricSpecification(
         Counter,
