Answer the requests that have been accepted before a planned stop

It could happen here: closing the listening socket resets the connections that wait in the kernel's queue, and a request counted as running only once it had been read, so that one whose connection waited for a thread did not hold up the stop.

Change: accepting ends once no connection waits, for a second at most; a request counts from its acceptance, or from the first byte on a kept connection, to the end of its answer.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -7,7 +7,9 @@
 
 import contextlib
 import logging
+import select
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -33,6 +35,10 @@
 _SPARE_THREADS = 3
 _GROWTH_CHECK_SECONDS = 1.0  # between checks that no request triggered
 _STOP_SECONDS = 0.2
+# Longest wait for the connections that have not been accepted when accepting
+# ends.
+_ACCEPT_POLLS = 1000
+_ACCEPT_POLL_SECONDS = 0.001
 # Connections stay open for this long beyond the idle time that callers are
 # told.
 _IDLE_MARGIN_SECONDS = 3.0
@@ -73,8 +79,9 @@
 
     def communicate(self) -> bool:
         """Serve one request; return whether the connection stays open."""
-        self.socket.settimeout(self.server.header_seconds)
-        return super().communicate()
+        with self.server.front.running.ending():
+            self.socket.settimeout(self.server.header_seconds)
+            return super().communicate()
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,11 +98,7 @@
 
     def respond(self) -> None:
         """Answer the request."""
-        front: _FrontContext = self.req.server.front
-        with front.running.observe():
-            self._respond(self.req)
-
-    def _respond(self, request: Any) -> None:
+        request = self.req
         if request.server.requests.idle < request.server.spare_threads:
             request.server.needs_threads.set()
         if request.server.front.is_leaving():
@@ -147,6 +150,11 @@
         self.nodelay = True
         self.server_name = 'sesameroute'
 
+    def process_conn(self, conn: HTTPConnection) -> None:
+        """Count the request on a connection, and queue it for a thread."""
+        self.front.running.begin()
+        super().process_conn(conn)
+
     def error_log(
         self,
         msg: str = '',
@@ -220,11 +228,22 @@
         self._server.stop()
 
     def stop_accepting(self) -> None:
-        """Refuse new connections; open ones are still served."""
+        """Refuse new connections; open ones are still served.
+
+        Closing the socket resets the connections that wait to be accepted,
+        so it stays open until none waits, for a bounded time.
+        """
         listening = self._server.socket
-        if listening is not None:
-            listening.close()
-            self._server.socket = None
+        if listening is None:
+            return
+        poller = select.poll()
+        poller.register(listening, select.POLLIN)
+        for _ in range(_ACCEPT_POLLS):
+            if not poller.poll(0):
+                break
+            time.sleep(_ACCEPT_POLL_SECONDS)
+        listening.close()
+        self._server.socket = None
 
     def set_limits(
         self,
--- a/sesameroute/adapters/_running.py
+++ b/sesameroute/adapters/_running.py
@@ -10,7 +10,9 @@
 
 
 class RunningRequests:
-    """Counts requests from arrival to the last byte of the answer.
+    """Counts requests from their acceptance to the last byte of the answer.
+
+    A request counts before it is read: its connection may wait for a thread.
 
     Parameters
     ----------
@@ -33,10 +35,13 @@
         self.last_change_at: float = 0
         self._lock = threading.Lock()
 
-    @contextmanager
-    def observe(self) -> Iterator[None]:
-        """Count one request as in progress while the block runs."""
+    def begin(self) -> None:
+        """Count one more request as in progress."""
         self._change(1)
+
+    @contextmanager
+    def ending(self) -> Iterator[None]:
+        """Count one request less when the block ends."""
         try:
             yield
         finally:
--- a/sesameroute/adapters/tests/test_front_server.py
+++ b/sesameroute/adapters/tests/test_front_server.py
@@ -1,6 +1,7 @@
 """Tests that `FrontServer` counts the requests it is still answering."""
 
 import contextlib
+import socket
 import threading
 import time
 from http.client import HTTPConnection
@@ -86,3 +87,26 @@
         caller.close()
         handler.may_continue.set()
         assert wait_for(lambda: not server.running_.count)
+
+
+@pytest.mark.parametrize('burst', [10, 100, 300])
+def test_planned_stop_answers_accepted_requests(burst):
+    """Requests that waited for a thread or to be accepted were cut off."""
+
+    def answer_slowly(_request):
+        time.sleep(0.005)
+        return Answer(200, (), iter((CHUNK,)), len(CHUNK))
+
+    server = FrontServer(ADDRESS, answer_slowly, threads=4)
+    server.start()
+    with contextlib.ExitStack() as callers:
+        connections = []
+        for _ in range(burst):
+            connection = socket.create_connection(ADDRESS, TIMEOUT_SECONDS)
+            connections.append(callers.enter_context(connection))
+            connection.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        server.stop_accepting()
+        assert wait_for(lambda: not server.running_.count)
+        server.stop()
+        answers = [connection.recv(12) for connection in connections]
+    assert set(answers) == {b'HTTP/1.1 200'}
