Keep threads and the store's watch alive after unexpected errors

Operators of similar systems lost whole processes to one malformed message or unexpected error. It could happen here: a document nested too deeply raises RecursionError, which ended the thread that watches the store, on each node that read it; an unexpected error in the heartbeat, the pool update, the lease renewal, the check of the links or the maintenance of peer streams ended that thread, and the process went on without it. An error in the handler of a one-way peer message was not logged.

Change: the dispatcher of store items takes such a document for not valid; the threads that a node can't do without log 'unexpected error' and go on with their next step.

--- a/sesameroute/adapters/_peer_dispatcher.py
+++ b/sesameroute/adapters/_peer_dispatcher.py
@@ -1,5 +1,6 @@
 """Passes received peer messages to the handler and sends its replies."""
 
+import logging
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -19,6 +20,8 @@
 _WORKERS = 32
 _MAX_QUEUED = 256
 
+_logger = logging.getLogger(__name__)
+
 
 class PeerDispatcher:
     """Handles peer messages on the stream's thread or in a thread pool.
@@ -71,6 +74,10 @@
             reply = self.handler(stream.peer.sender, message)
         # An error in the handler must fail this call only, not the stream.
         except Exception as error:  # noqa: BLE001
+            _logger.error(
+                'peer message not handled',
+                extra={'type': type(message).__name__, 'why': repr(error)},
+            )
             _fail(stream, frame, repr(error))
             return
         if frame.kind is not FrameKind.CALL:
--- a/sesameroute/adapters/_peer_table.py
+++ b/sesameroute/adapters/_peer_table.py
@@ -63,6 +63,27 @@
                 seconds,
             )
 
+    def maintain(self, own: str) -> bool:
+        """Send what is due on all streams; close duplicates.
+
+        Parameters
+        ----------
+        own : str
+            This process's sender id.
+
+        Returns
+        -------
+        bool
+            Whether bytes still wait to be sent.
+
+        """
+        streams = self.list_streams()
+        for open_stream in streams:
+            open_stream.maintain()
+        for duplicate in self.list_duplicates(own):
+            duplicate.close()
+        return any(each.has_pending for each in streams)
+
     def list_streams(self) -> tuple[PeerStream, ...]:
         """Return all streams."""
         with self._changed:
--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -24,6 +24,7 @@
     decode_message,
     encode_message,
 )
+from sesameroute.telemetry import survive
 
 __all__ = ['PeerNetwork']
 
@@ -212,12 +213,9 @@
     def _maintain_streams(self) -> None:
         """Send heartbeats and buffered bytes; close duplicate streams."""
         while not self._is_stopping.is_set():
-            streams = self.streams.list_streams()
-            for open_stream in streams:
-                open_stream.maintain()
-            for duplicate in self.streams.list_duplicates(self.identity.sender):
-                duplicate.close()
-            has_pending = any(each.has_pending for each in streams)
+            has_pending = False
+            with survive('peer streams'):
+                has_pending = self.streams.maintain(self.identity.sender)
             pause = _FLUSH_SECONDS if has_pending else _MAINTENANCE_SECONDS
             self._is_stopping.wait(pause)
 
--- a/sesameroute/mirror/_watcher.py
+++ b/sesameroute/mirror/_watcher.py
@@ -9,6 +9,7 @@
 from sesameroute.exceptions import SesameError
 from sesameroute.mirror._mirror import Mirror, MirrorUpdate
 from sesameroute.ports import Clock
+from sesameroute.telemetry import survive
 
 __all__ = ['HistoryLostError', 'StoreReader', 'StoreWatcher']
 
@@ -115,13 +116,21 @@
             if not self.is_needed():
                 self._is_stopping.wait(_RECHECK_SECONDS)
                 continue
-            try:
-                self._update_once()
-            except HistoryLostError as error:
-                self._is_history_lost = True
-                _logger.warning('store history lost', extra={'why': str(error)})
-            except SesameError as error:
-                self._back_off(error)
+            has_failed = True
+            with survive('store watch'):
+                self._try_to_update()
+                has_failed = False
+            if has_failed:
+                self._is_stopping.wait(_RECHECK_SECONDS)
+
+    def _try_to_update(self) -> None:
+        try:
+            self._update_once()
+        except HistoryLostError as error:
+            self._is_history_lost = True
+            _logger.warning('store history lost', extra={'why': str(error)})
+        except SesameError as error:
+            self._back_off(error)
 
     def _update_once(self) -> None:
         if self._is_history_lost or not self.mirror.revision_:
--- a/sesameroute/node/_lease.py
+++ b/sesameroute/node/_lease.py
@@ -6,6 +6,7 @@
 
 from sesameroute.exceptions import SesameError
 from sesameroute.platform import LeaseLostError, PlatformStore
+from sesameroute.telemetry import survive
 
 __all__ = ['NodeLease']
 
@@ -64,15 +65,21 @@
     def _run(self) -> None:
         pause = 0
         while not self._is_stopping.wait(pause):
-            try:
-                self._renew_or_open()
-                pause = _add_jitter(_RENEW_SECONDS)
-            except LeaseLostError:
-                self._lease = 0
-                pause = 0
-            except SesameError as error:
-                _logger.info('lease not renewed', extra={'why': error.message})
-                pause = _add_jitter(_RETRY_SECONDS)
+            pause = _add_jitter(_RETRY_SECONDS)
+            with survive('lease renewal'):
+                pause = self._try_to_renew()
+
+    def _try_to_renew(self) -> float:
+        """Return the seconds until the next renewal."""
+        try:
+            self._renew_or_open()
+        except LeaseLostError:
+            self._lease = 0
+            return 0
+        except SesameError as error:
+            _logger.info('lease not renewed', extra={'why': error.message})
+            return _add_jitter(_RETRY_SECONDS)
+        return _add_jitter(_RENEW_SECONDS)
 
     def _renew_or_open(self) -> None:
         if self._lease:
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -5,7 +5,6 @@
 import uuid
 
 from sesameroute.adapters import MIN_KEY_BYTES, PeerNetwork
-from sesameroute.exceptions import SesameError
 from sesameroute.node._dispatch import MessageDispatch
 from sesameroute.node._fleet import Fleet, NodeState
 from sesameroute.node._limit_exchange import LimitExchange
@@ -19,6 +18,7 @@
 from sesameroute.ports import PeerIdentity, SystemClock, TcpWire, Wire
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
+from sesameroute.telemetry import survive
 
 __all__ = ['FleetNode']
 
@@ -189,17 +189,14 @@
 
     def _run_pool_loop(self) -> None:
         refreshed_at = 0
+        is_waiting = False
         while not self._is_stopped.is_set():
-            try:
+            with survive('pool update'):
                 is_waiting = self.allocator.process_waiting()
                 now = self.clock.read_monotonic()
                 if now - refreshed_at >= _REFRESH_INTERVAL_SECONDS:
                     refreshed_at = now
                     self._refresh(now)
-            except SesameError as error:
-                _logger.warning(
-                    'periodic update failed', extra={'why': error.message}
-                )
             pause = (
                 _WAITING_INTERVAL_SECONDS
                 if is_waiting
@@ -231,11 +228,15 @@
 
     def _run_heartbeat_loop(self) -> None:
         while not self._is_stopped.wait(_HEARTBEAT_INTERVAL_SECONDS):
-            self._broadcast_state()
-            self._node_servers.loss_exchange.share_with_next()
-            self._limit_exchange.share_with_next()
-            _dial(self.fleet, self.peers, self.settings)
-            self._store.sync.fetch_if_empty()
+            with survive('heartbeat'):
+                self._send_heartbeat()
+
+    def _send_heartbeat(self) -> None:
+        self._broadcast_state()
+        self._node_servers.loss_exchange.share_with_next()
+        self._limit_exchange.share_with_next()
+        _dial(self.fleet, self.peers, self.settings)
+        self._store.sync.fetch_if_empty()
 
     def _broadcast_state(self) -> None:
         if self._is_leaving.is_set():
--- a/sesameroute/platform/_item_dispatcher.py
+++ b/sesameroute/platform/_item_dispatcher.py
@@ -71,7 +71,7 @@
         """Decode a changed item and pass it to the receiver."""
         try:
             self._dispatch(item)
-        except (InputError, msgspec.MsgspecError) as error:
+        except (InputError, msgspec.MsgspecError, RecursionError) as error:
             _logger.warning(
                 'item not valid',
                 extra={'key': item.key, 'why': str(error)},
--- a/sesameroute/reachability/_prober.py
+++ b/sesameroute/reachability/_prober.py
@@ -9,6 +9,7 @@
 from sesameroute.adapters import ConnectionPool
 from sesameroute.reachability._reachability import Reachability
 from sesameroute.registry import Backend
+from sesameroute.telemetry import survive
 
 __all__ = ['Prober']
 
@@ -75,7 +76,8 @@
                 self.reachability.doubt_.wait()
             self._is_stopped.wait(pause)
             if self._is_in_doubt() and not self._is_stopped.is_set():
-                self.check()
+                with survive('check of the links'):
+                    self.check()
 
     def _is_in_doubt(self) -> bool:
         return (
--- a/sesameroute/telemetry/__init__.py
+++ b/sesameroute/telemetry/__init__.py
@@ -15,6 +15,7 @@
         '_line_parser': ['parse_line'],
         '_meter': ['Meter', 'Metric'],
         '_queued_stream': ['QueuedStream'],
+        '_survival': ['survive'],
         '_tracer': ['Span', 'Tracer'],
     },
 )
