Count relayed requests once, drop idle connections of cut nodes, add tests

A request that is passed on counted on both nodes in the base of the retry budget, which could exceed the fleet's ratio while more than a quarter of the requests are passed on. Idle connections to servers outlived a cut and could be silent after it. A node without any registered server took itself for cut off (test: fails before).

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -97,7 +97,9 @@
         state = self._make_state(request, route)
         state.body = read_body(request)
         state.fingerprint = compute_fingerprint(state)
-        self.guards.retries.observe(state.service)
+        if not self.relay_.is_needed(state):
+            # The node that sends a request counts it.
+            self.guards.retries.observe(state.service)
         answer = None
         while answer is None:
             answer = self.guards.check(state)
--- a/sesameroute/reachability/_prober.py
+++ b/sesameroute/reachability/_prober.py
@@ -60,12 +60,17 @@
 
     def check(self) -> None:
         """Check the links once."""
-        for backend in self._pick_backends():
+        backends = self._pick_backends()
+        for backend in backends:
             if self._try_to_open(backend.target):
                 return
             if not self._is_in_doubt():
                 return  # a request has opened a connection meanwhile
-        self.reachability.conclude_cut_off()
+        if backends:
+            self.connections.close_all_idle()
+            self.reachability.conclude_cut_off()
+        else:
+            self.reachability.conclude_sound()
 
     def _run(self) -> None:
         while not self._is_stopped.is_set():
--- a/sesameroute/reachability/_reachability.py
+++ b/sesameroute/reachability/_reachability.py
@@ -83,11 +83,10 @@
     def observe_opened(self) -> None:
         """Note that a connection to a backend server was opened."""
         self._last_contact = self.clock.read_monotonic()
-        is_quiet = not self.is_cut_off_ and not self.doubt_.is_set()
-        if is_quiet:
+        if self.is_cut_off_ or self.doubt_.is_set():
+            self.conclude_sound()
+        else:
             self._failed.clear()
-        elif self._change(is_cut_off=False):
-            _logger.warning('backend servers reached again')
 
     def observe_failed(self, target: tuple[str, int]) -> None:
         """Note that a connection to a backend server could not be opened."""
@@ -99,6 +98,11 @@
         if count and silence > _MAX_SILENCE_SECONDS:
             self.doubt_.set()
 
+    def conclude_sound(self) -> None:
+        """Note that nothing speaks against the links of this node."""
+        if self._change(is_cut_off=False):
+            _logger.warning('backend servers reached again')
+
     def conclude_cut_off(self) -> None:
         """Note that none of several backend servers could be reached."""
         failed = len(self._failed)
--- a/sesameroute/reachability/tests/test_reachability.py
+++ b/sesameroute/reachability/tests/test_reachability.py
@@ -42,6 +42,9 @@
     def put_back(self, _connection):
         """Drop the connection."""
 
+    def close_all_idle(self):
+        """Do nothing: no connection is kept."""
+
 
 def build_prober(reachability, wire, *zones):
     """Return a prober of servers with the ports 1, 2, ... in some zones."""
@@ -79,6 +82,16 @@
     assert len(wire.tried) <= 3
 
 
+def test_node_without_known_servers_is_not_cut_off():
+    """A node took itself for cut off while no server was registered."""
+    reachability = Reachability(ManualClock(), lambda: True)
+    settled = []
+    reachability.hold(settled.append)
+    build_prober(reachability, ScriptedWire()).check()
+    assert settled == _FAULT_OF_SERVER
+    assert not reachability.is_cut_off_
+
+
 def test_connection_of_a_request_settles_at_once():
     """A check is needless once a request has opened a connection."""
     reachability = Reachability(ManualClock(), lambda: True)
