Take an answer on a kept connection only for the try that it names

On the product's own path it could happen: only bytes that came before the next request were noticed, and nothing in an answer told which request it was for.

Change: each send carries Sesame-Try, a random name; an answer that returns another one is lost (may have run) and its connection is closed. The test got the first request's answer before, and RequestError now.

The stand-ins' thread that met a connection reset before its first read no longer ends with a traceback.

--- a/sesameroute/adapters/_exchange.py
+++ b/sesameroute/adapters/_exchange.py
@@ -1,5 +1,6 @@
 """Sends one HTTP request on one connection and reads the answer."""
 
+import secrets
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from http.client import HTTPException
@@ -26,6 +27,9 @@
 _CHUNK_BYTES = 65_536
 _MILLISECONDS = 1000
 _MIN_WAIT_SECONDS = 0.001  # socket time-out once the deadline has passed
+# Names one try; a backend server may return it with its answer.
+_TRY_HEADER = 'Sesame-Try'
+_TRY_BYTES = 8
 _CONNECTION_ERRORS = (HTTPError, HTTPException, OSError)
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -36,6 +40,7 @@
         'proxy-connection',
         'sesame-deadline-ms',
         'sesame-key',
+        'sesame-try',
         'te',
         'trailer',
         'transfer-encoding',
@@ -147,6 +152,7 @@
         No byte arrived within `first_byte_timeout`, code ``silent``.
     RequestError
         Code ``lost``, ``timeout`` or ``cancelled``, verdict `MAY_HAVE_RUN`.
+        An answer that names another try is lost.
 
     """
 
@@ -196,6 +202,7 @@
     remaining: float,
 ) -> HTTPResponse:
     headers = dict(strip_headers(request.headers))
+    headers[_TRY_HEADER] = secrets.token_hex(_TRY_BYTES)
     headers['Sesame-Deadline-Ms'] = str(int(remaining * _MILLISECONDS))
     if request.key:
         headers['Sesame-Key'] = request.key
@@ -213,7 +220,15 @@
         wait_for_first_byte(
             connection.http_connection.sock, request.caller, wait_seconds
         )
-    return connection.http_connection.getresponse()
+    response = connection.http_connection.getresponse()
+    answered_try = response.headers.get(_TRY_HEADER, headers[_TRY_HEADER])
+    if answered_try != headers[_TRY_HEADER]:
+        raise RequestError(
+            'the answer is a late one to another request',
+            Verdict.MAY_HAVE_RUN,
+            'lost',
+        )
+    return response
 
 
 def _requests_close(response: HTTPResponse) -> bool:
--- a/sesameroute/adapters/tests/test_upstreams.py
+++ b/sesameroute/adapters/tests/test_upstreams.py
@@ -1,5 +1,7 @@
 """Tests of `HttpUpstreams`: verdicts of failures, retries, cancellation."""
 
+import contextlib
+import re
 import socket
 import threading
 import time
@@ -165,6 +167,41 @@
     assert clock.slept == slept
 
 
+def answer_twice(listener):
+    """Answer a request, then again when the next one has come."""
+    connection = listener.accept()[0]
+    with connection:
+        first = build_named_answer(connection, b'first')
+        connection.sendall(first)
+        second = build_named_answer(connection, b'second')
+        connection.sendall(first)
+        time.sleep(0.05)
+        with contextlib.suppress(OSError):  # the adapter closes it
+            connection.sendall(second)
+
+
+def build_named_answer(connection, body):
+    """Return an answer that names the try of the next request."""
+    head = connection.recv(65_536).decode().lower()
+    answered_try = re.search('sesame-try: ([0-9a-f]+)', head)
+    extra = f'Sesame-Try: {answered_try[1]}\r\n' if answered_try else ''
+    return build_http_answer(body, extra)
+
+
+def test_late_second_copy_goes_to_no_other_caller(adapter):
+    """A second copy of an answer was taken for that of the next request."""
+    with socket.create_server((_ADDRESS, 0)) as listener:
+        upstream = build_upstream(listener.getsockname()[1])
+        serving = threading.Thread(target=answer_twice, args=(listener,))
+        serving.start()
+        answer = adapter.send(upstream, build_request(), new_connection=False)
+        assert b''.join(answer.chunks) == b'first'
+        with pytest.raises(RequestError) as caught:
+            adapter.send(upstream, build_request(), new_connection=False)
+        serving.join()
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+
 def test_unread_body_closes_connection(adapter):
     """A connection whose answer was not read to its end is not reused."""
     with serve(
--- a/sesameroute/fakes/_connection.py
+++ b/sesameroute/fakes/_connection.py
@@ -84,8 +84,8 @@
 
     def _serve(self, setup_seconds: float) -> None:
         time.sleep(setup_seconds)
-        self.accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
+            self.accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self.accepted.makefile('rb') as reader:
                 self._serve_requests(reader)
         except (OSError, ValueError):
@@ -103,11 +103,13 @@
             if reply.status is None:
                 self.reset()
                 return
-            self._write(reply)
+            self._write(reply, request.headers.get('sesame-try', ''))
 
-    def _write(self, reply: Reply) -> None:
+    def _write(self, reply: Reply, answered_try: str) -> None:
         status = reply.status
         headers = dict(reply.headers)
+        if answered_try:
+            headers['Sesame-Try'] = answered_try
         headers.setdefault('Content-Length', '0')
         lines = [f'HTTP/1.1 {status} {status.phrase}']
         lines.extend(f'{name}: {value}' for name, value in headers.items())
