Send nothing to backend servers after a request's deadline

Operators of similar systems had a process that, after a pause of some seconds, acted on a permission that had run out. It could happen here: a node that was paused between the grant of a slot and the send used the grant whatever time had passed; an unsafe request ran although its caller had given up, and the pool takes a grant for lost, and its slot for free, a second after the deadline.

Change: the deadline is read again before the send; the slot is given back, and the answer is 503 'too-late', which is true. The test got 200 after the deadline before, for safe and unsafe requests.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -30,7 +30,7 @@
     read_body,
 )
 from sesameroute.forward._sender import ReceivedAnswer, Sender
-from sesameroute.placement import Grant, Outcome, Refusal, SlotRequest
+from sesameroute.placement import Grant, Outcome, Reason, Refusal, SlotRequest
 from sesameroute.ports import Answer, Clock
 from sesameroute.registry import Backend, Registry
 from sesameroute.routes import ActiveConfiguration, Route
@@ -148,21 +148,29 @@
             raise CallerClosedError(
                 'caller closed its connection before the request was sent'
             )
-        if self.guards.quarantine.is_quarantined(
-            state.fingerprint
-        ) or self.relay_.is_needed(state):
-            # Servers, or all links, were lost while it waited for the slot.
-            self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
-            return None
         entry = self.registry.find(decision.backend)
-        if not self.registry.may_receive_requests(
-            decision.backend, decision.incarnation
-        ):
+        if not self._may_use(state, decision):
             self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
-            state.excluded = (*state.excluded, decision.backend)
             return None
+        if self.clock.read_monotonic() >= state.deadline:
+            # The process may have been paused since the grant.
+            self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
+            return self._answer_refusal(state, Refusal(Reason.TOO_LATE, 0))
         return self._send_once(state, slot_request, decision, entry.backend)
 
+    def _may_use(self, state: RequestState, grant: Grant) -> bool:
+        """Whether nothing has changed while the request waited for its slot."""
+        if not self.registry.may_receive_requests(
+            grant.backend, grant.incarnation
+        ):
+            state.excluded = (*state.excluded, grant.backend)
+            return False
+        # Servers, or all links, may have been lost.
+        return not (
+            self.guards.quarantine.is_quarantined(state.fingerprint)
+            or self.relay_.is_needed(state)
+        )
+
     def _get_slot(
         self, state: RequestState
     ) -> tuple[SlotRequest, Grant | Refusal]:
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -329,3 +329,22 @@
     with pytest.raises(InputError):
         harness.open(body=b'x', read=read, length=LONG_BODY_BYTES)
     assert [name for name, _ in harness.allocator.releases] == ['a']
+
+
+@pytest.mark.parametrize('kind', [RequestKind.SAFE, RequestKind.UNSAFE])
+def test_paused_node_sends_nothing_after_the_deadline(kind):
+    """A node that was paused with a grant used it when it had run out."""
+    server = ScriptedServer('whole')
+    harness = ForwarderHarness(server, kind=kind)
+    place = harness.allocator.place
+
+    def place_and_pause(slot_request):
+        grant = place(slot_request)
+        time.sleep(slot_request.time_left + 0.01)
+        return grant
+
+    harness.allocator.place = place_and_pause
+    status, _headers, body = harness.forward()
+    assert (status, body) == (503, b'too-late\n')
+    assert harness.allocator.releases == [('a', Outcome.CANCELLED)]
+    assert not server.connections
