--- a/sesameroute/forward/_relay.py
+++ b/sesameroute/forward/_relay.py
@@ -9,7 +9,7 @@
     build_failure_answer,
 )
 from sesameroute.forward._message import TryError
-from sesameroute.forward._relay_codec import RelayCodec
+from sesameroute.forward._relay_codec import RelayCodec, strip_relay_header
 from sesameroute.forward._request_log import log_event
 from sesameroute.forward._request_state import (
     RequestState,
@@ -162,7 +162,7 @@
                 log_event(state, 'answer cut midway', outcome.value, peer.name)
 
         answer = pass_on(received, observe_end)
-        answer.headers = codec.strip(answer.headers)
+        answer.headers = strip_relay_header(answer.headers)
         return answer
 
     def _handle_failure(
--- a/sesameroute/forward/_relay_codec.py
+++ b/sesameroute/forward/_relay_codec.py
@@ -15,7 +15,9 @@
     'strip_relay_header',
 ]
 
-RELAY_HEADER = 'Sesame-Relay'
+# In a request: version of the configuration, and milliseconds that have passed.
+# In an answer: identifier of the attempt; `;declined` if it has not run.
+_RELAY_HEADER = 'Sesame-Relay'
 _DECLINED = 'declined'
 _MILLISECONDS = 1000
 
@@ -45,7 +47,7 @@
     def is_replaced_per_hop(self, name: str) -> bool:
         """Return whether a header is replaced at each hop."""
         return (
-            name.lower() == RELAY_HEADER.lower()
+            name.lower() == _RELAY_HEADER.lower()
             or self.platform_codec.is_replaced_per_hop(name)
         )
 
@@ -54,7 +56,7 @@
         texts = [
             text
             for name, text in answer.headers
-            if name.lower() == RELAY_HEADER.lower()
+            if name.lower() == _RELAY_HEADER.lower()
         ]
         identifier, _, result = ''.join(texts).partition(';')
         return AnswerMetadata(
@@ -76,11 +78,7 @@
 
         """
         milliseconds = round(elapsed * _MILLISECONDS)
-        return ((RELAY_HEADER, f'{version};{milliseconds}'),)
-
-    def strip(self, headers: Headers) -> Headers:
-        """Return the headers without those between nodes."""
-        return strip_relay_header(headers)
+        return ((_RELAY_HEADER, f'{version};{milliseconds}'),)
 
 
 def decode_context(headers: Headers) -> RelayedRequest | None:
@@ -95,7 +93,7 @@
 
     """
     for name, text in headers:
-        if name.lower() == RELAY_HEADER.lower():
+        if name.lower() == _RELAY_HEADER.lower():
             version, _, elapsed = text.partition(';')
             if version.isdecimal() and elapsed.isdecimal():
                 return RelayedRequest(
@@ -107,7 +105,7 @@
 def mark_answer(answer: Answer, identifier: str, *, declined: bool) -> Answer:
     """Mark an answer as that of a node to a request of another one."""
     text = f'{identifier};{_DECLINED}' if declined else identifier
-    answer.headers = (*answer.headers, (RELAY_HEADER, text))
+    answer.headers = (*answer.headers, (_RELAY_HEADER, text))
     return answer
 
 
@@ -116,5 +114,5 @@
     return tuple(
         (name, text)
         for name, text in headers
-        if name.lower() != RELAY_HEADER.lower()
+        if name.lower() != _RELAY_HEADER.lower()
     )
