Let nodes fetch what they have missed from peers while the store is down

Operators of similar systems found servers that had left in use again after a restart. It could happen here, to a node that had been cut off (or was started from such a node's copy): while the store is down nobody sends updates, so it kept a server that had left, for as long as the outage lasted. And the copy that a node asks for when it has missed an update was never sent: the request is a message without reply, and the copy was returned as a reply.

Change: nodes tell the revision of their copy with their state; one without updates for 1.3 s that hears of a newer revision asks for the copy, once a second at most. A copy that is asked for in this way is sent as a message.

--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -46,13 +46,13 @@
     ) -> None:
         """Store the handlers by message type."""
         self.allocator = allocator
+        self.fleet = fleet
+        self.sync = store.sync
         quarantine = loss_exchange.quarantine
         self._handlers: dict[type, Callable[[str, Any], Any]] = {
-            NodeState: lambda _sender, state: fleet.receive_state(state),
+            NodeState: self._handle_state,
             MirrorUpdate: store.sync.receive,
-            MirrorCopyRequest: lambda _sender, _request: (
-                store.build_full_copy()
-            ),
+            MirrorCopyRequest: store.sync.answer,
             LossReport: lambda sender, report: quarantine.handle_loss_report(
                 report, sender
             ),
@@ -71,3 +71,7 @@
         """Handle a message; return the reply, or None if it has none."""
         handler = self._handlers.get(type(message), self.allocator.handle)
         return handler(sender, message)
+
+    def _handle_state(self, sender: str, state: NodeState) -> None:
+        self.fleet.receive_state(state)
+        self.sync.compare(sender, state.revision)
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -37,6 +37,8 @@
     relay : str
         Address for requests that other nodes pass on, ``IP:PORT``; empty if
         it takes none.
+    revision : int
+        Revision of its copy of the store.
 
     """
 
@@ -49,6 +51,7 @@
     known: tuple[str, ...] = ()
     reaches_servers: bool = True
     relay: str = ''
+    revision: int = 0
 
 
 @dataclass(slots=True)
@@ -106,10 +109,17 @@
             if address not in self._addresses:
                 self.add_address(address)
 
-    def build_state(self) -> NodeState:
-        """Return this node's state with the live nodes that it knows."""
+    def build_state(self, revision: int = 0) -> NodeState:
+        """Return this node's state with the live nodes that it knows.
+
+        Parameters
+        ----------
+        revision : int, optional
+            Revision of its copy of the store.
+
+        """
         known = tuple(state.address for state in self.list_live())
-        return replace(self.own_state, known=known)
+        return replace(self.own_state, known=known, revision=revision)
 
     def list_live(self) -> list[NodeState]:
         """Return the states of the live nodes, this node first."""
--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -1,6 +1,7 @@
 """Distributes changes of the store among the nodes."""
 
 import logging
+import math
 
 from sesameroute.exceptions import PeerError
 from sesameroute.mirror import Mirror, MirrorCopyRequest, MirrorUpdate
@@ -14,6 +15,7 @@
 # this, plus a step per rank, so that only a few nodes begin at once.
 _STALE_SECONDS = 1.3
 _STALE_STEP_SECONDS = 0.4
+_REQUEST_INTERVAL_SECONDS = 1.0  # between copies that peers send unasked for
 _QUERY_TIMEOUT_SECONDS = 1.0  # time-out for a peer's copy
 
 _logger = logging.getLogger(__name__)
@@ -50,6 +52,7 @@
         self.fleet = fleet
         self.peers = peers
         self.clock = clock
+        self._requested_at = -math.inf
 
     def should_watch(self) -> bool:
         """Return whether this node should watch the store now."""
@@ -66,11 +69,29 @@
 
     def receive(self, sender: str, update: MirrorUpdate) -> None:
         """Apply a peer's update; query its full copy if updates are missing."""
-        now = self.clock.read_monotonic()
-        if not self.mirror.apply(update, now):
-            self.peers.send_one_way(
-                sender, MirrorCopyRequest(self.mirror.revision_)
-            )
+        if not self.mirror.apply(update, self.clock.read_monotonic()):
+            self._request_copy(sender)
+
+    def compare(self, sender: str, revision: int) -> None:
+        """Query the copy of a peer that knows more, if no updates come.
+
+        While the store is down, nobody sends updates. A node that was cut off
+        before hears of what it missed in this way only.
+        """
+        age = self.clock.read_monotonic() - self.mirror.verified_at_
+        if revision > self.mirror.revision_ and age > _STALE_SECONDS:
+            self._request_copy(sender)
+
+    def answer(
+        self, sender: str, request: MirrorCopyRequest
+    ) -> MirrorUpdate | None:
+        """Return the full copy, or send it to a peer that has an older one."""
+        copy = self.mirror.build_full_copy(self.clock.read_monotonic())
+        if not request.revision:
+            return copy
+        if copy.revision > request.revision:
+            self.peers.send_one_way(sender, copy)
+        return None
 
     def fetch_if_empty(self) -> None:
         """Fetch the copy of a peer if this node has none."""
@@ -90,3 +111,11 @@
             if copy is not None and copy.revision:
                 self.mirror.apply(copy, self.clock.read_monotonic())
                 return
+
+    def _request_copy(self, peer: str) -> None:
+        now = self.clock.read_monotonic()
+        if now - self._requested_at >= _REQUEST_INTERVAL_SECONDS:
+            self._requested_at = now
+            self.peers.send_one_way(
+                peer, MirrorCopyRequest(self.mirror.revision_)
+            )
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -241,7 +241,7 @@
     def _broadcast_state(self) -> None:
         if self._is_leaving.is_set():
             self.fleet.update_own_state(is_ready=False, is_leaving=True)
-        state = self.fleet.build_state()
+        state = self.fleet.build_state(self._store.mirror.revision_)
         for peer in self.peers.list_connected():
             self.peers.send_one_way(peer, state)
 
--- a/sesameroute/node/_store_connection.py
+++ b/sesameroute/node/_store_connection.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from sesameroute.mirror import Mirror, MirrorUpdate, StoreWatcher
+from sesameroute.mirror import Mirror, StoreWatcher
 from sesameroute.node._address import parse_address
 from sesameroute.node._fleet import Fleet
 from sesameroute.node._lease import NodeLease
@@ -84,7 +84,3 @@
         """Stop the threads; a remaining entry expires with its lease."""
         self._lease.stop_renewing()
         self._watcher.stop()
-
-    def build_full_copy(self) -> MirrorUpdate:
-        """Return all items of the copy, to be sent to a peer."""
-        return self.mirror.build_full_copy(self.clock.read_monotonic())
