Let no peer's refusal deny that a relayed request may have run

It could happen with the new relay: a safe request whose first try had been lost in a cut was passed on, and the 503 of a peer without a free slot, which promises 'not run', went to the caller as it was.

Change: a refusal of the peer itself becomes the failure of the earlier try if that may have run.

--- a/sesameroute/forward/_relay.py
+++ b/sesameroute/forward/_relay.py
@@ -161,6 +161,10 @@
             if error is not None:
                 log_event(state, 'answer cut midway', outcome.value, peer.name)
 
+        if state.may_have_run and codec.is_refusal(received.answer):
+            # The other node knows nothing of the earlier try.
+            received.body.drain()
+            return build_failure_answer(state.last_error, 0, may_have_run=True)
         answer = pass_on(received, observe_end)
         answer.headers = strip_relay_header(answer.headers)
         return answer
--- a/sesameroute/forward/_relay_codec.py
+++ b/sesameroute/forward/_relay_codec.py
@@ -1,5 +1,7 @@
 """Header by which nodes pass requests on to each other."""
 
+from http import HTTPStatus
+
 from sesameroute.forward._message import (
     AnswerMetadata,
     HeaderCodec,
@@ -66,6 +68,14 @@
             is_sealed=bool(texts),
         )
 
+    def is_refusal(self, answer: Answer) -> bool:
+        """Whether the other node itself says that a request has not run."""
+        metadata = self.platform_codec.read_answer_metadata(answer)
+        return (
+            answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+            and not metadata.is_sealed
+        )
+
     def encode_context(self, version: int, elapsed: float) -> Headers:
         """Return the header that tells the other node about the request.
 
--- a/sesameroute/node/tests/test_relay.py
+++ b/sesameroute/node/tests/test_relay.py
@@ -18,6 +18,7 @@
     wait_for,
 )
 from sesameroute.node.tests.partition import Cut, PartitionableWire
+from sesameroute.placement import Reason, Refusal
 
 
 @pytest.fixture
@@ -115,6 +116,26 @@
     assert len(list_senders(servers, '/a/lost')) == runs
 
 
+def test_refusal_of_a_peer_does_not_deny_an_earlier_run(cluster, servers):
+    """A request that had run was told as not run by a second node."""
+    cluster.configure(timeout_ms=1900, max_attempts=4)
+    cluster.start_nodes(1, 2)
+    cluster.nodes[2].allocator.place = lambda _request: Refusal(
+        Reason.NO_ROOM, 0.1
+    )
+    for each in servers:
+        each.work_seconds = 0.5
+    results = []
+    sending = send_in_background(1, '/a/ran', results)
+    assert wait_for(lambda: list_senders(servers, '/a/ran'))
+    cluster.wires[1].apply(Cut.HANG)
+    sending.join()
+    assert is_cut_off(cluster.nodes[1], '/a/later')
+    assert list_senders(servers, '/a/ran') == [1]
+    assert results[0][0] in {502, 504}
+    assert send(1, '/a/not-run')[0] == 503
+
+
 def test_stopping_peer_finishes_what_it_was_passed(cluster, servers):
     """A planned stop cut the requests of other nodes' callers."""
     cluster.configure(kind='unsafe', timeout_ms=1900)
