--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -15,7 +15,7 @@
 # this, plus a step per rank, so that only a few nodes begin at once.
 _STALE_SECONDS = 1.3
 _STALE_STEP_SECONDS = 0.4
-_REQUEST_INTERVAL_SECONDS = 1.0  # between copies that peers send unasked for
+_REQUEST_INTERVAL_SECONDS = 1.0  # between requests for a copy
 _QUERY_TIMEOUT_SECONDS = 1.0  # time-out for a peer's copy
 
 _logger = logging.getLogger(__name__)
