Share the check of the time for a retry, drop an unused method of the codec

The forwarder and the relay had the same limit and comparison; it stands in RequestState now. RelayCodec's reading of request metadata was never called.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -37,8 +37,6 @@
 
 __all__ = ['Forwarder']
 
-# No retry is started with less time left before the deadline.
-_MIN_RETRY_SECONDS = 0.03
 # Retry-After while no configuration is known; one likely arrives within it.
 _CONFIGURATION_RETRY_SECONDS = 0.3
 
@@ -305,9 +303,7 @@
                 'caller closed its connection while the request ran'
             )
         may_repeat = state.route.kind.is_idempotent or not error.may_have_run
-        has_time = (
-            state.deadline - self.clock.read_monotonic() > _MIN_RETRY_SECONDS
-        )
+        has_time = state.has_time_to_retry(self.clock.read_monotonic())
         may_repeat = may_repeat and not is_consumed(state.body)
         # Another node's first try at a server is no retry of one that failed.
         is_relayed = not state.may_have_run and self.relay_.is_needed(state)
--- a/sesameroute/forward/_relay.py
+++ b/sesameroute/forward/_relay.py
@@ -25,8 +25,6 @@
 
 # Nodes that one request is passed on to, one after the other.
 _MAX_PEERS = 2
-# No further node is tried with less time left before the deadline.
-_MIN_RETRY_SECONDS = 0.03
 
 
 class RelayPeer(NamedTuple):
@@ -182,9 +180,8 @@
             )
         log_event(state, 'relay failed', error.code, peer.name)
         now = self._read_clock()
-        may_repeat = (
-            state.deadline - now > _MIN_RETRY_SECONDS
-            and not is_consumed(state.body)
+        may_repeat = state.has_time_to_retry(now) and not is_consumed(
+            state.body
         )
         if error.may_have_run:
             may_repeat = (
--- a/sesameroute/forward/_relay_codec.py
+++ b/sesameroute/forward/_relay_codec.py
@@ -6,7 +6,6 @@
     AnswerMetadata,
     HeaderCodec,
     RelayedRequest,
-    RequestMetadata,
 )
 from sesameroute.ports import Answer, Headers
 
@@ -38,10 +37,6 @@
         """Store the codec."""
         self.platform_codec = platform_codec
 
-    def read_request_metadata(self, headers: Headers) -> RequestMetadata:
-        """Return the metadata in the headers of a caller's request."""
-        return self.platform_codec.read_request_metadata(headers)
-
     def build_deadline_header(self, seconds: float) -> Headers:
         """Return the header with the time until the deadline."""
         return self.platform_codec.build_deadline_header(seconds)
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -47,6 +47,8 @@
         'upgrade',
     )
 )
+# No retry is started with less time left before the deadline.
+_MIN_RETRY_SECONDS = 0.03
 # Part of the route's time-out after which a slow try may be abandoned for
 # one at another backend server.
 _ABANDON_FRACTION = 0.6
@@ -114,6 +116,10 @@
     fingerprint: str = ''
     relayed_to: tuple[str, ...] = ()
 
+    def has_time_to_retry(self, now: float) -> bool:
+        """Whether enough time is left before the deadline for another try."""
+        return self.deadline - now > _MIN_RETRY_SECONDS
+
     def compute_elapsed(self, now: float) -> float:
         """Return the seconds since the caller's first attempt."""
         return now - self.request.arrived + self.earlier_seconds
