Name quarantined requests in the log, count losses, note tries given up

Change: `fingerprint` in those lines, the time of arrival until a slot is decided on, sesame_losses_total by result, and the event upstream-lost-after-try. No decision changes.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -126,6 +126,7 @@
             request_metadata,
             request.arrived + seconds,
             earlier_seconds,
+            decided_at=request.arrived,
         )
 
     def _try_once(self, state: RequestState) -> Answer | None:
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -1,5 +1,6 @@
 """Checks that limit or stop the sending of a request."""
 
+import logging
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -11,11 +12,18 @@
 from sesameroute.forward._retries import RetryBudgets
 from sesameroute.placement import Outcome
 from sesameroute.ports import Answer, Clock
-from sesameroute.quarantine import Quarantine
+from sesameroute.quarantine import Quarantine, UnsettledTries
 from sesameroute.registry import Announcement, Announcements
 
 __all__ = ['Guards']
 
+# Outcomes of tries that may still run at their backend server.
+_GIVEN_UP = frozenset((Outcome.CANCELLED, Outcome.TIMED_OUT))
+# Outcomes that suggest that the backend server has ended.
+_ENDED = frozenset((Outcome.LOST, Outcome.UNREACHED))
+
+_logger = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class Guards:
@@ -23,12 +31,14 @@
 
     `retries` limits the tries after the first, `quarantine` stops requests
     that crash backend servers, `announcements` records the limits that the
-    servers name, `clock` is the source of time.
+    servers name, `unsettled_tries` remembers tries that were given up, `clock`
+    is the source of time.
     """
 
     retries: RetryBudgets
     quarantine: Quarantine
     announcements: Announcements
+    unsettled_tries: UnsettledTries
     clock: Clock
 
     def check(self, state: RequestState) -> Answer | None:
@@ -36,7 +46,13 @@
         try:
             self.quarantine.check(state.fingerprint)
         except RequestError as error:
-            log_event(state, 'request turned away', error.code, '')
+            log_event(
+                state,
+                'request turned away',
+                error.code,
+                '',
+                fingerprint=state.fingerprint,
+            )
             status = HTTPStatus.SERVICE_UNAVAILABLE
             if state.tries:
                 status = HTTPStatus.BAD_GATEWAY
@@ -80,5 +96,21 @@
 
     def observe_failure(self, state: RequestState, error: TryError) -> None:
         """Count the loss of a backend server that ran the request."""
+        server = state.backend, state.incarnation
+        if error.outcome in _GIVEN_UP:
+            self.unsettled_tries.add(state.fingerprint, server)
+            return
         if error.outcome is Outcome.LOST:
             self.quarantine.observe_loss(state.fingerprint, state.backend)
+        if error.outcome in _ENDED:
+            self._log_unsettled(server)
+
+    def _log_unsettled(self, server: tuple[str, int]) -> None:
+        for each in self.unsettled_tries.settle(server):
+            _logger.info(
+                'upstream lost after try',
+                extra={
+                    'fingerprint': each.fingerprint,
+                    'upstream': server[0],
+                },
+            )
--- a/sesameroute/forward/_request_log.py
+++ b/sesameroute/forward/_request_log.py
@@ -47,7 +47,9 @@
 Observer = Callable[[RequestRecord], None]
 
 
-def log_event(state: RequestState, event: str, why: str, backend: str) -> None:
+def log_event(
+    state: RequestState, event: str, why: str, backend: str, **details: object
+) -> None:
     """Log a decision on a request or a failure of it."""
     remaining = state.deadline - state.decided_at
     _logger.info(
@@ -56,6 +58,7 @@
             **_describe(state, backend),
             'why': why,
             'left_ms': round(remaining * _MILLISECONDS),
+            **details,
         },
     )
 
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -85,7 +85,8 @@
     waited : float
         Seconds spent waiting for slots.
     decided_at : float
-        Monotonic time in seconds at which a slot was last granted or refused.
+        Monotonic time in seconds at which a slot was last granted or refused,
+        before that the time of arrival.
     backend : str
         Backend server of the last try.
     incarnation : int
--- a/sesameroute/forward/tests/test_crashing_requests.py
+++ b/sesameroute/forward/tests/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Tests of requests under which backend servers are lost."""
 
 import contextlib
+import logging
 from collections import deque
 
 import pytest
@@ -123,3 +124,31 @@
         statuses.append(harness.forward(body=b'good')[0])
         harness.allocator.names.pop(0)
     assert statuses == [200, 502, 502, 502, 502, 502]
+
+
+def test_refusal_in_quarantine_tells_which_request(caplog):
+    """The line had no fingerprint, and the age of the machine as time left."""
+    servers = [ScriptedServer('no answer') for _ in range(3)]
+    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
+    for _ in servers:
+        harness.forward(body=b'harm')
+        harness.allocator.names.pop(0)
+    with caplog.at_level(logging.INFO):
+        harness.forward(body=b'harm')
+    refusal = caplog.records[-1]
+    assert refusal.message == 'request turned away'
+    assert harness.forwarder.guards.quarantine.is_quarantined(
+        refusal.fingerprint
+    )
+    assert 0 < refusal.left_ms <= 600
+
+
+def test_server_lost_after_a_try_was_given_up_is_logged(caplog):
+    """Nothing tied the end of a server to a caller that had left before."""
+    server = ScriptedServer('silent')
+    harness = ForwarderHarness(server)
+    with caplog.at_level(logging.INFO):
+        harness.forward()
+        server.stop()
+        harness.forward()
+    assert 'upstream lost after try' in caplog.messages
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -96,6 +96,10 @@
         """Count a try at a backend server that has ended."""
         self.meter_.add(Metric.TRIES, service=service, outcome=outcome.value)
 
+    def observe_loss(self, result: str) -> None:
+        """Count the loss of a backend server that ran a request."""
+        self.meter_.add(Metric.LOSSES, result=result)
+
     def observe_call(self, name: str, result: str) -> None:
         """Count a call to the platform's store."""
         self.meter_.add(Metric.STORE_CALLS, call=name, result=result)
--- a/sesameroute/quarantine/__init__.py
+++ b/sesameroute/quarantine/__init__.py
@@ -9,6 +9,7 @@
     TrialRequest,
 )
 from sesameroute.quarantine._quarantine import Quarantine
+from sesameroute.quarantine._unsettled import UnsettledTries, UnsettledTry
 
 __all__ = [
     'ClearanceReport',
@@ -18,4 +19,6 @@
     'Quarantine',
     'TrialRequest',
     'TrialReply',
+    'UnsettledTries',
+    'UnsettledTry',
 ]
--- a/sesameroute/quarantine/_quarantine.py
+++ b/sesameroute/quarantine/_quarantine.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from collections.abc import Callable
 from itertools import islice
 from typing import Final
 
@@ -40,6 +41,12 @@
     max_losses : int, optional
         Number of losses at which a request is quarantined.
 
+    Attributes
+    ----------
+    observer_ : callable
+        Called with the result of each loss that is reported: 'counted' or why
+        not.
+
     Notes
     -----
     After its first loss a request is suspected: the VM that saw this loss
@@ -66,6 +73,7 @@
         self.clock = clock
         self.peers = peers
         self.suspects_ = SuspectList(clock, max_losses)
+        self.observer_: Callable[[str], None] = _discard_result
         self._lock = threading.Lock()
 
     def check(self, fingerprint: str) -> None:
@@ -210,6 +218,7 @@
                 report, reporter, seconds_ago
             )
             losses = self.suspects_.count_losses(fingerprint)
+        self.observer_('counted' if is_counted else 'answered-before')
         if losses > before or not is_counted:
             _LOG.warning(
                 'upstream-lost' if is_counted else 'loss not counted',
@@ -223,6 +232,10 @@
         return is_counted
 
 
+def _discard_result(_result: str) -> None:
+    """Discard the result; the default observer."""
+
+
 def _log_clearance(fingerprint: str, answered_on: str) -> None:
     _LOG.info(
         'suspicion withdrawn',
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -117,6 +117,11 @@
         'sesame_store_calls_total',
         'Calls to the store by name and result.',
     )
+    LOSSES = _MetricSpecification(
+        Counter,
+        'sesame_losses_total',
+        'Losses of backend servers under a request; counted, or why not.',
+    )
     SUSPECTED_REQUESTS = _MetricSpecification(
         Gauge,
         'sesame_suspected_requests',
