--- a/sesameroute/node/tests/backends.py
+++ b/sesameroute/node/tests/backends.py
@@ -15,10 +15,13 @@
 CRASH_PATH = '/a/crash'
 
 Arrival = namedtuple('Arrival', ('time', 'node', 'target'))
+Crash = namedtuple('Crash', ('time', 'target'))
 
 
 class BackendStandIn:
-    """Answers requests; crashes while it runs one for `CRASH_PATH`.
+    """Answers requests; crashes while it runs a harmful one.
+
+    It then refuses connections until it starts again.
 
     Parameters
     ----------
@@ -31,8 +34,15 @@
     ----------
     arrivals : list of Arrival
         Monotonic time, node and path of each request.
-    crashes : list of float
-        Monotonic time of each crash.
+    crashes : list of Crash
+        Monotonic time of each crash and the path that it ran.
+    is_harmful : callable
+        Whether a path crashes it; by default only `CRASH_PATH` does.
+    is_silent : bool
+        Whether a crash leaves the open connections without an answer instead
+        of closing them.
+    observe_restart : callable
+        Called after it has started again.
     headers : str
         Lines that are added to the head of each answer.
     body : str
@@ -46,17 +56,32 @@
         self.down_seconds = down_seconds
         self.arrivals = []
         self.crashes = []
+        self.is_harmful = CRASH_PATH.__eq__
+        self.is_silent = False
+        self.observe_restart = _ignore_restart
         self.headers = ''
         self.body = 'whole'
         self._lock = threading.Lock()
         self._open = set()
         self._is_stopped = False
+        self._is_up = threading.Event()
         self._listen(('127.0.0.1', 0))
 
     def stop(self):
         """Stop listening and close all connections."""
         self._is_stopped = True
         self._close()
+        self._is_up.set()
+
+    def crash(self, target=''):
+        """End as if by itself, or under the request for a path."""
+        with self._lock:
+            if self._is_stopped or self._server.fileno() < 0:
+                return
+            self.crashes.append(Crash(time.monotonic(), target))
+            self._is_up.clear()
+            self._close(keep_connections=self.is_silent)
+        threading.Timer(self.down_seconds, self._restart).start()
 
     def count_arrivals(self, target, since=0):
         """Return how many requests for a path have come since a time."""
@@ -69,6 +94,7 @@
     def _listen(self, address):
         self._server = socket.create_server(address)
         self.target = self._server.getsockname()
+        self._is_up.set()
         threading.Thread(
             target=self._accept, args=(self._server,), daemon=True
         ).start()
@@ -102,28 +128,28 @@
         with self._lock:
             self.arrivals.append(Arrival(time.monotonic(), node, target))
         time.sleep(self.work_seconds)
-        if target == CRASH_PATH:
-            self._crash()
+        if self.is_harmful(target):
+            self.crash(target)
+        if not self._is_up.is_set():
+            self._is_up.wait()
             return False
         answer = build_answer(200, self.body, self.headers)
         identifier = find_header(head, 'sesameroute-attempt-id')
         connection.sendall(answer.replace('{0}', identifier).encode())
         return True
 
-    def _crash(self):
-        with self._lock:
-            if self._is_stopped or self._server.fileno() < 0:
-                return
-            self.crashes.append(time.monotonic())
-            self._close()
-        threading.Timer(self.down_seconds, self._restart).start()
-
     def _restart(self):
         if not self._is_stopped:
             self._listen(self.target)
+            self.observe_restart()
 
-    def _close(self):
-        for each in (self._server, *self._open):
+    def _close(self, *, keep_connections=False):
+        closed = () if keep_connections else tuple(self._open)
+        for each in (self._server, *closed):
             with contextlib.suppress(OSError):  # it may be closed already
                 each.shutdown(socket.SHUT_RDWR)
         self._server.close()
+
+
+def _ignore_restart():
+    """Do nothing; the default observer."""
--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -105,7 +105,9 @@
             ).encode(),
         )
 
-    def register(self, name, server, zone='north-a', state='ready'):
+    def register(
+        self, name, server, zone='north-a', state='ready', incarnation=7
+    ):
         """Store the entry of a backend server."""
         host, port = server.target
         entry = {
@@ -117,7 +119,7 @@
             'state': state,
             'cold_left_ms': 0,
             'sequence': 1,
-            'born': 7,
+            'born': incarnation,
         }
         self.store.put(f'servers/{name}', json.dumps(entry).encode())
 
--- a/sesameroute/node/tests/test_crashing_requests.py
+++ b/sesameroute/node/tests/test_crashing_requests.py
@@ -40,7 +40,7 @@
 
 def list_crashes(servers):
     """Return the times of all crashes in order."""
-    return sorted(when for each in servers for when in each.crashes)
+    return sorted(crash.time for each in servers for crash in each.crashes)
 
 
 def send_crashing(servers, *numbers, rounds=7):
