Weigh losses against answers to tell harmful requests from bystanders

A request that turned harmful after it had been answered ended servers without limit: three nodes, six servers, answered once, then 18 servers ended in 7.5 s, and the request came 27 times later than 3 s after the third end (3 allowed).

Cause: only the number of lost servers was asked, and one answer hid all losses of the next minute, since a count alone can't tell a request that ends servers from one that was there when they ended. Class: evidence for one of two explanations taken as proof, without asking what the other one predicts.

Change: each request has a score, the cumulative sum of log-likelihood ratios of its losses and answers (CUSUM), in units of one loss while losses are rare. - A loss weighs less while many requests of its service are lost; all nodes' reports count towards that rate. Crashes that another request explains don't. - An answer takes a quarter of a loss away. It no longer hides the next ones. - Copies that ran side by side count once: a loss counts if its try was sent after the loss before was known. - A crash is laid to the request with the highest score in it, and to none if several servers ended at the same moment that no request explains. - A server that is lost again under a request which others answer is the likelier cause; so is the server at the first loss after good answers. The two loops over peers are one now.

Two tests said that a request answered once is never quarantined, whatever follows. That is the fault; they are replaced by one that is stopped after an answer, and one that is not while answers come between the losses.

--- a/sesameroute/delivery/_attempt.py
+++ b/sesameroute/delivery/_attempt.py
@@ -16,7 +16,7 @@
     Steering,
     Upstreams,
 )
-from sesameroute.quarantine import Quarantine
+from sesameroute.quarantine import Quarantine, SentTry
 from sesameroute.verdict import Verdict
 
 __all__ = ['SERVER_UNRELATED_CODES', 'Attempt']
@@ -25,6 +25,8 @@
 _RESPONSE_MARGIN_SECONDS: Final = 0.01
 _LOAD_HEADER: Final = 'sesame-load'
 _DRAINING_HEADER: Final = 'sesame-draining'
+# Backend servers of the statement are known by their names only.
+_INCARNATION: Final = 0
 _OUTCOME_CODES: Final = {  # noqa: WPS407
     'shed': OutcomeCode.SHED,
     'draining': OutcomeCode.DRAINING,
@@ -101,8 +103,7 @@
 
         """
         started = self.clock.read_monotonic()
-        with self._lock:
-            self.cancelled_by_ticket_[choice.slot_id] = False
+        sent = self._begin_attempt(choice, fingerprint)
         try:
             answer = self._exchange(choice, request, fingerprint, started)
         except RequestError as error:
@@ -110,7 +111,7 @@
                 self.steering.record_outcome(choice, _CANCELLED)
                 self.steering.release(choice, may_still_run=True)
                 raise _make_cancelled_error(error) from error
-            self._observe_failure(choice, request, error, fingerprint, started)
+            self._observe_failure(choice, request, error, sent, started)
             may_still_run = error.verdict is not Verdict.NOT_RUN
             self.steering.release(choice, may_still_run=may_still_run)
             raise
@@ -119,9 +120,18 @@
             self.steering.release(choice, may_still_run=True)
             raise
         self._end_attempt(choice)
-        self.quarantine.observe_answer(fingerprint)
+        self.quarantine.evidence.observe_answer(sent)
         return answer
 
+    def _begin_attempt(self, choice: Choice, fingerprint: str) -> SentTry:
+        with self._lock:
+            self.cancelled_by_ticket_[choice.slot_id] = False
+        return self.quarantine.evidence.begin_try(
+            fingerprint,
+            choice.upstream.service,
+            (choice.upstream.name, _INCARNATION),
+        )
+
     def _end_attempt(self, choice: Choice) -> bool:
         """Note the end of an attempt; return whether it was cancelled."""
         with self._lock:
@@ -193,7 +203,7 @@
         choice: Choice,
         request: Request,
         error: RequestError,
-        fingerprint: str,
+        sent: SentTry,
         started: float,
     ) -> None:
         if error.code == 'cancelled':
@@ -205,8 +215,7 @@
         seconds = self.clock.read_monotonic() - started
         self.steering.record_outcome(choice, Outcome(code, seconds))
         if code is OutcomeCode.LOST:
-            name = choice.upstream.name
-            self.quarantine.observe_loss(fingerprint, name)
+            self.quarantine.evidence.observe_loss(sent)
 
 
 def _make_cancelled_error(error: RequestError) -> RequestError:
--- a/sesameroute/delivery/_handler.py
+++ b/sesameroute/delivery/_handler.py
@@ -14,6 +14,7 @@
 from sesameroute.delivery._witness import Witness
 from sesameroute.quarantine import (
     ClearanceReport,
+    EndReport,
     LossExchange,
     LossReport,
     PastLosses,
@@ -74,15 +75,19 @@
 
     @_handle.register
     def _handle_loss(self, message: LossReport, sender: str) -> None:
-        self.quarantine.handle_loss_report(message, sender)
+        self.quarantine.evidence.handle_loss_report(message, sender)
 
     @_handle.register
-    def _handle_past_losses(self, message: PastLosses, sender: str) -> None:
-        self.loss_exchange.receive(message, sender)
+    def _handle_past_losses(self, message: PastLosses, _sender: str) -> None:
+        self.loss_exchange.receive(message)
+
+    @_handle.register
+    def _handle_end(self, message: EndReport, _sender: str) -> None:
+        self.quarantine.evidence.settle_tries(message.server)
 
     @_handle.register
     def _handle_acquittal(self, message: ClearanceReport, sender: str) -> None:
-        self.quarantine.handle_clearance(message, sender)
+        self.quarantine.evidence.handle_clearance(message, sender)
 
     @_handle.register
     def _handle_trial(self, message: TrialRequest, sender: str) -> TrialReply:
--- a/sesameroute/delivery/tests/test_quarantine.py
+++ b/sesameroute/delivery/tests/test_quarantine.py
@@ -57,12 +57,30 @@
 
 
 @pytest.mark.parametrize('answered_at', ['a1', 'b1'])
-def test_answered_read_is_not_quarantined_after_crashes(answered_at):
+def test_read_answered_before_is_quarantined_after_crashes(answered_at):
     fleet = Fleet()
     fleet.deliver(answered_at, fleet.build_request(READ))
-    send_again(fleet, READ, ('a1',))
-    result = fleet.deliver(answered_at, fleet.build_request(READ))
-    assert result == b'done 9 pallets'
+    codes = send_again(fleet, READ, ('a1',))
+    assert codes[-1] == 'quarantined'
+    assert fleet.deliver(answered_at, fleet.build_request(READ)).code == (
+        'quarantined'
+    )
+
+
+@pytest.mark.parametrize('answered_at', ['a1', 'b1'])
+def test_read_answered_between_crashes_is_not_quarantined(answered_at):
+    fleet = Fleet()
+    results = []
+    for _ in range(ATTEMPTS):
+        fleet.clock.now += 2
+        fleet.script = ['run-lost']
+        fleet.deliver('a1', fleet.build_request(READ))
+        fleet.script.clear()
+        results += [
+            fleet.deliver(answered_at, fleet.build_request(READ))
+            for _ in range(8)
+        ]
+    assert set(results) == {b'done 9 pallets'}
 
 
 def test_quarantine_ends():
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -217,6 +217,11 @@
         state.tries += 1
         state.backend = backend.name
         state.incarnation = backend.incarnation
+        state.sent_try = self.guards.quarantine.evidence.begin_try(
+            state.fingerprint,
+            state.service,
+            (backend.name, backend.incarnation),
+        )
         state.excluded = (*state.excluded, backend.name)
         started_at = self.clock.read_monotonic()
         try:
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -1,6 +1,5 @@
 """Checks that limit or stop the sending of a request."""
 
-import logging
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -12,18 +11,11 @@
 from sesameroute.forward._retries import RetryBudgets
 from sesameroute.placement import Outcome
 from sesameroute.ports import Answer, Clock
-from sesameroute.quarantine import Quarantine, UnsettledTries
+from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Announcement, Announcements
 
 __all__ = ['Guards']
 
-# Outcomes of tries that may still run at their backend server.
-_GIVEN_UP = frozenset((Outcome.CANCELLED, Outcome.TIMED_OUT))
-# Outcomes that suggest that the backend server has ended.
-_ENDED = frozenset((Outcome.LOST, Outcome.UNREACHED))
-
-_logger = logging.getLogger(__name__)
-
 
 @dataclass(slots=True)
 class Guards:
@@ -31,14 +23,12 @@
 
     `retries` limits the tries after the first, `quarantine` stops requests
     that crash backend servers, `announcements` records the limits that the
-    servers name, `unsettled_tries` remembers tries that were given up, `clock`
-    is the source of time.
+    servers name, `clock` is the source of time.
     """
 
     retries: RetryBudgets
     quarantine: Quarantine
     announcements: Announcements
-    unsettled_tries: UnsettledTries
     clock: Clock
 
     def check(self, state: RequestState) -> Answer | None:
@@ -73,13 +63,13 @@
         )
 
     def observe_answer(self, state: RequestState, status: int) -> None:
-        """Withdraw the suspicion of a request that was answered in full.
+        """Count an answer in full in favour of its request.
 
-        An error of the server does not withdraw it: the server may have
-        failed the request before the part that crashes it.
+        An error of the server does not count: the server may have failed the
+        request before the part that crashes it.
         """
         if status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            self.quarantine.observe_answer(state.fingerprint)
+            self.quarantine.evidence.observe_answer(state.sent_try)
 
     def observe_metadata(
         self, state: RequestState, metadata: AnswerMetadata
@@ -96,21 +86,5 @@
 
     def observe_failure(self, state: RequestState, error: TryError) -> None:
         """Count the loss of a backend server that ran the request."""
-        server = state.backend, state.incarnation
-        if error.outcome in _GIVEN_UP:
-            self.unsettled_tries.add(state.fingerprint, server)
-            return
         if error.outcome is Outcome.LOST:
-            self.quarantine.observe_loss(state.fingerprint, state.backend)
-        if error.outcome in _ENDED:
-            self._log_unsettled(server)
-
-    def _log_unsettled(self, server: tuple[str, int]) -> None:
-        for each in self.unsettled_tries.settle(server):
-            _logger.info(
-                'upstream lost after try',
-                extra={
-                    'fingerprint': each.fingerprint,
-                    'upstream': server[0],
-                },
-            )
+            self.quarantine.evidence.observe_loss(state.sent_try)
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -17,6 +17,7 @@
 from sesameroute.forward._sender import OutgoingRequest
 from sesameroute.placement import Grant, SlotRequest
 from sesameroute.ports import Headers
+from sesameroute.quarantine import SentTry
 from sesameroute.registry import Backend
 from sesameroute.routes import Route
 
@@ -93,6 +94,8 @@
         Its incarnation.
     fingerprint : str
         Digest that is equal for repetitions of the same request.
+    sent_try : SentTry or None
+        The last try, as the quarantine knows it.
     relayed_to : tuple of str
         Nodes that the request was passed on to.
 
@@ -115,6 +118,7 @@
     backend: str = ''
     incarnation: int = 0
     fingerprint: str = ''
+    sent_try: SentTry | None = None
     relayed_to: tuple[str, ...] = ()
 
     def has_time_to_retry(self, now: float) -> bool:
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -14,7 +14,7 @@
 from sesameroute.placement import Grant, Reason, Refusal
 from sesameroute.platform import PlatformHeaderCodec
 from sesameroute.ports import SystemClock, TcpWire
-from sesameroute.quarantine import Quarantine, UnsettledTries
+from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Backend, BackendState, Registry
 from sesameroute.routes import (
     ActiveConfiguration,
@@ -109,7 +109,6 @@
                 RetryBudgets(FleetRetryBudget(0.2, 8), lambda: 1),
                 Quarantine('n', self.clock, NoPeers(), 3),
                 self.registry.announcements,
-                UnsettledTries(self.clock),
                 self.clock,
             ),
             self.clock,
--- a/sesameroute/forward/tests/test_crashing_requests.py
+++ b/sesameroute/forward/tests/test_crashing_requests.py
@@ -12,6 +12,12 @@
 from sesameroute.routes import RequestKind
 
 
+def lose(quarantine, fingerprint, name):
+    """Lose a backend server under a request that another caller sent."""
+    sent = quarantine.evidence.begin_try(fingerprint, 's', (name, 1))
+    quarantine.evidence.observe_loss(sent)
+
+
 def test_late_loss_on_kept_connection_is_not_repeated_there():
     """A server that ended while it worked got the request a second time."""
     server = ScriptedServer('whole', 'late loss', 'whole')
@@ -75,8 +81,10 @@
     def place_after_losses(slot_request):
         if servers[0].heads:
             for name in 'bcd':
-                fingerprint = next(iter(quarantine.suspects_.suspects_))
-                quarantine.observe_loss(fingerprint, name)
+                fingerprint = next(
+                    iter(quarantine.evidence.suspects_.suspects_)
+                )
+                lose(quarantine, fingerprint, name)
         return place(slot_request)
 
     harness.allocator.place = place_after_losses
@@ -103,7 +111,7 @@
     def place_after_losses(slot_request):
         if slot_request.excluded:
             for name in 'xyz':
-                quarantine.observe_loss(fingerprints[0], name)
+                lose(quarantine, fingerprints[0], name)
         return place(slot_request)
 
     quarantine.check = check_and_note
@@ -112,8 +120,8 @@
     assert len(harness.allocator.releases) == len(harness.allocator.asks)
 
 
-def test_answered_request_is_not_quarantined():
-    """Later losses do not quarantine a request that was answered once."""
+def test_request_answered_once_is_quarantined_later():
+    """One answer hid all losses of the next minute."""
     names = ['whole', *['no answer'] * 5]
     harness = ForwarderHarness(
         *(ScriptedServer(name) for name in names),
@@ -121,9 +129,23 @@
     )
     statuses = []
     for _ in names:
-        statuses.append(harness.forward(body=b'good')[0])
+        statuses.append(harness.forward(body=b'harm')[0])
         harness.allocator.names.pop(0)
-    assert statuses == [200, 502, 502, 502, 502, 502]
+    assert statuses == [200, 502, 502, 502, 502, 503]
+
+
+def test_request_answered_between_losses_is_not_quarantined():
+    """Servers that end beside a request that others answer all the time."""
+    scripts = ('no answer', *['whole'] * 8, 'no answer')
+    harness = ForwarderHarness(
+        *(ScriptedServer(*scripts) for _ in range(5)),
+        kind=RequestKind.UNSAFE,
+    )
+    statuses = []
+    for _ in range(5):
+        statuses += [harness.forward(body=b'good')[0] for _ in scripts[:-1]]
+        harness.allocator.names.pop(0)
+    assert statuses == [502, *[200] * 8] * 5
 
 
 def test_refusal_in_quarantine_tells_which_request(caplog):
@@ -141,14 +163,3 @@
         refusal.fingerprint
     )
     assert 0 < refusal.left_ms <= 600
-
-
-def test_server_lost_after_a_try_was_given_up_is_logged(caplog):
-    """Nothing tied the end of a server to a caller that had left before."""
-    server = ScriptedServer('silent')
-    harness = ForwarderHarness(server)
-    with caplog.at_level(logging.INFO):
-        harness.forward()
-        server.stop()
-        harness.forward()
-    assert 'upstream lost after try' in caplog.messages
--- a/sesameroute/gossip/__init__.py
+++ b/sesameroute/gossip/__init__.py
@@ -1,5 +1,5 @@
 """Spreads what one VM knows to the others."""
 
-from sesameroute.gossip._gossip import Gossip
+from sesameroute.gossip._gossip import Gossip, broadcast
 
-__all__ = ['Gossip']
+__all__ = ['Gossip', 'broadcast']
--- a/sesameroute/gossip/_gossip.py
+++ b/sesameroute/gossip/_gossip.py
@@ -4,7 +4,13 @@
 
 from sesameroute.ports import Peers
 
-__all__ = ['Gossip']
+__all__ = ['Gossip', 'broadcast']
+
+
+def broadcast(peers: Peers, vm: str, message: Any) -> None:
+    """Send a message to all peers of a VM."""
+    for peer in _list_others(peers, vm):
+        peers.send_one_way(peer, message)
 
 
 class Gossip:
@@ -41,17 +47,16 @@
     def share_with_all(self) -> None:
         """Send the message to all peers."""
         message = self.build_message()
-        if message is None:
-            return
-        for vm in self._list_others():
-            self.peers.send_one_way(vm, message)
+        if message is not None:
+            broadcast(self.peers, self.vm, message)
 
     def share_with_next(self) -> None:
         """Send the message to one of the peers, a different one each time."""
-        others = self._list_others()
+        others = _list_others(self.peers, self.vm)
         if others:
             self._turn += 1
             self.share_with(others[self._turn % len(others)])
 
-    def _list_others(self) -> list[str]:
-        return sorted(set(self.peers.list_connected()) - {self.vm})
+
+def _list_others(peers: Peers, vm: str) -> list[str]:
+    return sorted(set(peers.list_connected()) - {vm})
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -10,6 +10,7 @@
 from sesameroute.node._store_connection import StoreConnection
 from sesameroute.quarantine import (
     ClearanceReport,
+    EndReport,
     LossExchange,
     LossReport,
     PastLosses,
@@ -53,17 +54,18 @@
             NodeState: self._handle_state,
             MirrorUpdate: store.sync.receive,
             MirrorCopyRequest: store.sync.answer,
-            LossReport: lambda sender, report: quarantine.handle_loss_report(
-                report, sender
+            LossReport: lambda sender, report: (
+                quarantine.evidence.handle_loss_report(report, sender)
             ),
             LimitReport: lambda sender, message: limit_exchange.receive(
                 message, sender
             ),
-            PastLosses: lambda sender, message: loss_exchange.receive(
-                message, sender
+            PastLosses: lambda _, message: loss_exchange.receive(message),
+            EndReport: lambda _, message: quarantine.evidence.handle_end_report(
+                message
             ),
             ClearanceReport: lambda sender, message: (
-                quarantine.handle_clearance(message, sender)
+                quarantine.evidence.handle_clearance(message, sender)
             ),
         }
 
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -184,7 +184,7 @@
         )
         self._node_servers.forwarder.observer_ = meter.observe
         self.allocator.observer_ = meter.observe_try
-        self._node_servers.quarantine.observer_ = meter.observe_loss
+        self._node_servers.quarantine.evidence.observer_ = meter.observe_loss
         self._store.observe_calls(meter.observe_call)
         self._servers.append(MetricsServer(address, meter))
 
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -25,7 +25,7 @@
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.platform import PlatformHeaderCodec
 from sesameroute.ports import SystemClock, TcpWire, Wire
-from sesameroute.quarantine import LossExchange, Quarantine, UnsettledTries
+from sesameroute.quarantine import LossExchange, Quarantine
 from sesameroute.reachability import ObservedWire, Prober
 
 __all__ = ['NodeServers']
@@ -101,7 +101,6 @@
                 self._retries,
                 self.quarantine,
                 registry.announcements,
-                UnsettledTries(self.clock),
                 self.clock,
             ),
             self.clock,
--- a/sesameroute/quarantine/_exchange.py
+++ b/sesameroute/quarantine/_exchange.py
@@ -1,9 +1,10 @@
 """Tells VMs of losses that they were not connected to hear of."""
 
+from itertools import islice
 from typing import Final
 
 from sesameroute.gossip import Gossip
-from sesameroute.quarantine._messages import LossReport, PastLosses
+from sesameroute.quarantine._messages import PastLosses
 from sesameroute.quarantine._quarantine import Quarantine
 
 __all__ = ['LossExchange']
@@ -29,15 +30,14 @@
 
     def build_message(self) -> PastLosses | None:
         """Return the losses of the suspected requests."""
-        losses = self.quarantine.list_losses(_MAX_LOSSES)
+        evidence = self.quarantine.evidence
+        with evidence.lock_:
+            losses = tuple(
+                islice(evidence.suspects_.iterate_losses(), _MAX_LOSSES)
+            )
         return PastLosses(losses) if losses else None
 
-    def receive(self, message: PastLosses, sender: str) -> None:
+    def receive(self, message: PastLosses) -> None:
         """Count the losses that were unknown here."""
         for past in message.losses:
-            self.quarantine.handle_loss_report(
-                LossReport(past.fingerprint, past.upstream),
-                sender,
-                past.reporter,
-                past.seconds_ago,
-            )
+            self.quarantine.evidence.handle_past_loss(past)
--- /dev/null
+++ b/sesameroute/quarantine/_loss_rate.py
@@ -0,0 +1,119 @@
+"""How often backend servers are lost while they run any request."""
+
+import math
+from collections import Counter, deque
+from typing import Final, NamedTuple
+
+from sesameroute.ports import Clock
+
+__all__ = ['LossRate']
+
+# Span that the rate is taken over. Short, since it must follow the first
+# servers of a service that fails under its load.
+_WINDOW_SECONDS: Final = 1.0
+_BUCKETS: Final = 4  # in the window, for counting answers
+_MAX_LOSSES: Final = 512  # the latest ones count
+# The rate that is assumed without observations, and the lowest one: one loss
+# in so many requests.
+_PRIOR_REQUESTS: Final = 60
+# Share of its runs under which a harmful request ends its backend server.
+_HARMFUL_RATE: Final = 0.6
+
+
+class _Loss(NamedTuple):
+    lost_at: float
+    fingerprint: str
+    server: tuple[str, int]
+
+
+class LossRate:
+    """Share of a service's requests under which servers were lost lately.
+
+    A loss says much against its request while losses are rare, and nothing
+    while servers are lost under most requests.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without observations."""
+        self.clock = clock
+        self._losses: deque[_Loss] = deque(maxlen=_MAX_LOSSES)
+        self._answers: Counter[int] = Counter()
+        self._peer_answers: dict[str, tuple[float, int]] = {}
+
+    def observe_answer(self) -> None:
+        """Count a request that was answered on this VM."""
+        bucket = self._compute_bucket()
+        if bucket not in self._answers:
+            outdated = [
+                each for each in self._answers if each < bucket - _BUCKETS
+            ]
+            for each in outdated:
+                self._answers.pop(each)
+        self._answers[bucket] += 1
+
+    def observe_loss(self, fingerprint: str, server: tuple[str, int]) -> None:
+        """Count a request that a server was lost under, on any VM."""
+        now = self.clock.read_monotonic()
+        self._losses.append(_Loss(now, fingerprint, server))
+
+    def observe_peer_answers(self, vm: str, count: int) -> None:
+        """Note how many requests a VM that reports a loss saw answered."""
+        self._peer_answers[vm] = self.clock.read_monotonic(), count
+
+    def count_own_answers(self) -> int:
+        """Return how many requests were answered on this VM lately."""
+        oldest = self._compute_bucket() - _BUCKETS
+        return sum(
+            count for bucket, count in self._answers.items() if bucket >= oldest
+        )
+
+    def compute_weight(
+        self, fingerprint: str, explained: frozenset[str]
+    ) -> float:
+        """Return the evidence of one loss under a request, from 0 to 1.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request; its own losses are left out of the rate.
+        explained : frozenset of str
+            Names of servers that likely ended by other requests; losses on
+            them are left out, too.
+
+        """
+        lost = self._count_losses(fingerprint, explained)
+        ran = lost + self.count_own_answers() + self._count_peer_answers()
+        rate = (lost + 1) / (ran + _PRIOR_REQUESTS)
+        likelihood_ratio = _HARMFUL_RATE / max(rate, 1 / _PRIOR_REQUESTS)
+        highest = math.log(_HARMFUL_RATE * _PRIOR_REQUESTS)
+        return max(math.log(likelihood_ratio) / highest, 0)
+
+    def _count_losses(self, fingerprint: str, explained: frozenset[str]) -> int:
+        oldest = self._compute_oldest()
+        return sum(
+            each.lost_at >= oldest
+            and each.fingerprint != fingerprint
+            and each.server[0] not in explained
+            for each in self._losses
+        )
+
+    def _count_peer_answers(self) -> int:
+        oldest = self._compute_oldest()
+        return sum(
+            count
+            for reported_at, count in self._peer_answers.values()
+            if reported_at >= oldest
+        )
+
+    def _compute_bucket(self) -> int:
+        now = self.clock.read_monotonic()
+        return int(now * _BUCKETS / _WINDOW_SECONDS)
+
+    def _compute_oldest(self) -> float:
+        return self.clock.read_monotonic() - _WINDOW_SECONDS
--- a/sesameroute/quarantine/_messages.py
+++ b/sesameroute/quarantine/_messages.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     'ClearanceReport',
+    'EndReport',
     'LossReport',
     'PastLoss',
     'PastLosses',
@@ -25,11 +26,50 @@
         Digest that identifies the request.
     upstream : str
         Name of the lost backend server.
+    incarnation : int
+        Its incarnation.
+    known_losses : int
+        Number of losses of the request that the sender knew of when it sent
+        the request; -1 if that is not known.
+    weight : float
+        Evidence against the request, from 0 to 1.
+    service : str
+        Name of the service.
+    answered : int
+        Number of requests to it that the sender saw answered lately.
 
     """
 
     fingerprint: str
     upstream: str
+    incarnation: int = 0
+    known_losses: int = -1
+    weight: float = 1.0
+    service: str = ''
+    answered: int = 0
+
+
+@register_message('end-report')
+@dataclass(frozen=True, slots=True)
+class EndReport:
+    """Reports that a backend server has ended.
+
+    Attributes
+    ----------
+    upstream : str
+        Name of the backend server.
+    incarnation : int
+        Its incarnation.
+
+    """
+
+    upstream: str
+    incarnation: int
+
+    @property
+    def server(self) -> tuple[str, int]:
+        """Name and incarnation of the backend server."""
+        return self.upstream, self.incarnation
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +86,12 @@
         Name of the VM that saw the request's first loss.
     seconds_ago : float
         Age of the loss in seconds when the message was sent.
+    known_losses : int
+        As in `LossReport`.
+    weight : float
+        As in `LossReport`.
+    credit : float
+        What answers say for the request, in losses.
 
     """
 
@@ -53,6 +99,9 @@
     upstream: str
     reporter: str
     seconds_ago: float
+    known_losses: int = -1
+    weight: float = 1.0
+    credit: float = 0
 
 
 @register_message('past-losses')
@@ -66,9 +115,19 @@
 @register_message('acquittal')
 @dataclass(frozen=True, slots=True)
 class ClearanceReport:
-    """Withdraws the suspicion of a request that was answered recently."""
+    """Reports that a suspected request was answered.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest that identifies the request.
+    upstream : str
+        Name of the backend server that answered it.
+
+    """
 
     fingerprint: str
+    upstream: str = ''
 
 
 @register_message('trial-ask', is_nonblocking=True)
--- a/sesameroute/quarantine/_unsettled.py
+++ b/sesameroute/quarantine/_unsettled.py
@@ -1,36 +1,41 @@
 """Tries that ended here before their backend server had answered."""
 
+import math
 import threading
-from collections import deque
+from collections import OrderedDict, deque
 from typing import Final, NamedTuple
 
 from sesameroute.ports import Clock
 
-__all__ = ['UnsettledTries', 'UnsettledTry']
+__all__ = ['SentTry', 'UnsettledTries']
 
 # How long a backend server may go on with a try that was given up.
 _RUNNING_SECONDS: Final = 3.0
 # Oldest tries are forgotten first; a full table takes less than 0.5 MB.
 _MAX_TRIES: Final = 1024
+_MAX_ENDS: Final = 256
 
 
-class UnsettledTry(NamedTuple):
-    """A try that was given up.
+class SentTry(NamedTuple):
+    """A request that was sent to a backend server.
 
     Attributes
     ----------
     fingerprint : str
         Digest that identifies the request.
+    service : str
+        Name of the service.
     server : tuple of (str, int)
         Name and incarnation of the backend server.
-    given_up_at : float
-        Monotonic time in seconds.
+    known_losses : int
+        Number of losses of the request that were known then.
 
     """
 
     fingerprint: str
+    service: str
     server: tuple[str, int]
-    given_up_at: float
+    known_losses: int
 
 
 class UnsettledTries:
@@ -49,22 +54,33 @@
     def __init__(self, clock: Clock) -> None:
         """Start without tries."""
         self.clock = clock
-        self._tries: deque[UnsettledTry] = deque(maxlen=_MAX_TRIES)
+        self._tries: deque[tuple[float, SentTry]] = deque(maxlen=_MAX_TRIES)
+        self._ends: OrderedDict[tuple[str, int], float] = OrderedDict()
         self._lock = threading.Lock()
 
-    def add(self, fingerprint: str, server: tuple[str, int]) -> None:
+    def add(self, sent: SentTry) -> None:
         """Remember a try that was given up just now."""
         now = self.clock.read_monotonic()
         with self._lock:
-            self._tries.append(UnsettledTry(fingerprint, server, now))
+            self._tries.append((now, sent))
 
-    def settle(self, server: tuple[str, int]) -> list[UnsettledTry]:
+    def note_end(self, server: tuple[str, int]) -> bool:
+        """Note that a server has ended; return whether that is news."""
+        now = self.clock.read_monotonic()
+        with self._lock:
+            noted_at = self._ends.pop(server, -math.inf)
+            self._ends[server] = now
+            if len(self._ends) > _MAX_ENDS:
+                self._ends.popitem(last=False)
+        return now - noted_at > _RUNNING_SECONDS
+
+    def settle(self, server: tuple[str, int]) -> list[SentTry]:
         """Remove and return the tries that a lost backend server may run."""
         oldest = self.clock.read_monotonic() - _RUNNING_SECONDS
         with self._lock:
-            while self._tries and self._tries[0].given_up_at < oldest:
+            while self._tries and self._tries[0][0] < oldest:
                 self._tries.popleft()
-            settled = [each for each in self._tries if each.server == server]
+            settled = [each for each in self._tries if each[1].server == server]
             for each in settled:
                 self._tries.remove(each)
-        return settled
+        return [sent for _, sent in settled]
--- a/sesameroute/quarantine/tests/test_suspects.py
+++ b/sesameroute/quarantine/tests/test_suspects.py
@@ -30,7 +30,15 @@
     for _ in range(10):
         suspects.record_loss(LossReport('f', 'server'), 'node')
         clock.now += pause
-    assert suspects.find('f').losses == losses
+    assert suspects.find('f').known_losses == losses
+    assert suspects.compute_score('f') == losses
+
+
+def lose(quarantine, name):
+    """Send a request and lose the backend server."""
+    quarantine.evidence.observe_loss(
+        quarantine.evidence.begin_try('f', 's', (name, 1))
+    )
 
 
 class NoPeers:
@@ -49,7 +57,7 @@
     for second in range(600):
         clock.now = 1000 + second
         if not quarantine.is_quarantined('f'):
-            quarantine.observe_loss('f', 'server')
+            lose(quarantine, 'server')
             crashes.append(second)
     assert crashes == [0, 1, 2, 62, 182, 422]
 
@@ -59,11 +67,13 @@
     clock = ManualClock()
     quarantine = Quarantine('vm', clock, NoPeers(), max_losses=3)
     for name in 'abc':
-        quarantine.observe_loss('f', name)
+        lose(quarantine, name)
     assert quarantine.is_quarantined('f')
     clock.now += 61
     assert not quarantine.is_quarantined('f')
-    quarantine.observe_answer('f')
+    quarantine.evidence.observe_answer(
+        quarantine.evidence.begin_try('f', 's', ('a', 1))
+    )
     clock.now += 61
-    quarantine.observe_loss('f', 'a')
+    lose(quarantine, 'a')
     assert not quarantine.is_quarantined('f')
