Count backend servers that end after their request was given up

Cause: a loss was counted only by a node that waited for the answer. The try of a caller that had left was cancelled, that of a silent server timed out, and the end of the server was seen later, by another request, another node or a refused connection. Class: an outcome that is not known yet taken for "nothing happened".

Change: a try that was given up stays unsettled for three seconds. If its server is found to have ended meanwhile (lost under another request, connection refused, another incarnation at the address), by this node or one that tells it so, the try counts as a loss. The own path does the same.

A server that neither resets nor refuses stays unseen: connections to it hang, which is no proof of an end.

--- a/sesameroute/delivery/_attempt.py
+++ b/sesameroute/delivery/_attempt.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from sesameroute.delivery._body import LengthCheckedBody, read_body
-from sesameroute.exceptions import RequestError
+from sesameroute.exceptions import RequestError, has_refused
 from sesameroute.ports import (
     Answer,
     Choice,
@@ -108,8 +108,7 @@
             answer = self._exchange(choice, request, fingerprint, started)
         except RequestError as error:
             if self._end_attempt(choice):
-                self.steering.record_outcome(choice, _CANCELLED)
-                self.steering.release(choice, may_still_run=True)
+                self._release_cancelled(choice, sent)
                 raise _make_cancelled_error(error) from error
             self._observe_failure(choice, request, error, sent, started)
             may_still_run = error.verdict is not Verdict.NOT_RUN
@@ -132,6 +131,11 @@
             (choice.upstream.name, _INCARNATION),
         )
 
+    def _release_cancelled(self, choice: Choice, sent: SentTry) -> None:
+        self.quarantine.evidence.observe_give_up(sent)
+        self.steering.record_outcome(choice, _CANCELLED)
+        self.steering.release(choice, may_still_run=True)
+
     def _end_attempt(self, choice: Choice) -> bool:
         """Note the end of an attempt; return whether it was cancelled."""
         with self._lock:
@@ -209,6 +213,7 @@
         if error.code == 'cancelled':
             self.upstreams.cancel(choice.upstream, request.key)
             self.steering.record_outcome(choice, _CANCELLED)
+            self.quarantine.evidence.observe_give_up(sent)
         if error.code in SERVER_UNRELATED_CODES:
             return
         code = _OUTCOME_CODES.get(error.code, OutcomeCode.LOST)
@@ -216,6 +221,10 @@
         self.steering.record_outcome(choice, Outcome(code, seconds))
         if code is OutcomeCode.LOST:
             self.quarantine.evidence.observe_loss(sent)
+        elif code is OutcomeCode.TIMEOUT:
+            self.quarantine.evidence.observe_give_up(sent)
+        elif has_refused(error):
+            self.quarantine.evidence.observe_end(sent.server)
 
 
 def _make_cancelled_error(error: RequestError) -> RequestError:
--- a/sesameroute/exceptions.py
+++ b/sesameroute/exceptions.py
@@ -17,6 +17,7 @@
     'SesameError',
     'StoreUnreachableError',
     'StoreOutcomeUnknownError',
+    'has_refused',
 ]
 
 
@@ -120,3 +121,19 @@
         super().__init__(message, code)
         self.verdict = verdict
         self.retry_after = retry_after
+
+
+def has_refused(error: BaseException | None) -> bool:
+    """Whether a server refused a connection: no process listens there.
+
+    Parameters
+    ----------
+    error : BaseException or None
+        The error, which may have others as its causes.
+
+    """
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -16,6 +16,9 @@
 
 __all__ = ['Guards']
 
+# Outcomes of tries that may still run at their backend server.
+_GIVEN_UP = frozenset((Outcome.CANCELLED, Outcome.TIMED_OUT))
+
 
 @dataclass(slots=True)
 class Guards:
@@ -85,6 +88,11 @@
         )
 
     def observe_failure(self, state: RequestState, error: TryError) -> None:
-        """Count the loss of a backend server that ran the request."""
+        """Count a backend server that ended under the request, or before."""
+        evidence = self.quarantine.evidence
         if error.outcome is Outcome.LOST:
-            self.quarantine.evidence.observe_loss(state.sent_try)
+            evidence.observe_loss(state.sent_try)
+        elif error.outcome in _GIVEN_UP:
+            evidence.observe_give_up(state.sent_try)
+        elif error.has_server_ended:
+            evidence.observe_end(state.sent_try.server)
--- a/sesameroute/forward/_message.py
+++ b/sesameroute/forward/_message.py
@@ -169,6 +169,8 @@
     ----------
     may_have_run : bool
         Whether the request may have run.
+    has_server_ended : bool
+        Whether the failure shows that the backend server has ended.
 
     """
 
@@ -180,8 +182,10 @@
         outcome: Outcome,
         *,
         may_have_run: bool,
+        has_server_ended: bool = False,
     ) -> None:
         """Store the parameters."""
         super().__init__(message, outcome.value)
         self.outcome = outcome
         self.may_have_run = may_have_run
+        self.has_server_ended = has_server_ended
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -12,7 +12,7 @@
 
 from sesameroute.adapters import ConnectionPool, PooledConnection
 from sesameroute.adapters import wait_for_first_byte as wait_for_bytes
-from sesameroute.exceptions import RequestError
+from sesameroute.exceptions import RequestError, has_refused
 from sesameroute.forward._body import AnswerBody
 from sesameroute.forward._message import AnswerMetadata, HeaderCodec, TryError
 from sesameroute.placement import Outcome
@@ -191,6 +191,7 @@
                 f'cannot connect to {target[0]}:{target[1]}: {error}',
                 Outcome.UNREACHED,
                 may_have_run=False,
+                has_server_ended=has_refused(error),
             ) from error
 
     def _exchange(
@@ -227,6 +228,7 @@
                 f'backend server answered {answer.status} without running it',
                 outcome,
                 may_have_run=False,
+                has_server_ended=answer_metadata.is_misdirected,
             )
         if not answer_metadata.is_sealed:
             raise _build_error('answer lacks the seal header', Outcome.LOST)
--- a/sesameroute/forward/tests/test_crashing_requests.py
+++ b/sesameroute/forward/tests/test_crashing_requests.py
@@ -163,3 +163,18 @@
         refusal.fingerprint
     )
     assert 0 < refusal.left_ms <= 600
+
+
+def test_server_lost_after_a_try_was_given_up_counts(caplog):
+    """Nothing tied the end of a server to a caller that had left before."""
+    servers = [ScriptedServer('silent') for _ in range(4)]
+    harness = ForwarderHarness(*servers, attempts=1)
+    statuses = []
+    with caplog.at_level(logging.INFO):
+        for server in servers:
+            statuses.append(harness.forward()[0])
+            server.stop()
+            statuses.append(harness.forward()[0])
+            harness.allocator.names.pop(0)
+    assert statuses == [504, 503, 504, 503, 504, 503, 503, 503]
+    assert caplog.messages.count('upstream lost after try') == 3
