Run suspected requests one at a time on all nodes

Cause: the nodes never asked for the trials that the own path has had; until the last loss a suspected request ran as often as callers sent it. Class: a guard that knows two states where the evidence grows in steps.

Change: from a score of one loss on, a request runs once at a time, for all nodes together, and not within half a second after a loss; others wait for the result, at most until their deadline. A node that does not reach the one which grants trials grants its own.

--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -16,6 +16,9 @@
 
 __all__ = ['Guards']
 
+_SUSPECTED = 'suspected'
+# Interval at which a request asks again for a trial.
+_TRIAL_POLL_SECONDS = 0.05
 # Outcomes of tries that may still run at their backend server.
 _GIVEN_UP = frozenset((Outcome.CANCELLED, Outcome.TIMED_OUT))
 
@@ -35,21 +38,17 @@
     clock: Clock
 
     def check(self, state: RequestState) -> Answer | None:
-        """Return an error answer if the request is quarantined, else None."""
-        try:
-            self.quarantine.check(state.fingerprint)
-        except RequestError as error:
-            log_event(
-                state,
-                'request turned away',
-                error.code,
-                '',
-                fingerprint=state.fingerprint,
-            )
-            status = HTTPStatus.SERVICE_UNAVAILABLE
-            if state.tries:
-                status = HTTPStatus.BAD_GATEWAY
-            return build_answer(status, error.code)
+        """Return an error answer if the request is quarantined, else None.
+
+        Waits while another try of a suspected request is on trial.
+        """
+        refusal = self._find_refusal(state)
+        while refusal is not None:
+            now = self.clock.read_monotonic()
+            if refusal.code != _SUSPECTED or not state.has_time_to_retry(now):
+                return _build_quarantine_answer(state, refusal)
+            self.clock.sleep(_TRIAL_POLL_SECONDS)
+            refusal = self._find_refusal(state)
         return None
 
     def may_resend(self, state: RequestState) -> bool:
@@ -96,3 +95,25 @@
             evidence.observe_give_up(state.sent_try)
         elif error.has_server_ended:
             evidence.observe_end(state.sent_try.server)
+
+    def _find_refusal(self, state: RequestState) -> RequestError | None:
+        try:
+            self.quarantine.check_attempt(state.fingerprint)
+        except RequestError as error:
+            return error
+        return None
+
+
+def _build_quarantine_answer(
+    state: RequestState, refusal: RequestError
+) -> Answer:
+    log_event(
+        state,
+        'request turned away',
+        refusal.code,
+        '',
+        fingerprint=state.fingerprint,
+    )
+    if state.tries:
+        return build_answer(HTTPStatus.BAD_GATEWAY, refusal.code)
+    return build_answer(HTTPStatus.SERVICE_UNAVAILABLE, refusal.code)
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -14,7 +14,7 @@
 from sesameroute.placement import Grant, Reason, Refusal
 from sesameroute.platform import PlatformHeaderCodec
 from sesameroute.ports import SystemClock, TcpWire
-from sesameroute.quarantine import Quarantine
+from sesameroute.quarantine import Quarantine, TrialPolicy
 from sesameroute.registry import Backend, BackendState, Registry
 from sesameroute.routes import (
     ActiveConfiguration,
@@ -107,7 +107,7 @@
             Sender(connections, PlatformHeaderCodec(), self.clock),
             Guards(
                 RetryBudgets(FleetRetryBudget(0.2, 8), lambda: 1),
-                Quarantine('n', self.clock, NoPeers(), 3),
+                Quarantine('n', self.clock, NoPeers(), 3, TrialPolicy(1, True)),
                 self.registry.announcements,
                 self.clock,
             ),
--- a/sesameroute/forward/tests/test_crashing_requests.py
+++ b/sesameroute/forward/tests/test_crashing_requests.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 from collections import deque
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -178,3 +179,20 @@
             harness.allocator.names.pop(0)
     assert statuses == [504, 503, 504, 503, 504, 503, 503, 503]
     assert caplog.messages.count('upstream lost after try') == 3
+
+
+def test_copies_of_a_suspected_request_run_one_at_a_time():
+    """Copies at several nodes or servers ended a server each."""
+    servers = [ScriptedServer('no answer') for _ in range(2)]
+    servers.append(ScriptedServer('late loss'))
+    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
+    for _ in range(2):
+        harness.forward(body=b'harm')
+        harness.allocator.names.pop(0)
+    with ThreadPoolExecutor() as callers:
+        copies = [
+            callers.submit(harness.forward, body=b'harm') for _ in range(3)
+        ]
+    statuses = sorted(copy.result()[0] for copy in copies)
+    assert statuses == [502, 503, 503]
+    assert len(servers[-1].heads) == 1
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -14,6 +14,7 @@
     LossExchange,
     LossReport,
     PastLosses,
+    TrialRequest,
 )
 
 __all__ = ['MessageDispatch']
@@ -61,6 +62,7 @@
                 message, sender
             ),
             PastLosses: lambda _, message: loss_exchange.receive(message),
+            TrialRequest: lambda _, message: quarantine.grant_trial(message),
             EndReport: lambda _, message: quarantine.evidence.handle_end_report(
                 message
             ),
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -25,13 +25,15 @@
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.platform import PlatformHeaderCodec
 from sesameroute.ports import SystemClock, TcpWire, Wire
-from sesameroute.quarantine import LossExchange, Quarantine
+from sesameroute.quarantine import LossExchange, Quarantine, TrialPolicy
 from sesameroute.reachability import ObservedWire, Prober
 
 __all__ = ['NodeServers']
 
 # A request is quarantined after it has crashed this many backend servers.
 _MAX_BACKEND_LOSSES = 3
+# A node that is cut off from the others goes on serving what it can.
+_TRIAL_POLICY = TrialPolicy(1.0, is_granted_alone=True, pause=0.5)
 # Room for the header that nodes add to requests that they pass on.
 _RELAY_HEADER_BYTES = 64
 # Threads of each server for readiness checks and the directory.
@@ -82,6 +84,7 @@
             self.clock,
             fleet.peers,
             _MAX_BACKEND_LOSSES,
+            _TRIAL_POLICY,
         )
         self.loss_exchange = LossExchange(self.quarantine)
         connections = ConnectionPool(
--- a/sesameroute/quarantine/_quarantine.py
+++ b/sesameroute/quarantine/_quarantine.py
@@ -49,7 +49,7 @@
     count as one, and a crash is laid to the most suspect request in it
     (`SuspectList`).
 
-    One loss below `max_losses`, requests run as trials, one at a time for all
+    From a score of one loss on, requests run as trials, one at a time for all
     entry VMs together. At `max_losses` the request is quarantined. Both states
     expire some time after the last loss. A request that was quarantined is
     remembered for longer: then a single loss puts it back, for twice as long.
@@ -143,6 +143,7 @@
                 self.evidence.suspects_.compute_quarantine_seconds(fingerprint)
                 > 0
                 or suspect.trial_until > now
+                or now - suspect.last_loss < self.trial_policy.pause
             ):
                 return TrialReply(allowed=False)
             suspect.trial_until = now + self.trial_policy.seconds
--- a/sesameroute/quarantine/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -19,6 +19,8 @@
 # quarantine.
 _MEMORY_SECONDS: Final = 600.0
 _MAX_DOUBLINGS: Final = 4
+# Score, in losses, from which a request runs as a trial.
+_TRIAL_SCORE: Final = 1
 # Results of a loss that was added to its suspect.
 _ADDED: Final = ('counted', 'side-by-side')
 # Capacity of the table; a full table takes a few MB. The request with the
@@ -102,9 +104,9 @@
         return max(min(seconds, _MEMORY_SECONDS) - age, 0)
 
     def needs_trial(self, fingerprint: str) -> bool:
-        """Whether one more loss would put a request into quarantine."""
+        """Whether a request may run only once at a time."""
         suspect = self.find(fingerprint)
-        lowest = self.max_losses - 1 - EPSILON
+        lowest = _TRIAL_SCORE - EPSILON
         return (
             suspect is not None
             and suspect.score >= lowest
--- a/sesameroute/quarantine/_trials.py
+++ b/sesameroute/quarantine/_trials.py
@@ -23,11 +23,14 @@
     is_granted_alone : bool
         Whether a VM grants its own trials while it is not connected to the VM
         that grants them; otherwise it has none.
+    pause : float
+        Time in seconds from a loss to the next trial.
 
     """
 
     seconds: float = 5.0
     is_granted_alone: bool = False
+    pause: float = 0
 
 
 def request_trial(peers: Peers, granter: str, fingerprint: str) -> bool:
