Grant trials from half of the score on, and for shorter

Cause: trials began at the first loss that counts, came half a second after a loss at the earliest, and one that found no free server kept its place for a second. Change: from half of the score for quarantine on (1.5 losses on the nodes, one on the own path as before), 0.3 s after a loss, for 0.3 s.

--- a/sesameroute/quarantine/_quarantine.py
+++ b/sesameroute/quarantine/_quarantine.py
@@ -49,7 +49,7 @@
     count as one, and a crash is laid to the most suspect request in it
     (`SuspectList`).
 
-    From a score of one loss on, requests run as trials, one at a time for all
+    From half of `max_losses` on, requests run as trials, one at a time for all
     entry VMs together. At `max_losses` the request is quarantined. Both states
     expire some time after the last loss. A request that was quarantined is
     remembered for longer: then a single loss puts it back, for twice as long.
--- a/sesameroute/quarantine/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -19,8 +19,8 @@
 # quarantine.
 _MEMORY_SECONDS: Final = 600.0
 _MAX_DOUBLINGS: Final = 4
-# Score, in losses, from which a request runs as a trial.
-_TRIAL_SCORE: Final = 1
+# Part of the score for quarantine from which a request runs as a trial.
+_TRIAL_SCORE_FRACTION: Final = 0.5
 # Results of a loss that was added to its suspect.
 _ADDED: Final = ('counted', 'side-by-side')
 # Capacity of the table; a full table takes a few MB. The request with the
@@ -106,7 +106,7 @@
     def needs_trial(self, fingerprint: str) -> bool:
         """Whether a request may run only once at a time."""
         suspect = self.find(fingerprint)
-        lowest = _TRIAL_SCORE - EPSILON
+        lowest = self.max_losses * _TRIAL_SCORE_FRACTION - EPSILON
         return (
             suspect is not None
             and suspect.score >= lowest
--- a/sesameroute/quarantine/tests/fleet_model.py
+++ b/sesameroute/quarantine/tests/fleet_model.py
@@ -21,7 +21,7 @@
 _ENOUGH_CRASHES = 3
 _MAX_ATTEMPTS = 2
 _MAX_LOSSES = 3
-_TRIAL_POLICY = TrialPolicy(1.0, is_granted_alone=True, pause=0.5)
+_TRIAL_POLICY = TrialPolicy(0.3, is_granted_alone=True, pause=0.3)
 _RETURN_SECONDS = 0.3  # after which a caller asks once more
 _DOWN_SECONDS = 1.1
 _AVOID_SECONDS = 1.0  # in which a node leaves out a server that failed
