--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -33,7 +33,10 @@
 # A request is quarantined after it has crashed this many backend servers.
 _MAX_BACKEND_LOSSES = 3
 # A node that is cut off from the others goes on serving what it can.
-_TRIAL_POLICY = TrialPolicy(0.3, is_granted_alone=True, pause=0.3)
+_TRIAL_SECONDS = 0.3
+_TRIAL_POLICY = TrialPolicy(
+    _TRIAL_SECONDS, is_granted_alone=True, pause=_TRIAL_SECONDS
+)
 # Room for the header that nodes add to requests that they pass on.
 _RELAY_HEADER_BYTES = 64
 # Threads of each server for readiness checks and the directory.
--- a/sesameroute/node/tests/test_requests_that_turn_harmful.py
+++ b/sesameroute/node/tests/test_requests_that_turn_harmful.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sesameroute.node.tests.cluster import send
+from sesameroute.node.tests.partition import Cut
 from sesameroute.node.tests.repeaters import Repeaters, RestartingServers
 
 _NODES = (1, 2, 3)
@@ -108,6 +109,16 @@
     time.sleep(5)
 
 
+def cut_off_one_node(servers):
+    """Reset all links of one node to the servers, four times."""
+    wire = servers.cluster.wires[_NODES[0]]
+    for _ in range(4):
+        wire.apply(Cut.RESET)
+        time.sleep(0.8)
+        wire.heal()
+        time.sleep(0.5)
+
+
 @pytest.mark.parametrize(
     'disturb',
     [
@@ -115,6 +126,7 @@
         lose_most_together,
         crash_under_any_load,
         keep_a_server_that_always_ends,
+        cut_off_one_node,
     ],
 )
 def test_harmless_request_is_never_held(servers, disturb):
