Take malformed answers for no loss of a backend server

A path that a server always answers wrongly (no seal, a broken header, another attempt's answer) was quarantined after three answers, though no server had ended.

Cause: every try without a valid answer was a loss. Change: only one whose connection was closed or reset before the whole answer, which the error keeps as has_server_ended. Four cases failed before (503 at the fourth request); four others hold that answers broken off at any point still count.

--- a/sesameroute/exceptions.py
+++ b/sesameroute/exceptions.py
@@ -5,6 +5,7 @@
 """
 
 from enum import IntEnum, unique
+from http.client import IncompleteRead
 
 from sesameroute.verdict import Verdict
 
@@ -17,6 +18,7 @@
     'SesameError',
     'StoreUnreachableError',
     'StoreOutcomeUnknownError',
+    'has_broken_off',
     'has_refused',
 ]
 
@@ -123,6 +125,23 @@
         self.retry_after = retry_after
 
 
+def has_broken_off(error: BaseException | None) -> bool:
+    """Whether a server closed or reset a connection before it had answered.
+
+    Parameters
+    ----------
+    error : BaseException or None
+        The error, which may have others as its causes or arguments.
+
+    """
+    if isinstance(error, ConnectionError | IncompleteRead):
+        return True
+    if error is None:
+        return False
+    inner = [each for each in error.args if isinstance(each, BaseException)]
+    return any(map(has_broken_off, [*inner, error.__cause__]))
+
+
 def has_refused(error: BaseException | None) -> bool:
     """Whether a server refused a connection: no process listens there.
 
--- a/sesameroute/forward/_body.py
+++ b/sesameroute/forward/_body.py
@@ -7,6 +7,7 @@
 from urllib3.response import HTTPResponse
 
 from sesameroute.adapters import ConnectionPool, PooledConnection, is_reusable
+from sesameroute.exceptions import has_broken_off
 from sesameroute.forward._message import TryError
 from sesameroute.placement import Outcome
 
@@ -101,6 +102,7 @@
                     f'answer body truncated: {error}',
                     Outcome.LOST,
                     may_have_run=True,
+                    has_server_ended=has_broken_off(error),
                 ) from error
             if not chunk:
                 self._release_connection()
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -89,10 +89,10 @@
     def observe_failure(self, state: RequestState, error: TryError) -> None:
         """Count a backend server that ended under the request, or before."""
         evidence = self.quarantine.evidence
-        if error.outcome is Outcome.LOST:
-            evidence.observe_loss(state.sent_try)
-        elif error.outcome in _GIVEN_UP:
+        if error.outcome in _GIVEN_UP:
             evidence.observe_give_up(state.sent_try)
+        elif error.has_server_ended and error.outcome is Outcome.LOST:
+            evidence.observe_loss(state.sent_try)
         elif error.has_server_ended:
             evidence.observe_end(state.sent_try.server)
 
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -12,7 +12,11 @@
 
 from sesameroute.adapters import ConnectionPool, PooledConnection
 from sesameroute.adapters import wait_for_first_byte as wait_for_bytes
-from sesameroute.exceptions import RequestError, has_refused
+from sesameroute.exceptions import (
+    RequestError,
+    has_broken_off,
+    has_refused,
+)
 from sesameroute.forward._body import AnswerBody
 from sesameroute.forward._message import AnswerMetadata, HeaderCodec, TryError
 from sesameroute.placement import Outcome
@@ -326,7 +330,12 @@
         )
     if isinstance(error, RequestError):
         return _build_error(error.message, Outcome.CANCELLED)
-    return _build_error(f'no valid answer: {error}', Outcome.LOST)
+    return TryError(
+        f'no valid answer: {error}',
+        Outcome.LOST,
+        may_have_run=True,
+        has_server_ended=has_broken_off(error),
+    )
 
 
 def _build_error(message: str, outcome: Outcome) -> TryError:
--- a/sesameroute/forward/tests/test_crashing_requests.py
+++ b/sesameroute/forward/tests/test_crashing_requests.py
@@ -196,3 +196,31 @@
     statuses = sorted(copy.result()[0] for copy in copies)
     assert statuses == [502, 503, 503]
     assert len(servers[-1].heads) == 1
+
+
+@pytest.mark.parametrize(
+    'script', ['junk', 'unsealed', 'broken header', 'other answer']
+)
+def test_malformed_answers_are_no_loss(script):
+    """A server that answers, however wrongly, has not ended."""
+    servers = [ScriptedServer(script) for _ in range(5)]
+    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
+    statuses = []
+    for _ in servers:
+        statuses.append(harness.forward(body=b'good')[0])
+        harness.allocator.names.pop(0)
+    assert statuses == [502] * 5
+
+
+@pytest.mark.parametrize(
+    'script', ['no answer', 'late loss', 'cut', 'unframed reset']
+)
+def test_answers_broken_off_are_losses(script):
+    """A server that ends at any point of its answer."""
+    servers = [ScriptedServer(script) for _ in range(5)]
+    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
+    statuses = []
+    for _ in servers:
+        statuses.append(harness.forward(body=b'harm')[0])
+        harness.allocator.names.pop(0)
+    assert statuses == [502, 502, 502, 503, 503]
