Tell callers of a quarantined request when to come back

A refusal in quarantine had no Retry-After, so callers came back at once, though the node knows how long it refuses the request: 60 s, then twice as long after each further loss. Change: the 503 carries what is left. A test failed before (no header).

--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -121,4 +121,6 @@
     )
     if state.tries:
         return build_answer(HTTPStatus.BAD_GATEWAY, refusal.code)
-    return build_answer(HTTPStatus.SERVICE_UNAVAILABLE, refusal.code)
+    return build_answer(
+        HTTPStatus.SERVICE_UNAVAILABLE, refusal.code, refusal.retry_after
+    )
--- a/sesameroute/forward/tests/test_crashing_requests.py
+++ b/sesameroute/forward/tests/test_crashing_requests.py
@@ -224,3 +224,15 @@
         statuses.append(harness.forward(body=b'harm')[0])
         harness.allocator.names.pop(0)
     assert statuses == [502, 502, 502, 503, 503]
+
+
+def test_refusal_in_quarantine_says_when_to_return():
+    """Callers were refused without Retry-After and came back at once."""
+    servers = [ScriptedServer('no answer') for _ in range(3)]
+    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
+    for _ in servers:
+        harness.forward(body=b'harm')
+        harness.allocator.names.pop(0)
+    status, headers, _body = harness.forward(body=b'harm')
+    assert status == 503
+    assert 59 < float(headers['Retry-After']) <= 60
