Send the states of a node in the order in which they were built

A heartbeat built before the stop could be sent after its message; peers keep the state that came last, for up to a second. The stop's change of the own state could be lost to a refresh in the same way.

Change: building and sending a state is one step, as is changing the own one.

--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -89,9 +89,10 @@
 
     def update_own_state(self, **changes: bool) -> bool:
         """Update fields of this node's state; return whether it has changed."""
-        updated = replace(self.own_state, **changes)
-        has_changed = updated != self.own_state
-        self.own_state = updated
+        with self._lock:
+            updated = replace(self.own_state, **changes)
+            has_changed = updated != self.own_state
+            self.own_state = updated
         return has_changed
 
     def add_address(self, address: str) -> None:
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -118,6 +118,7 @@
             self._limit_exchange,
         )
         self._is_stopped = threading.Event()
+        self._broadcast_lock = threading.Lock()
         self._connected: frozenset[str] = frozenset()
 
     def start(self) -> None:
@@ -240,11 +241,13 @@
         self._store.sync.fetch_if_empty()
 
     def _broadcast_state(self) -> None:
-        if self._is_leaving.is_set():
-            self.fleet.update_own_state(is_ready=False, is_leaving=True)
-        state = self.fleet.build_state(self._store.mirror.revision_)
-        for peer in self.peers.list_connected():
-            self.peers.send_one_way(peer, state)
+        """Send this node's state to its peers; later states are sent later."""
+        with self._broadcast_lock:
+            if self._is_leaving.is_set():
+                self.fleet.update_own_state(is_ready=False, is_leaving=True)
+            state = self.fleet.build_state(self._store.mirror.revision_)
+            for peer in self.peers.list_connected():
+                self.peers.send_one_way(peer, state)
 
 
 def _add_seeds(fleet: Fleet, settings: NodeSettings) -> None:
