Blame a server for repeated losses only while others answer

Found by reading the diff: a request that ends two servers in turn, after both had answered it once, was never quarantined. Each loss was laid to its server, since the answers of the other one counted without end.

Change: an answer counts for this only until the next loss that is added, and a server that was lost again no longer counts as one that answers. Suspects with too few losses are left out before their scores are computed.

--- a/sesameroute/quarantine/_crash_index.py
+++ b/sesameroute/quarantine/_crash_index.py
@@ -81,7 +81,9 @@
         return frozenset(
             loss.upstream
             for other, suspect in self.suspects.items()
-            if other != fingerprint and suspect.score >= self.lowest_score
+            if other != fingerprint
+            and len(suspect.losses) >= self.lowest_score
+            and suspect.score >= self.lowest_score
             for loss in suspect.losses
         )
 
--- a/sesameroute/quarantine/_suspect.py
+++ b/sesameroute/quarantine/_suspect.py
@@ -61,7 +61,8 @@
         What answers say for it, in losses; at most what its losses say
         against it.
     answered_by : set of str
-        Names of the backend servers that gave these answers.
+        Names of the backend servers that have answered it since the last loss
+        in `losses`, without those lost again meanwhile.
     trial_until : float
         Monotonic time in seconds until which a trial is running.
 
@@ -112,9 +113,11 @@
         if any(loss.is_same_crash(each) for each in self.losses):
             return 'known'
         if self._suspects_server(loss.upstream):
+            self.answered_by.discard(loss.upstream)
             return 'same-server'
         is_next = loss.known_losses not in self.weights
         self.losses.append(loss)
+        self.answered_by.clear()
         self.trial_until = 0
         if len(self.losses) > _MAX_LOSSES:
             self._forget_oldest()
--- a/sesameroute/quarantine/tests/test_suspects.py
+++ b/sesameroute/quarantine/tests/test_suspects.py
@@ -77,3 +77,33 @@
     clock.now += 61
     lose(quarantine, 'a')
     assert not quarantine.is_quarantined('f')
+
+
+def test_request_that_ends_two_servers_in_turn_is_quarantined():
+    """After answers by both servers, each was blamed for the losses."""
+    clock = ManualClock()
+    quarantine = Quarantine('vm', clock, NoPeers(), max_losses=3)
+    for name in 'abab':
+        lose(quarantine, name)
+        clock.now += 2
+        for other in 'ab' * 8:
+            sent = quarantine.evidence.begin_try('f', 's', (other, 1))
+            quarantine.evidence.observe_answer(sent)
+        assert not quarantine.is_quarantined('f')
+    for name in 'ababab':
+        lose(quarantine, name)
+        clock.now += 2
+    assert quarantine.is_quarantined('f')
+
+
+def test_server_that_ends_again_and_again_is_at_fault():
+    """Requests that other servers answer were held for one bad server."""
+    clock = ManualClock()
+    quarantine = Quarantine('vm', clock, NoPeers(), max_losses=3)
+    for _ in range(10):
+        lose(quarantine, 'bad')
+        clock.now += 2
+        quarantine.evidence.observe_answer(
+            quarantine.evidence.begin_try('f', 's', ('good', 1))
+        )
+    assert quarantine.evidence.suspects_.compute_score('f') < 1
