Handle the message that a backend server has ended

Cause: a node called a method that had been renamed, so the end of a server that one node had seen settled no tries at the others. Change: the right name; a test with two nodes failed before, and checks that no message is left unhandled.

--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -63,8 +63,8 @@
             ),
             PastLosses: lambda _, message: loss_exchange.receive(message),
             TrialRequest: lambda _, message: quarantine.grant_trial(message),
-            EndReport: lambda _, message: quarantine.evidence.handle_end_report(
-                message
+            EndReport: lambda _, message: quarantine.evidence.settle_tries(
+                message.server
             ),
             ClearanceReport: lambda sender, message: (
                 quarantine.evidence.handle_clearance(message, sender)
--- a/sesameroute/node/tests/test_crashing_requests.py
+++ b/sesameroute/node/tests/test_crashing_requests.py
@@ -111,3 +111,21 @@
     crashed = len(list_crashes(servers))
     send_crashing(servers, 2, rounds=2)
     assert len(list_crashes(servers)) == crashed
+
+
+def find_evidence(cluster, number):
+    """Return what a node knows of losses."""
+    quarantine = cluster.nodes[number]._node_servers.quarantine
+    return quarantine.evidence
+
+
+def test_end_seen_by_another_node_settles_tries(cluster, caplog):
+    """No node handled the message that a server has ended."""
+    cluster.start_nodes(1, 2)
+    first, second = find_evidence(cluster, 1), find_evidence(cluster, 2)
+    server = ('server-0', 7)
+    first.observe_give_up(first.begin_try('f', 's', server))
+    second.observe_end(server)
+    assert wait_for(lambda: first.suspects_.compute_score('f') == 1)
+    assert wait_for(lambda: second.suspects_.compute_score('f') == 1)
+    assert 'peer message not handled' not in caplog.messages
