Count tries given up after the end of their server was seen

Cause: a node that is refused reports the end once, at that moment. Requests that the server had taken time out later, and by then nobody connects to it, so they never counted.

A test with two nodes holds it.

--- a/sesameroute/node/tests/test_crashing_requests.py
+++ b/sesameroute/node/tests/test_crashing_requests.py
@@ -129,3 +129,15 @@
     assert wait_for(lambda: first.suspects_.compute_score('f') == 1)
     assert wait_for(lambda: second.suspects_.compute_score('f') == 1)
     assert 'peer message not handled' not in caplog.messages
+
+
+def test_try_given_up_after_the_end_counts(cluster):
+    """A silent end was seen before its requests had timed out."""
+    cluster.start_nodes(1, 2)
+    first, second = find_evidence(cluster, 1), find_evidence(cluster, 2)
+    server = ('server-0', 7)
+    sent = first.begin_try('f', 's', server)
+    second.observe_end(server)
+    time.sleep(0.3)
+    first.observe_give_up(sent)
+    assert wait_for(lambda: second.suspects_.compute_score('f') == 1)
--- a/sesameroute/quarantine/_evidence.py
+++ b/sesameroute/quarantine/_evidence.py
@@ -119,8 +119,12 @@
         self.settle_tries(sent.server)
 
     def observe_give_up(self, sent: SentTry) -> None:
-        """Remember a try that this VM gave up while it may still run."""
-        self._unsettled.add(sent)
+        """Count a try that this VM gave up, if its server has ended.
+
+        Otherwise it is remembered, since it may still run.
+        """
+        if not self._unsettled.add(sent):
+            self.observe_loss(sent)
 
     def observe_end(self, server: tuple[str, int]) -> None:
         """Count the tries that ran on a server that is found to have ended."""
@@ -159,6 +163,7 @@
 
     def settle_tries(self, server: tuple[str, int]) -> None:
         """Count the tries given up on this VM that a lost server may run."""
+        self._unsettled.note_end(server)
         for sent in self._unsettled.settle(server):
             _LOG.info(
                 'upstream lost after try',
--- a/sesameroute/quarantine/_unsettled.py
+++ b/sesameroute/quarantine/_unsettled.py
@@ -58,11 +58,22 @@
         self._ends: OrderedDict[tuple[str, int], float] = OrderedDict()
         self._lock = threading.Lock()
 
-    def add(self, sent: SentTry) -> None:
-        """Remember a try that was given up just now."""
+    def add(self, sent: SentTry) -> bool:
+        """Remember a try that was given up just now.
+
+        Returns
+        -------
+        bool
+            False if its server has ended already; then it is not remembered.
+
+        """
         now = self.clock.read_monotonic()
         with self._lock:
-            self._tries.append((now, sent))
+            ended_at = self._ends.get(sent.server, -math.inf)
+            is_running = now - ended_at > _RUNNING_SECONDS
+            if is_running:
+                self._tries.append((now, sent))
+        return is_running
 
     def note_end(self, server: tuple[str, int]) -> bool:
         """Note that a server has ended; return whether that is news."""
