Share a loop of the tests, drop a result that nobody reads

From a last read of the change: two tests of malformed and of broken-off answers had the same loop, and SuspectList.drop returned what only the former clearance used.

--- a/sesameroute/forward/tests/test_crashing_requests.py
+++ b/sesameroute/forward/tests/test_crashing_requests.py
@@ -203,13 +203,7 @@
 )
 def test_malformed_answers_are_no_loss(script):
     """A server that answers, however wrongly, has not ended."""
-    servers = [ScriptedServer(script) for _ in range(5)]
-    harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
-    statuses = []
-    for _ in servers:
-        statuses.append(harness.forward(body=b'good')[0])
-        harness.allocator.names.pop(0)
-    assert statuses == [502] * 5
+    assert forward_to_servers_in_turn(script) == [502] * 5
 
 
 @pytest.mark.parametrize(
@@ -217,13 +211,19 @@
 )
 def test_answers_broken_off_are_losses(script):
     """A server that ends at any point of its answer."""
+    statuses = forward_to_servers_in_turn(script)
+    assert statuses == [502, 502, 502, 503, 503]
+
+
+def forward_to_servers_in_turn(script):
+    """Send one request to five servers with a script; return the statuses."""
     servers = [ScriptedServer(script) for _ in range(5)]
     harness = ForwarderHarness(*servers, kind=RequestKind.UNSAFE)
     statuses = []
     for _ in servers:
         statuses.append(harness.forward(body=b'harm')[0])
         harness.allocator.names.pop(0)
-    assert statuses == [502, 502, 502, 503, 503]
+    return statuses
 
 
 def test_refusal_in_quarantine_says_when_to_return():
--- a/sesameroute/quarantine/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -189,13 +189,10 @@
                     suspect.credit,
                 )
 
-    def drop(self, fingerprint: str) -> bool:
-        """Remove a suspect; return whether there was one."""
-        suspect = self.suspects_.pop(fingerprint, None)
-        if suspect is None:
-            return False
+    def drop(self, fingerprint: str) -> None:
+        """Remove a suspect."""
+        suspect = self.suspects_.pop(fingerprint)
         self.crashes_.remove(fingerprint, suspect)
-        return True
 
     def _keep(self, fingerprint: str, suspect: Suspect) -> None:
         """Store a suspect as the one with the latest loss."""
