Let a stopped peer network dial nobody

Cause: a node's heartbeat that is under way when its peer network stops sets the targets again, which starts dialers that nothing stops. In one process with later nodes of the same address they go on as an earlier incarnation: each of their streams closes that of the node now running, and the other way around. Those that a stop catches in an accept handshake stayed open in the same way.

A stopped program ends soon after, so callers met at most streams of a node that had left.

--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -82,6 +82,7 @@
         self._calls = CallTable()
         self._last_encoded: _EncodedMessage | None = None
         self._dialers: dict[str, PeerDialer] = {}
+        self._dialers_lock = threading.Lock()
         self._dispatcher: PeerDispatcher | None = None
         self._listener: PeerListener | None = None
         self._is_stopping = threading.Event()
@@ -124,13 +125,20 @@
             self._dispatcher.stop()
 
     def set_targets(self, targets: Mapping[str, tuple[str, int]]) -> None:
-        """Set the VMs to keep streams to: name to IP address and port."""
-        for name, dialer in list(self._dialers.items()):
-            if targets.get(name) != dialer.target:
-                self._dialers.pop(name).stop()
-        for missing in targets.keys() - self._dialers.keys():
-            self._dialers[missing] = PeerDialer(self, missing, targets[missing])
-            self._dialers[missing].start()
+        """Set the VMs to keep streams to: name to IP address and port.
+
+        A network that is stopped keeps none.
+        """
+        with self._dialers_lock:
+            if self._is_stopping.is_set():
+                targets = {}
+            for name, dialer in list(self._dialers.items()):
+                if targets.get(name) != dialer.target:
+                    self._dialers.pop(name).stop()
+            for missing in targets.keys() - self._dialers.keys():
+                added = PeerDialer(self, missing, targets[missing])
+                self._dialers[missing] = added
+                added.start()
 
     def list_connected(self) -> tuple[str, ...]:
         """Return the names of the entry VMs that are connected."""
@@ -200,6 +208,8 @@
             cleanup.callback(self.streams.remove, stream)
             cleanup.callback(stream.close)
             self.streams.add(stream)
+            if self._is_stopping.is_set():
+                return
             stream.send(Frame(FrameKind.HEARTBEAT))
             for frame in stream.receive():
                 self._handle_frame(stream, frame)
--- a/sesameroute/adapters/tests/test_peers.py
+++ b/sesameroute/adapters/tests/test_peers.py
@@ -163,6 +163,14 @@
     assert _wait_for(one.list_connected)
 
 
+def test_stopped_network_dials_no_peer(fleet):
+    """A heartbeat at the moment of a stop started dialers that stayed."""
+    one, two = fleet.add('a', 1), fleet.add('b', 2)
+    one.stop()
+    one.set_targets({'b': _target(2)})
+    assert not _wait_for(two.list_connected, 0.5)
+
+
 def test_peer_with_unexpected_name_is_rejected(fleet):
     """A stream to a peer with another name than expected is closed."""
     one = fleet.add('a', 1)
