Show on the model that silent ends stop no request

The model of the fleet learns ends that leave connections open: tries wait in vain for 0.5 s, half of those that are sent to such a server meet a connection that seems open.

--- a/sesameroute/quarantine/tests/fleet_model.py
+++ b/sesameroute/quarantine/tests/fleet_model.py
@@ -27,6 +27,10 @@
 _AVOID_SECONDS = 1.0  # in which a node leaves out a server that failed
 _SLOTS = 6
 _POLL_SECONDS = 0.05
+_GIVE_UP_SECONDS = 0.5  # after which a try without an answer is given up
+# Share of the tries at a server that has ended silently which are sent on
+# connections that seem open.
+_SEEMS_OPEN_SHARE = 0.5
 
 
 @dataclass(eq=False)
@@ -53,6 +57,7 @@
     attempt: int
     is_returning: bool
     sent: object
+    sent_at: float
 
 
 class ModelPeers:
@@ -109,6 +114,8 @@
         Times by the path that ended a server, or that reached one.
     waits, answered : Counter
         Waits for another trial, and answers, by path.
+    is_silent : bool
+        Whether servers end without closing their connections.
 
     """
 
@@ -121,6 +128,7 @@
         self.held = Counter()
         self.waits = Counter()
         self.answered = Counter()
+        self.is_silent = False
         self.crashes = defaultdict(list)
         self.arrivals = defaultdict(list)
         self.servers = [ModelServer(number) for number in range(servers)]
@@ -178,6 +186,10 @@
             server.is_up = False
             server.running.clear()
             self.schedule(_DOWN_SECONDS, self._start, server)
+        if self.is_silent:
+            for run in lost:
+                self._wait_in_vain(run)
+            return
         for run in lost:
             self.nodes[run.node].evidence.observe_loss(run.sent)
         for run in lost:
@@ -206,7 +218,10 @@
         if server is None:
             return
         sent = self.nodes[node].evidence.begin_try(path, 's', server.identity)
-        run = Run(node, path, attempt, is_returning, sent)
+        run = Run(node, path, attempt, is_returning, sent, self.now)
+        if not server.is_up:
+            self._wait_in_vain(run)
+            return
         self.arrivals[path].append(self.now)
         server.running.add(run)
         seconds = self.draw.uniform(0.06, 0.16)
@@ -228,6 +243,8 @@
         for server in sorted(self.servers, key=partial(_rank, path)):
             if self._avoided[node, server.number] > self.now:
                 continue
+            if self._seems_up(server):
+                return server
             if not server.is_up:
                 self._avoided[node, server.number] = self.now + _AVOID_SECONDS
                 self.nodes[node].evidence.observe_end(server.identity)
@@ -235,6 +252,23 @@
                 return server
         return None
 
+    def _seems_up(self, server):
+        """Whether a try is sent on a connection that its server has left."""
+        return (
+            self.is_silent
+            and not server.is_up
+            and self.draw.random() < _SEEMS_OPEN_SHARE
+        )
+
+    def _wait_in_vain(self, run):
+        """Give a try up after some time, and send it again."""
+
+        def give_up():
+            self.nodes[run.node].evidence.observe_give_up(run.sent)
+            self._repeat(run)
+
+        self.schedule(run.sent_at + _GIVE_UP_SECONDS - self.now, give_up)
+
     def _finish(self, server, run):
         if run not in server.running:
             return
--- a/sesameroute/quarantine/tests/test_error_rates.py
+++ b/sesameroute/quarantine/tests/test_error_rates.py
@@ -33,6 +33,20 @@
 )
 def test_harmful_requests_are_stopped_beside_others(seed, count, rate, since):
     """Harmful from the start or after good answers, one or several at once."""
+    check_harmful_paths_are_stopped(seed, count, rate, since)
+
+
+@pytest.mark.parametrize('seed', _SEEDS)
+@pytest.mark.parametrize(('count', 'rate'), [(1, 3), (1, 20), (4, 3)])
+def test_requests_that_end_servers_silently_are_stopped(seed, count, rate):
+    """Losses found after a time-out counted as copies of one another."""
+    check_harmful_paths_are_stopped(seed, count, rate, 5, is_silent=True)
+
+
+def check_harmful_paths_are_stopped(
+    seed, count, rate, since, *, is_silent=False
+):
+    """Play paths that are harmful from some moment on, and check them."""
     harmful = [f'/harmful-{number}' for number in range(count)]
 
     def compute_harm(now, path, _place):
@@ -40,6 +54,7 @@
 
     rates = {**build_rates(), **dict.fromkeys(harmful, rate)}
     model = FleetModel(seed, rates, compute_harm)
+    model.is_silent = is_silent
     model.play(_SECONDS)
     late = [model.count_late_retries(path) for path in harmful]
     assert min(len(model.crashes[path]) for path in harmful)
