Tell separate losses by when servers ended, not by what senders knew

Cause: losses counted as separate only if the request had been sent after an earlier loss was known. A silent end is known half a second later, so all tries until then counted as copies of one; and all of them had no weight if the request had been answered lately, where only the first loss should have none.

Change: a loss has the moments between which its server ended, from the try's start to the first sign of the end on any node. It is separate from an earlier one if the request was sent with the earlier one known, as before, or if the servers ended over 0.15 s apart. What answers say before the first loss is a credit of one loss now. A try that was sent after its server had ended no longer counts, on the own path either. A server counts as explained by looking up its suspects instead of walking the table for each loss.

--- a/sesameroute/quarantine/_crash_index.py
+++ b/sesameroute/quarantine/_crash_index.py
@@ -4,7 +4,11 @@
 from collections.abc import Iterator, Mapping
 from typing import Final
 
-from sesameroute.quarantine._suspect import Loss, Suspect
+from sesameroute.quarantine._suspect import (
+    TOGETHER_SECONDS,
+    Loss,
+    Suspect,
+)
 
 __all__ = ['EPSILON', 'CrashIndex']
 
@@ -15,9 +19,8 @@
 # harmful.
 _SHARED: Final = 0.5
 _CLOSE_SCORES: Final = 0.5
-# Servers that end so close together have one cause, if they are at least so
-# many besides those that the request ran on.
-_TOGETHER_SECONDS: Final = 0.15
+# Servers that end together have one cause, if they are at least so many besides
+# those that the request ran on.
 _MIN_TOGETHER: Final = 3
 # Ends that are kept, the latest ones.
 _MAX_ENDS: Final = 512
@@ -76,33 +79,23 @@
             return 1
         return _SHARED if lead > -_CLOSE_SCORES else 0
 
-    def list_explained(self, fingerprint: str) -> frozenset[str]:
-        """Return the servers that likely ended by other requests, by name."""
-        return frozenset(
-            loss.upstream
-            for other, suspect in self.suspects.items()
-            if other != fingerprint
-            and len(suspect.losses) >= self.lowest_score
-            and suspect.score >= self.lowest_score
-            for loss in suspect.losses
+    def is_explained(self, upstream: str, besides: str = '') -> bool:
+        """Whether a server likely ended by a request other than `besides`."""
+        others = self._lost_on.get(upstream, set()) - {besides}
+        return any(
+            self.suspects[each].score >= self.lowest_score for each in others
         )
 
     def _count_together(self, fingerprint: str, loss: Loss) -> int:
         """Count the servers that ended at the same moment without reason."""
         own = {each.upstream for each in self.suspects[fingerprint].losses}
         return sum(
-            abs(ended_at - loss.lost_at) < _TOGETHER_SECONDS
+            abs(ended_at - loss.lost_at) < TOGETHER_SECONDS
             and upstream not in own
-            and not self._is_explained(upstream)
+            and not self.is_explained(upstream)
             for upstream, ended_at in self._ended_at.items()
         )
 
-    def _is_explained(self, upstream: str) -> bool:
-        return any(
-            self.suspects[each].score >= self.lowest_score
-            for each in self._lost_on.get(upstream, ())
-        )
-
     def _iterate_rivals(
         self, fingerprint: str, loss: Loss
     ) -> Iterator[Suspect]:
--- a/sesameroute/quarantine/_evidence.py
+++ b/sesameroute/quarantine/_evidence.py
@@ -55,6 +55,7 @@
     ) -> None:
         """Store the parameters and start without suspects."""
         self.vm = vm
+        self.clock = clock
         self.peers = peers
         self.suspects_ = SuspectList(clock, max_losses)
         self.observer_: Callable[[str], None] = _discard_result
@@ -82,8 +83,9 @@
         """
         with self.lock_:
             suspect = self.suspects_.find(fingerprint)
-            known_losses = suspect.known_losses if suspect else 0
-        return SentTry(fingerprint, service, server, known_losses)
+            known_losses = len(suspect.groups_) if suspect else 0
+        now = self.clock.read_monotonic()
+        return SentTry(fingerprint, service, server, now, known_losses)
 
     def observe_answer(self, sent: SentTry) -> None:
         """Count an answer that a backend server gave to this VM."""
@@ -102,20 +104,8 @@
 
     def observe_loss(self, sent: SentTry) -> None:
         """Count a loss seen by this VM and report it to all peers."""
-        with self.lock_:
-            rate = self._rates[sent.service]
-            rate.observe_loss(sent.fingerprint, sent.server)
-            weight = self._compute_weight(sent)
-        report = LossReport(
-            sent.fingerprint,
-            *sent.server,
-            sent.known_losses,
-            weight,
-            sent.service,
-            rate.count_own_answers(),
-        )
-        self._record_loss(report, self.vm)
-        broadcast(self.peers, self.vm, report)
+        now = self.clock.read_monotonic()
+        self._observe_loss(sent, now, now)
         self.settle_tries(sent.server)
 
     def observe_give_up(self, sent: SentTry) -> None:
@@ -123,14 +113,14 @@
 
         Otherwise it is remembered, since it may still run.
         """
-        if not self._unsettled.add(sent):
-            self.observe_loss(sent)
+        ended_at = self._unsettled.add(sent)
+        if ended_at is not None:
+            self._observe_loss(sent, sent.sent_at, ended_at)
 
     def observe_end(self, server: tuple[str, int]) -> None:
         """Count the tries that ran on a server that is found to have ended."""
-        if self._unsettled.note_end(server):
+        if self.settle_tries(server):
             broadcast(self.peers, self.vm, EndReport(*server))
-        self.settle_tries(server)
 
     def handle_loss_report(self, report: LossReport, sender: str) -> None:
         """Count a loss that a peer has seen."""
@@ -147,10 +137,13 @@
         report = LossReport(
             past.fingerprint,
             past.upstream,
+            seconds_ago=past.seconds_ago,
+            uncertainty=past.uncertainty,
             known_losses=past.known_losses,
             weight=past.weight,
+            credit=past.credit,
         )
-        self._record_loss(report, past.reporter, past.seconds_ago, past.credit)
+        self._record_loss(report, past.reporter)
 
     def handle_clearance(self, clearance: ClearanceReport, sender: str) -> None:
         """Count an answer that a peer saw to a suspected request."""
@@ -161,10 +154,17 @@
         if was_suspected:
             _log_answer(clearance.fingerprint, clearance.upstream, sender)
 
-    def settle_tries(self, server: tuple[str, int]) -> None:
-        """Count the tries given up on this VM that a lost server may run."""
-        self._unsettled.note_end(server)
-        for sent in self._unsettled.settle(server):
+    def settle_tries(self, server: tuple[str, int]) -> bool:
+        """Count the tries given up on this VM that a lost server ran.
+
+        Returns
+        -------
+        bool
+            Whether the server was not known to have ended.
+
+        """
+        ended_at, is_news = self._unsettled.note_end(server)
+        for sent in self._unsettled.settle(server, ended_at):
             _LOG.info(
                 'upstream lost after try',
                 extra={
@@ -172,33 +172,48 @@
                     'upstream': server[0],
                 },
             )
-            self.observe_loss(sent)
+            self._observe_loss(sent, sent.sent_at, ended_at)
+        return is_news
+
+    def _observe_loss(
+        self, sent: SentTry, earliest: float, ended_at: float
+    ) -> None:
+        """Count a loss and report it.
 
-    def _compute_weight(self, sent: SentTry) -> float:
-        """Return the evidence of a loss against its request, from 0 to 1.
+        Parameters
+        ----------
+        sent : SentTry
+            The try.
+        earliest, ended_at : float
+            Monotonic times in seconds between which its server ended.
 
-        The first one under a request that was answered lately is none: few
-        requests turn harmful, but servers end for many reasons.
         """
-        if not sent.known_losses and sent.fingerprint in self._answered:
-            return 0
-        return self._rates[sent.service].compute_weight(
-            sent.fingerprint,
-            self.suspects_.crashes_.list_explained(sent.fingerprint),
-        )
+        with self.lock_:
+            rate = self._rates[sent.service]
+            rate.observe_loss(sent.fingerprint, sent.server)
+            # Few requests turn harmful, but servers end for many reasons.
+            # Answers since an earlier loss count one by one.
+            is_first = self.suspects_.find(sent.fingerprint) is None
+            report = LossReport(
+                sent.fingerprint,
+                *sent.server,
+                self.clock.read_monotonic() - ended_at,
+                ended_at - earliest,
+                sent.known_losses,
+                rate.compute_weight(
+                    sent.fingerprint, self.suspects_.crashes_.is_explained
+                ),
+                float(is_first and sent.fingerprint in self._answered),
+                sent.service,
+                rate.count_own_answers(),
+            )
+        self._record_loss(report, self.vm)
+        broadcast(self.peers, self.vm, report)
 
-    def _record_loss(
-        self,
-        report: LossReport,
-        reporter: str,
-        seconds_ago: float = 0,
-        credit: float = 0,
-    ) -> None:
+    def _record_loss(self, report: LossReport, reporter: str) -> None:
         fingerprint = report.fingerprint
         with self.lock_:
-            result = self.suspects_.record_loss(
-                report, reporter, seconds_ago, credit
-            )
+            result = self.suspects_.record_loss(report, reporter)
             score = self.suspects_.compute_score(fingerprint)
         if result == 'known':
             return
--- a/sesameroute/quarantine/_loss_rate.py
+++ b/sesameroute/quarantine/_loss_rate.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from sesameroute.ports import Clock
@@ -75,7 +76,7 @@
         )
 
     def compute_weight(
-        self, fingerprint: str, explained: frozenset[str]
+        self, fingerprint: str, is_explained: Callable[[str, str], bool]
     ) -> float:
         """Return the evidence of one loss under a request, from 0 to 1.
 
@@ -83,25 +84,31 @@
         ----------
         fingerprint : str
             The request; its own losses are left out of the rate.
-        explained : frozenset of str
-            Names of servers that likely ended by other requests; losses on
-            them are left out, too.
+        is_explained : callable
+            Gets the name of a server and the request; whether the server
+            likely ended by another one. Losses on it are left out, too.
 
         """
-        lost = self._count_losses(fingerprint, explained)
+        lost = self._count_losses(fingerprint, is_explained)
         ran = lost + self.count_own_answers() + self._count_peer_answers()
         rate = (lost + _PRIOR_LOSSES) / (ran + _PRIOR_REQUESTS)
         lowest = _PRIOR_LOSSES / _PRIOR_REQUESTS
         likelihood_ratio = _HARMFUL_RATE / max(rate, lowest)
         return max(math.log(likelihood_ratio, _HARMFUL_RATE / lowest), 0)
 
-    def _count_losses(self, fingerprint: str, explained: frozenset[str]) -> int:
+    def _count_losses(
+        self, fingerprint: str, is_explained: Callable[[str, str], bool]
+    ) -> int:
         oldest = self._compute_oldest()
-        return sum(
-            each.lost_at >= oldest
-            and each.fingerprint != fingerprint
-            and each.server[0] not in explained
+        lost = Counter(
+            each.server[0]
             for each in self._losses
+            if each.lost_at >= oldest and each.fingerprint != fingerprint
+        )
+        return sum(
+            count
+            for name, count in lost.items()
+            if not is_explained(name, fingerprint)
         )
 
     def _count_peer_answers(self) -> int:
--- a/sesameroute/quarantine/_messages.py
+++ b/sesameroute/quarantine/_messages.py
@@ -28,11 +28,17 @@
         Name of the lost backend server.
     incarnation : int
         Its incarnation.
+    seconds_ago : float
+        Age in seconds of the server's end when the message was sent.
+    uncertainty : float
+        Seconds by which the server may have ended earlier.
     known_losses : int
-        Number of losses of the request that the sender knew of when it sent
-        the request; -1 if that is not known.
+        Number of separate losses of the request that the sender knew of when
+        it sent the request; -1 if that is not known.
     weight : float
         Evidence against the request, from 0 to 1.
+    credit : float
+        What answers said for the request before, in losses.
     service : str
         Name of the service.
     answered : int
@@ -43,8 +49,11 @@
     fingerprint: str
     upstream: str
     incarnation: int = 0
+    seconds_ago: float = 0
+    uncertainty: float = 0
     known_losses: int = -1
     weight: float = 1.0
+    credit: float = 0
     service: str = ''
     answered: int = 0
 
@@ -84,11 +93,9 @@
         Name of the lost backend server.
     reporter : str
         Name of the VM that saw the request's first loss.
-    seconds_ago : float
-        Age of the loss in seconds when the message was sent.
-    known_losses : int
+    seconds_ago, uncertainty, weight : float
         As in `LossReport`.
-    weight : float
+    known_losses : int
         As in `LossReport`.
     credit : float
         What answers say for the request, in losses.
@@ -99,6 +106,7 @@
     upstream: str
     reporter: str
     seconds_ago: float
+    uncertainty: float = 0
     known_losses: int = -1
     weight: float = 1.0
     credit: float = 0
--- a/sesameroute/quarantine/_suspect.py
+++ b/sesameroute/quarantine/_suspect.py
@@ -1,12 +1,15 @@
 """What speaks against one request, and for it."""
 
 from dataclasses import dataclass, field
+from operator import attrgetter
 from typing import Final, NamedTuple
 
-__all__ = ['Loss', 'Suspect']
+__all__ = ['TOGETHER_SECONDS', 'Loss', 'Suspect']
 
 # Losses of one backend server within this time are one crash.
 _SAME_CRASH_SECONDS: Final = 1.0
+# Backend servers that end so close together may have one cause.
+TOGETHER_SECONDS: Final = 0.15
 # What an answer says for a request, in losses: the logarithm of the likelihood
 # ratio of an answer, in units of that of a loss (see `LossRate`).
 _ANSWER_CREDIT: Final = 1 / 4
@@ -22,10 +25,13 @@
     upstream : str
         Name of the backend server.
     lost_at : float
-        Monotonic time in seconds.
+        Monotonic time in seconds by which the server had ended.
+    earliest : float
+        Earliest time at which it can have ended; before `lost_at` if the end
+        was found later.
     known_losses : int
-        Number of losses of the request that the sending VM knew of when it
-        sent it; equal for copies that ran side by side.
+        Number of separate losses of the request that the sending VM knew of
+        when it sent it.
     weight : float
         Evidence against the request, from 0 to 1.
 
@@ -33,9 +39,21 @@
 
     upstream: str
     lost_at: float
+    earliest: float
     known_losses: int
     weight: float
 
+    def follows(self, earlier: 'Loss') -> bool:
+        """Whether this loss has not the cause of an earlier one.
+
+        Either the request was sent after the earlier loss, or the servers
+        ended at different moments.
+        """
+        return (
+            self.known_losses > earlier.known_losses
+            or self.earliest >= earlier.lost_at + TOGETHER_SECONDS
+        )
+
     def is_same_crash(self, other: 'Loss') -> bool:
         """Whether both requests were lost when the server ended once."""
         return (
@@ -65,6 +83,10 @@
         in `losses`, without those lost again meanwhile.
     trial_until : float
         Monotonic time in seconds until which a trial is running.
+    groups_ : tuple of tuple of Loss
+        The losses, those together that may have one cause.
+    evidence_ : float
+        What the losses say against it. A group weighs as its heaviest loss.
 
     """
 
@@ -74,29 +96,13 @@
     credit: float = 0
     answered_by: set[str] = field(default_factory=set)
     trial_until: float = 0
-
-    @property
-    def weights(self) -> dict[int, float]:
-        """Evidence by the number of losses known when the request was sent.
-
-        Copies that ran side by side may all have been lost for one reason
-        that is not theirs, so they count as one.
-        """
-        weights: dict[int, float] = {}
-        for each in self.losses:
-            heaviest = max(weights.get(each.known_losses, 0), each.weight)
-            weights[each.known_losses] = heaviest
-        return weights
+    groups_: tuple[tuple[Loss, ...], ...] = ()
+    evidence_: float = 0
 
     @property
     def score(self) -> float:
         """Evidence against the request, in losses."""
-        return sum(self.weights.values()) - self.credit
-
-    @property
-    def known_losses(self) -> int:
-        """Number of losses known here that followed one another."""
-        return max((each.known_losses for each in self.losses), default=-1) + 1
+        return self.evidence_ - self.credit
 
     def observe_loss(self, loss: Loss) -> str:
         """Add a loss.
@@ -106,7 +112,8 @@
         str
             'counted', or why it does not count against the request: 'known'
             (so is the crash), 'same-server' (the server is the likelier cause;
-            the loss is not added) or 'side-by-side' (a copy counts already).
+            the loss is not added) or 'side-by-side' (another server that may
+            have ended at the same moment counts already).
 
         """
         self.last_loss = max(self.last_loss, loss.lost_at)
@@ -115,13 +122,15 @@
         if self._suspects_server(loss.upstream):
             self.answered_by.discard(loss.upstream)
             return 'same-server'
-        is_next = loss.known_losses not in self.weights
+        count = len(self.groups_)
         self.losses.append(loss)
+        self._group_losses()
+        is_separate = len(self.groups_) > count
         self.answered_by.clear()
         self.trial_until = 0
         if len(self.losses) > _MAX_LOSSES:
             self._forget_oldest()
-        return 'counted' if is_next else 'side-by-side'
+        return 'counted' if is_separate else 'side-by-side'
 
     def observe_answer(self, upstream: str) -> None:
         """Count an answer of a backend server in favour of the request."""
@@ -131,8 +140,7 @@
 
     def raise_credit(self, credit: float) -> None:
         """Raise the credit, but not beyond the evidence of the losses."""
-        highest = sum(self.weights.values())
-        self.credit = min(max(credit, self.credit), highest)
+        self.credit = min(max(credit, self.credit), self.evidence_)
 
     def _suspects_server(self, upstream: str) -> bool:
         """Whether a server that is lost again is the likelier cause.
@@ -144,7 +152,24 @@
         )
 
     def _forget_oldest(self) -> None:
-        before = sum(self.weights.values())
+        before = self.evidence_
         self.losses.pop(0)
-        forgotten = before - sum(self.weights.values())
-        self.credit = max(self.credit - forgotten, 0)
+        self._group_losses()
+        self.credit = max(self.credit - (before - self.evidence_), 0)
+
+    def _group_losses(self) -> None:
+        """Put losses together that may have one cause.
+
+        A zone or a release may end several servers at about the same moment,
+        all of which run copies of the request.
+        """
+        groups: list[list[Loss]] = []
+        for loss in sorted(self.losses, key=attrgetter('lost_at')):
+            if groups and not loss.follows(groups[-1][0]):
+                groups[-1].append(loss)
+            else:
+                groups.append([loss])
+        self.groups_ = tuple(map(tuple, groups))
+        self.evidence_ = sum(
+            max(each.weight for each in group) for group in groups
+        )
--- a/sesameroute/quarantine/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -77,18 +77,14 @@
         suspect = self.find(fingerprint)
         if suspect is None:
             return 0
-        shares: dict[int, float] = {}
-        for loss in suspect.losses:
-            share = self.crashes_.compute_share(fingerprint, loss)
-            largest = max(shares.get(loss.known_losses, 0), share)
-            shares[loss.known_losses] = largest
-        return (
-            sum(
-                weight * shares[known_losses]
-                for known_losses, weight in suspect.weights.items()
+        evidence = sum(
+            max(
+                loss.weight * self.crashes_.compute_share(fingerprint, loss)
+                for loss in group
             )
-            - suspect.credit
+            for group in suspect.groups_
         )
+        return evidence - suspect.credit
 
     def compute_quarantine_seconds(self, fingerprint: str) -> float:
         """Return the seconds until a request may be sent; 0 if it may now."""
@@ -113,13 +109,7 @@
             and self.compute_score(fingerprint) >= lowest
         )
 
-    def record_loss(
-        self,
-        report: LossReport,
-        reporter: str,
-        seconds_ago: float = 0,
-        credit: float = 0,
-    ) -> str:
+    def record_loss(self, report: LossReport, reporter: str) -> str:
         """Add a loss to the table.
 
         Returns
@@ -129,17 +119,20 @@
             'known', 'same-server' or 'side-by-side'.
 
         """
-        lost_at = self.clock.read_monotonic() - max(seconds_ago, 0)
+        lost_at = self.clock.read_monotonic() - max(report.seconds_ago, 0)
+        earliest = lost_at - max(report.uncertainty, 0)
         fingerprint = report.fingerprint
         suspect = self.find(fingerprint) or Suspect(reporter, lost_at)
         known_losses = report.known_losses
         if known_losses < 0:
-            known_losses = suspect.known_losses
+            known_losses = len(suspect.groups_)
         result = suspect.observe_loss(
-            Loss(report.upstream, lost_at, known_losses, report.weight)
+            Loss(
+                report.upstream, lost_at, earliest, known_losses, report.weight
+            )
         )
         suspect.reporter = min(suspect.reporter, reporter)
-        suspect.raise_credit(credit)
+        suspect.raise_credit(report.credit)
         if result in _ADDED:
             self._keep(fingerprint, suspect)
         return result
@@ -184,6 +177,7 @@
                     loss.upstream,
                     suspect.reporter,
                     now - loss.lost_at,
+                    loss.lost_at - loss.earliest,
                     loss.known_losses,
                     loss.weight,
                     suspect.credit,
--- a/sesameroute/quarantine/_unsettled.py
+++ b/sesameroute/quarantine/_unsettled.py
@@ -11,6 +11,8 @@
 
 # How long a backend server may go on with a try that was given up.
 _RUNNING_SECONDS: Final = 3.0
+# Signs of an end within this time, if servers have no incarnation, are of one.
+_SAME_END_SECONDS: Final = 1.0
 # Oldest tries are forgotten first; a full table takes less than 0.5 MB.
 _MAX_TRIES: Final = 1024
 _MAX_ENDS: Final = 256
@@ -27,14 +29,17 @@
         Name of the service.
     server : tuple of (str, int)
         Name and incarnation of the backend server.
+    sent_at : float
+        Monotonic time in seconds.
     known_losses : int
-        Number of losses of the request that were known then.
+        Number of separate losses of the request that were known then.
 
     """
 
     fingerprint: str
     service: str
     server: tuple[str, int]
+    sent_at: float
     known_losses: int
 
 
@@ -58,40 +63,58 @@
         self._ends: OrderedDict[tuple[str, int], float] = OrderedDict()
         self._lock = threading.Lock()
 
-    def add(self, sent: SentTry) -> bool:
+    def add(self, sent: SentTry) -> float | None:
         """Remember a try that was given up just now.
 
         Returns
         -------
-        bool
-            False if its server has ended already; then it is not remembered.
+        float or None
+            Monotonic time in seconds at which its server was found to have
+            ended, if that was while the try ran; then it is not remembered.
 
         """
         now = self.clock.read_monotonic()
         with self._lock:
             ended_at = self._ends.get(sent.server, -math.inf)
-            is_running = now - ended_at > _RUNNING_SECONDS
-            if is_running:
-                self._tries.append((now, sent))
-        return is_running
+            if sent.sent_at <= ended_at:
+                return ended_at
+            self._tries.append((now, sent))
+        return None
 
-    def note_end(self, server: tuple[str, int]) -> bool:
-        """Note that a server has ended; return whether that is news."""
+    def note_end(self, server: tuple[str, int]) -> tuple[float, bool]:
+        """Note that a server has ended.
+
+        Returns
+        -------
+        tuple of (float, bool)
+            Monotonic time in seconds at which this was noted first, and
+            whether that is now.
+
+        """
         now = self.clock.read_monotonic()
         with self._lock:
-            noted_at = self._ends.pop(server, -math.inf)
+            noted_at = self._ends.get(server, -math.inf)
+            # Without an incarnation it may be another end.
+            is_known = noted_at > -math.inf and bool(server[1])
+            if is_known or now - noted_at < _SAME_END_SECONDS:
+                return noted_at, False
             self._ends[server] = now
+            self._ends.move_to_end(server)
             if len(self._ends) > _MAX_ENDS:
                 self._ends.popitem(last=False)
-        return now - noted_at > _RUNNING_SECONDS
+        return now, True
 
-    def settle(self, server: tuple[str, int]) -> list[SentTry]:
-        """Remove and return the tries that a lost backend server may run."""
+    def settle(self, server: tuple[str, int], ended_at: float) -> list[SentTry]:
+        """Remove and return the tries that an ended backend server ran."""
         oldest = self.clock.read_monotonic() - _RUNNING_SECONDS
         with self._lock:
             while self._tries and self._tries[0][0] < oldest:
                 self._tries.popleft()
-            settled = [each for each in self._tries if each[1].server == server]
+            settled = [
+                each
+                for each in self._tries
+                if each[1].server == server and each[1].sent_at <= ended_at
+            ]
             for each in settled:
                 self._tries.remove(each)
         return [sent for _, sent in settled]
--- a/sesameroute/quarantine/tests/fleet_model.py
+++ b/sesameroute/quarantine/tests/fleet_model.py
@@ -27,6 +27,7 @@
 _AVOID_SECONDS = 1.0  # in which a node leaves out a server that failed
 _SLOTS = 6
 _POLL_SECONDS = 0.05
+_MAX_WAIT_SECONDS = 0.5  # for a trial; then a request is sent without one
 _GIVE_UP_SECONDS = 0.5  # after which a try without an answer is given up
 # Share of the tries at a server that has ended silently which are sent on
 # connections that seem open.
@@ -40,7 +41,7 @@
     number: int
     incarnation: int = 0
     is_up: bool = True
-    running: set = field(default_factory=set)
+    running: dict = field(default_factory=dict)  # by run, in their order
 
     @property
     def identity(self):
@@ -208,12 +209,26 @@
         node = self.draw.randrange(len(self.nodes))
         self._send(node, path, 1, is_returning=False)
 
-    def _send(self, node, path, attempt, *, is_returning):
+    def _send(self, node, path, attempt, *, is_returning, waited=0):
         try:
             self.nodes[node].check_attempt(path)
         except RequestError as error:
-            self._refuse(node, path, attempt, error, is_returning=is_returning)
-            return
+            if error.code == 'quarantined':
+                self.held[path] += 1
+                return
+            if waited < _MAX_WAIT_SECONDS:
+                self.waits[path] += 1
+                self.schedule(
+                    _POLL_SECONDS,
+                    lambda: self._send(
+                        node,
+                        path,
+                        attempt,
+                        is_returning=is_returning,
+                        waited=waited + _POLL_SECONDS,
+                    ),
+                )
+                return
         server = self._choose(node, path)
         if server is None:
             return
@@ -223,21 +238,10 @@
             self._wait_in_vain(run)
             return
         self.arrivals[path].append(self.now)
-        server.running.add(run)
+        server.running[run] = True
         seconds = self.draw.uniform(0.06, 0.16)
         self.schedule(seconds, self._finish, server, run)
 
-    def _refuse(self, node, path, attempt, error, *, is_returning):
-        """Count a refusal, or wait for the end of another trial."""
-        if error.code == 'quarantined':
-            self.held[path] += 1
-            return
-        self.waits[path] += 1
-        self.schedule(
-            _POLL_SECONDS,
-            lambda: self._send(node, path, attempt, is_returning=is_returning),
-        )
-
     def _choose(self, node, path):
         """Return the first free server in the path's order of preference."""
         for server in sorted(self.servers, key=partial(_rank, path)):
@@ -277,7 +281,7 @@
             self.crashes[run.path].append(self.now)
             self.end(server)
             return
-        server.running.discard(run)
+        server.running.pop(run)
         self.answered[run.path] += 1
         self.nodes[run.node].evidence.observe_answer(run.sent)
 
--- a/sesameroute/quarantine/tests/test_suspects.py
+++ b/sesameroute/quarantine/tests/test_suspects.py
@@ -30,7 +30,7 @@
     for _ in range(10):
         suspects.record_loss(LossReport('f', 'server'), 'node')
         clock.now += pause
-    assert suspects.find('f').known_losses == losses
+    assert len(suspects.find('f').groups_) == losses
     assert suspects.compute_score('f') == losses
 
 
