Check servers that let tries time out in silence

Cause: a refused connection is the first sign of such an end, but nothing asked for a connection. Requests took idle ones, and after a time-out the server was avoided, so that its end became known about when it was back, 0.9 s later. In 4 s only three or four losses could follow one another.

Change: a server that has answered nothing on this node since the start of a try that timed out is checked at once: its idle connections are closed and a new one is opened, by one thread, each server at most every half second. A refusal, or an entry of another incarnation, counts as its end.

--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -12,6 +12,7 @@
 from sesameroute.placement import Outcome
 from sesameroute.ports import Answer, Clock
 from sesameroute.quarantine import Quarantine
+from sesameroute.reachability import EndDetector
 from sesameroute.registry import Announcement, Announcements
 
 __all__ = ['Guards']
@@ -30,12 +31,14 @@
 
     `retries` limits the tries after the first, `quarantine` stops requests
     that crash backend servers, `announcements` records the limits that the
-    servers name, `clock` is the source of time.
+    servers name, `end_detector` checks servers that fall silent, `clock` is
+    the source of time.
     """
 
     retries: RetryBudgets
     quarantine: Quarantine
     announcements: Announcements
+    end_detector: EndDetector
     clock: Clock
 
     def check(self, state: RequestState) -> Answer | None:
@@ -75,6 +78,7 @@
         An error of the server does not count: the server may have failed the
         request before the part that crashes it.
         """
+        self.end_detector.observe_answer(state.sent_try.server)
         if status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self.quarantine.evidence.observe_answer(state.sent_try)
 
@@ -96,6 +100,10 @@
         evidence = self.quarantine.evidence
         if error.outcome in _GIVEN_UP:
             evidence.observe_give_up(state.sent_try)
+            if error.outcome is Outcome.TIMED_OUT:
+                self.end_detector.observe_timeout(
+                    state.sent_try.server, state.sent_try.sent_at
+                )
         elif error.has_server_ended and error.outcome is Outcome.LOST:
             evidence.observe_loss(state.sent_try)
         elif error.has_server_ended:
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -15,6 +15,7 @@
 from sesameroute.platform import PlatformHeaderCodec
 from sesameroute.ports import SystemClock, TcpWire
 from sesameroute.quarantine import Quarantine, TrialPolicy
+from sesameroute.reachability import EndDetector
 from sesameroute.registry import Backend, BackendState, Registry
 from sesameroute.routes import (
     ActiveConfiguration,
@@ -100,6 +101,9 @@
             )
         self.allocator = OrderedAllocator(names)
         connections = ConnectionPool(TcpWire(), '127.0.0.1', self.clock)
+        quarantine = Quarantine(
+            'n', self.clock, NoPeers(), 3, TrialPolicy(1, True)
+        )
         self.forwarder = Forwarder(
             self.active_configuration,
             self.registry,
@@ -107,8 +111,13 @@
             Sender(connections, PlatformHeaderCodec(), self.clock),
             Guards(
                 RetryBudgets(FleetRetryBudget(0.2, 8), lambda: 1),
-                Quarantine('n', self.clock, NoPeers(), 3, TrialPolicy(1, True)),
+                quarantine,
                 self.registry.announcements,
+                EndDetector(
+                    connections,
+                    self.registry.find,
+                    quarantine.evidence.observe_end,
+                ),
                 self.clock,
             ),
             self.clock,
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -129,7 +129,7 @@
         self._store.start()
         for server in self._servers:
             server.start()
-        self._node_servers.prober.start()
+        self._node_servers.start_checks()
         for name, loop in (
             ('tick', self._run_pool_loop),
             ('beat', self._run_heartbeat_loop),
@@ -169,7 +169,7 @@
 
     def _stop_components(self) -> None:
         self._is_stopped.set()
-        self._node_servers.prober.stop()
+        self._node_servers.stop_checks()
         self._store.stop()
         self.peers.stop()
         for server in self._servers:
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -26,7 +26,7 @@
 from sesameroute.platform import PlatformHeaderCodec
 from sesameroute.ports import SystemClock, TcpWire, Wire
 from sesameroute.quarantine import LossExchange, Quarantine, TrialPolicy
-from sesameroute.reachability import ObservedWire, Prober
+from sesameroute.reachability import EndDetector, ObservedWire, Prober
 
 __all__ = ['NodeServers']
 
@@ -98,6 +98,9 @@
         self.prober = Prober(
             allocator.reachability, connections, allocator.pools.list_backends
         )
+        self.end_detector = EndDetector(
+            connections, registry.find, self.quarantine.evidence.observe_end
+        )
         self.forwarder = Forwarder(
             active_configuration,
             registry,
@@ -107,6 +110,7 @@
                 self._retries,
                 self.quarantine,
                 registry.announcements,
+                self.end_detector,
                 self.clock,
             ),
             self.clock,
@@ -133,6 +137,16 @@
         if settings.relay_address:
             self._add_relay(settings, allocator, is_leaving)
 
+    def start_checks(self) -> None:
+        """Start the checks of backend servers and of the links to them."""
+        self.prober.start()
+        self.end_detector.start()
+
+    def stop_checks(self) -> None:
+        """Stop all checks."""
+        self.prober.stop()
+        self.end_detector.stop()
+
     def apply_settings(self, settings: NodeSettings) -> None:
         """Apply changed retry and TTL bounds."""
         self._retries.fleet_budget = _read_retry_budget(settings)
