Keep a quarantine while crashes are laid to other requests for a moment

What callers saw: of several harmful requests side by side one that was quarantined was sent on for a moment, up to seven copies at once.

Cause: a crash is laid to the most suspect request in it. A loss of another harmful request raises that one's score; the crashes that both were in are then laid to it alone, and the score of the first falls below the limit by a few tenths, on some nodes and not on others.

Change: hysteresis. A quarantine ends early only below 0.8 of the score that began it.

--- a/sesameroute/quarantine/_suspect.py
+++ b/sesameroute/quarantine/_suspect.py
@@ -83,6 +83,8 @@
         in `losses`, without those lost again meanwhile.
     trial_until : float
         Monotonic time in seconds until which a trial is running.
+    is_quarantined : bool
+        Whether it was in quarantine when that was last asked.
     groups_ : tuple of tuple of Loss
         The losses, those together that may have one cause.
     evidence_ : float
@@ -96,6 +98,7 @@
     credit: float = 0
     answered_by: set[str] = field(default_factory=set)
     trial_until: float = 0
+    is_quarantined: bool = False
     groups_: tuple[tuple[Loss, ...], ...] = ()
     evidence_: float = 0
 
--- a/sesameroute/quarantine/_suspects.py
+++ b/sesameroute/quarantine/_suspects.py
@@ -21,6 +21,9 @@
 _MAX_DOUBLINGS: Final = 4
 # Part of the score for quarantine from which a request runs as a trial.
 _TRIAL_SCORE_FRACTION: Final = 0.5
+# Part of it below which a quarantine ends early. Hysteresis keeps it from
+# ending when a crash is laid to another request for a moment.
+_RELEASE_SCORE_FRACTION: Final = 0.8
 # Results of a loss that was added to its suspect.
 _ADDED: Final = ('counted', 'side-by-side')
 # Capacity of the table; a full table takes a few MB. The request with the
@@ -92,9 +95,13 @@
         lowest = self.max_losses - EPSILON
         if suspect is None or suspect.score < lowest:
             return 0
-        excess = self.compute_score(fingerprint) - lowest
-        if excess < 0:
+        score = self.compute_score(fingerprint)
+        if suspect.is_quarantined:
+            lowest *= _RELEASE_SCORE_FRACTION
+        suspect.is_quarantined = score >= lowest
+        if not suspect.is_quarantined:
             return 0
+        excess = max(score - self.max_losses + EPSILON, 0)
         age = self.clock.read_monotonic() - suspect.last_loss
         seconds = _SUSPICION_SECONDS * 2 ** min(int(excess), _MAX_DOUBLINGS)
         return max(min(seconds, _MEMORY_SECONDS) - age, 0)
