--- a/sesameroute/quarantine/tests/test_suspects.py
+++ b/sesameroute/quarantine/tests/test_suspects.py
@@ -107,3 +107,43 @@
             quarantine.evidence.begin_try('f', 's', ('good', 1))
         )
     assert quarantine.evidence.suspects_.compute_score('f') < 1
+
+
+@pytest.mark.parametrize('incarnation', [0, 7])
+def test_try_sent_after_the_end_of_its_server_is_no_loss(incarnation):
+    """On the own path it counted against its request for three seconds."""
+    clock = ManualClock()
+    quarantine = Quarantine('vm', clock, NoPeers(), max_losses=3)
+    server = ('a', incarnation)
+    quarantine.evidence.observe_end(server)
+    clock.now += 0.5
+    sent = quarantine.evidence.begin_try('f', 's', server)
+    clock.now += 0.5
+    quarantine.evidence.observe_give_up(sent)
+    assert not quarantine.evidence.suspects_.compute_score('f')
+
+
+@pytest.mark.parametrize(
+    ('ends', 'losses'),
+    [
+        ((0.1, 0.1, 0.1), 1),
+        ((0.1, 0.15, 0.2), 1),
+        ((0.1, 0.3, 0.5), 1),
+        ((0.1, 0.7, 1.3), 3),
+    ],
+)
+def test_silent_ends_at_different_moments_are_separate_losses(ends, losses):
+    """Losses found after time-outs counted as copies of one another."""
+    clock = ManualClock()
+    evidence = Quarantine('vm', clock, NoPeers(), max_losses=3).evidence
+    tries = []
+    for number, end in enumerate(ends):
+        clock.now = 100 + max(end - 0.4, 0)
+        server = (f'server-{number}', 7)
+        tries.append(evidence.begin_try('f', 's', server))
+        clock.now = 100 + end
+        evidence.observe_end(server)
+    clock.now = 102
+    for sent in tries:
+        evidence.observe_give_up(sent)
+    assert evidence.suspects_.compute_score('f') == losses
