--- a/sesameroute/quarantine/_messages.py
+++ b/sesameroute/quarantine/_messages.py
@@ -1,6 +1,7 @@
 """Peer messages about requests that may crash backend servers."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from sesameroute.ports import register_message
 
@@ -14,6 +15,9 @@
     'TrialRequest',
 ]
 
+# A default of type int would be encoded differently once it is decoded.
+_ZERO: Final = float(0)
+
 
 @register_message('loss-report')
 @dataclass(frozen=True, slots=True)
@@ -49,11 +53,11 @@
     fingerprint: str
     upstream: str
     incarnation: int = 0
-    seconds_ago: float = 0
-    uncertainty: float = 0
+    seconds_ago: float = _ZERO
+    uncertainty: float = _ZERO
     known_losses: int = -1
     weight: float = 1.0
-    credit: float = 0
+    credit: float = _ZERO
     service: str = ''
     answered: int = 0
 
@@ -106,10 +110,10 @@
     upstream: str
     reporter: str
     seconds_ago: float
-    uncertainty: float = 0
+    uncertainty: float = _ZERO
     known_losses: int = -1
     weight: float = 1.0
-    credit: float = 0
+    credit: float = _ZERO
 
 
 @register_message('past-losses')
