--- a/sesameroute/quarantine/_crash_index.py
+++ b/sesameroute/quarantine/_crash_index.py
@@ -4,11 +4,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Final
 
-from sesameroute.quarantine._suspect import (
-    TOGETHER_SECONDS,
-    Loss,
-    Suspect,
-)
+from sesameroute.quarantine._suspect import TOGETHER_SECONDS, Loss, Suspect
 
 __all__ = ['EPSILON', 'CrashIndex']
 
--- a/sesameroute/quarantine/_suspect.py
+++ b/sesameroute/quarantine/_suspect.py
@@ -48,10 +48,10 @@
     incarnation: int = 0
 
     def follows(self, earlier: 'Loss') -> bool:
-        """Whether this loss has not the cause of an earlier one.
+        """Whether this loss is evidence besides an earlier one.
 
-        Either the request was sent after the earlier loss, or the servers
-        ended at different moments.
+        It is if the request was sent with that one known, or if the servers
+        ended at different moments: then they have not one cause.
         """
         return (
             self.known_losses > earlier.known_losses
