Let two runs of the adapters' tests use different addresses

The tests of the front server and of the fuzz take their addresses from the process now, as those of peers and nodes do. Nothing that they check has changed.

--- a/sesameroute/adapters/tests/test_front_server.py
+++ b/sesameroute/adapters/tests/test_front_server.py
@@ -9,10 +9,11 @@
 import pytest
 
 from sesameroute.adapters import FrontServer
+from sesameroute.adapters.tests.network import NETWORK
 from sesameroute.exceptions import SesameError
 from sesameroute.ports import Answer
 
-ADDRESS = ('127.0.0.1', 18_499)
+ADDRESS = (f'{NETWORK}.6', 18_499)
 CHUNK = b'part'
 TIMEOUT_SECONDS = 5
 
--- a/sesameroute/adapters/tests/test_fuzz.py
+++ b/sesameroute/adapters/tests/test_fuzz.py
@@ -14,6 +14,7 @@
     HttpVmList,
     ServerLimits,
 )
+from sesameroute.adapters.tests.network import NETWORK
 from sesameroute.adapters.tests.scripted import (
     ScriptedServer,
     build_http_answer,
@@ -22,8 +23,8 @@
 from sesameroute.ports import Answer, SystemClock, TcpWire
 from sesameroute.statement import Kind, Places, Policy, Statement
 
-_ADDRESS = ('127.31.0.4', 18_400)
-_CLIENT = '127.31.0.5'
+_ADDRESS = (f'{NETWORK}.4', 18_400)
+_CLIENT = f'{NETWORK}.5'
 _REQUEST = (
     b'POST /desk/order/1 HTTP/1.1\r\nHost: x\r\nSesame-Key: a.b.1.-.-.c\r\n'
     b'Content-Length: 4\r\nConnection: close\r\n\r\nbody'
