--- a/sesameroute/reachability/_end_detector.py
+++ b/sesameroute/reachability/_end_detector.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 import queue
 import threading
 from collections.abc import Callable, Iterator
@@ -59,7 +60,7 @@
         self.observe_end = observe_end
         self._silent: queue.Queue[Server | None] = queue.Queue(_MAX_QUEUED)
         self._is_stopped = False
-        self._answered_at: dict[str, tuple[int, float]] = {}
+        self._answered_at: dict[Server, float] = {}
         self._checked_at: dict[Server, float] = {}
 
     def start(self) -> None:
@@ -74,19 +75,16 @@
 
     def observe_answer(self, server: Server) -> None:
         """Note that a server has answered."""
-        name, incarnation = server
-        now = self.connections.clock.read_monotonic()
         if len(self._answered_at) >= _MAX_SERVERS:
             self._answered_at.clear()
-        self._answered_at[name] = incarnation, now
+        self._answered_at[server] = self.connections.clock.read_monotonic()
 
     def observe_timeout(self, server: Server, sent_at: float) -> None:
         """Check a server soon if it has answered nothing since a time.
 
         It is left out if too many servers wait for their check.
         """
-        incarnation, answered_at = self._answered_at.get(server[0], (0, 0))
-        if incarnation == server[1] and answered_at >= sent_at:
+        if self._answered_at.get(server, -math.inf) >= sent_at:
             return
         try:
             self._silent.put_nowait(server)
@@ -101,7 +99,7 @@
         name, incarnation = server
         entry = self.find_entry(name)
         if entry is None or entry.backend.incarnation != incarnation:
-            self._answered_at.pop(name, None)
+            self._answered_at.pop(server, None)
             self.observe_end(server)
             return
         target = entry.backend.target
