Take an answer only after the empty line that ends its head

What callers saw: a backend server that stopped in the middle of its answer's head and closed the connection gave them a 200 with an empty body, framed as whole; safe, unsafe and download requests alike.

Cause: the library's header parser takes the end of the connection for the end of the head. Cut within or right after a header that follows the seal, the length was missing, so the body counted as empty or as ended by the close.

Change: the connection's response class reads the head through a reader that raises an error if the connection ends after the status line and before the empty line. A complete head without a length is still ended by the close, as the users' pages allow.

--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -1,7 +1,9 @@
 """urllib3 connections whose TCP connections are opened by `ports.Wire`."""
 
+import contextlib
 import socket
-from http.client import HTTPResponse
+from collections.abc import Iterator
+from http.client import HTTPResponse, RemoteDisconnected
 from io import BufferedReader
 
 from urllib3.connection import HTTPConnection
@@ -16,8 +18,47 @@
 _POOL_SIZE = 8
 
 
+class _HeadReader:
+    """Reads the lines of a head; raises an error if they end too early.
+
+    `http.client` takes the end of a connection for the end of the head, so
+    a head that lacks its last headers would look complete.
+
+    Parameters
+    ----------
+    reader : BufferedReader
+        Reads the response.
+
+    """
+
+    def __init__(self, reader: BufferedReader) -> None:
+        """Store the reader; no line has been read yet."""
+        self.reader = reader
+        self._has_status = False
+
+    def readline(self, limit: int) -> bytes:
+        """Return the next line.
+
+        Raises
+        ------
+        RemoteDisconnected
+            The connection ended after the status line and before the head
+            was complete.
+
+        """
+        line = self.reader.readline(limit)
+        if self._has_status and not line:
+            raise RemoteDisconnected('connection closed within the head')
+        self._has_status = True
+        return line
+
+    def close(self) -> None:
+        """Close the reader."""
+        self.reader.close()
+
+
 class CheckedResponse(HTTPResponse):
-    """A response that detects bytes received after its end.
+    """A response that detects incomplete heads and bytes after its end.
 
     Attributes
     ----------
@@ -33,9 +74,31 @@
         self.has_trailing_bytes = False
         self._socket = sock
 
+    def begin(self) -> None:
+        """Read the head.
+
+        Raises
+        ------
+        RemoteDisconnected
+            The connection ended before the head was complete.
+
+        """
+        with self._checked_head():
+            super().begin()
+
+    @contextlib.contextmanager
+    def _checked_head(self) -> Iterator[None]:
+        reader = self.fp
+        self.fp = _HeadReader(reader)
+        try:
+            yield
+        finally:
+            if self.fp is not None:  # it is closed otherwise
+                self.fp = reader
+
     def _close_conn(self) -> None:
         """Check for further bytes before the read buffer is discarded."""
-        if self.fp is not None and not self.fp.closed:
+        if isinstance(self.fp, BufferedReader) and not self.fp.closed:
             self.has_trailing_bytes = _has_unread_bytes(self.fp, self._socket)
         super()._close_conn()
 
--- a/sesameroute/adapters/tests/test_upstreams.py
+++ b/sesameroute/adapters/tests/test_upstreams.py
@@ -105,6 +105,30 @@
     assert caught.value.code == 'cut-answer'
 
 
+def answer_in_part(listener, sizes):
+    """Send the first bytes of an answer on each connection and close it."""
+    for size in sizes:
+        connection = listener.accept()[0]
+        with connection:
+            connection.recv(65_536)
+            connection.sendall(build_http_answer(b'whole')[:size])
+
+
+def test_answer_cut_in_its_head_is_lost(adapter):
+    """A head cut within a header passed for an answer with no body."""
+    sizes = range(build_http_answer(b'whole').index(b'whole'))
+    with socket.create_server((_ADDRESS, 0)) as listener:
+        upstream = build_upstream(listener.getsockname()[1])
+        threading.Thread(
+            target=answer_in_part, args=(listener, sizes), daemon=True
+        ).start()
+        for size in sizes:
+            with pytest.raises(RequestError) as caught:
+                adapter.send(upstream, build_request(), new_connection=True)
+            assert caught.value.code == 'lost', f'{size} bytes'
+            assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+
 @pytest.mark.parametrize('failure', [b'', None])
 def test_failed_idle_connection_is_replaced(adapter, failure):
     """An idle connection that is silent or closed is replaced once."""
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -142,6 +142,28 @@
         return head
 
 
+class TruncatingServer(ScriptedServer):
+    """Sends the first bytes of a whole answer and closes the connection.
+
+    The last part of a request's path gives the number of bytes.
+    """
+
+    def __init__(self, answer=COMPLETE_ANSWER):
+        """Listen on a free port."""
+        self.answer = answer
+        super().__init__()
+
+    def _answer(self, connection):
+        head = self._read_head(connection)
+        if head is None:
+            return False
+        size = int(head.split(' ', 2)[1].rpartition('/')[2])
+        identifier = find_header(head, 'sesameroute-attempt-id')
+        answer = self.answer.replace('{0}', identifier).encode('latin-1')
+        connection.sendall(answer[:size])
+        return False
+
+
 def read_request(connection):
     """Return head and body of a request, None and b'' at the end."""
     received = b''
