Never reuse a connection on which a backend server has refused

What callers saw, on the own path: a faulty backend server wrote an earlier refusal once more on a kept connection when the next request had come, and that request was told "not run" although the server had it.

Cause: the connection went back to the pool after the refusal, and a refusal without the header that names its try was taken for one of the next request.

It is no longer put back.

Evidence: test_repeated_refusal_refuses_no_other_request in adapters/tests/test_upstreams.py fails on ("answered 503 with Sesame-Shed" to the second request) and passes now.

--- a/sesameroute/adapters/_upstreams.py
+++ b/sesameroute/adapters/_upstreams.py
@@ -1,7 +1,5 @@
 """Sends requests to backend servers over urllib3 connections."""
 
-from collections import deque
-
 from urllib3.exceptions import HTTPError
 
 from sesameroute.adapters._connection_pool import (
@@ -171,15 +169,12 @@
     names = {name.lower() for name, _ in answer.headers}
     for header, code in _SHED_HEADERS:
         if header.lower() in names:
-            _discard_body(answer)
+            # The connection is not reused: a faulty server may write the
+            # refusal once more, where the next answer is expected.
+            answer.chunks.close()
             raise RequestError(
                 f'backend server answered {_UNAVAILABLE} with {header}',
                 Verdict.NOT_RUN,
                 code,
             )
     return answer
-
-
-def _discard_body(answer: Answer) -> None:
-    """Read a short body to its end so that the connection can be reused."""
-    deque(answer.chunks, maxlen=0)
--- a/sesameroute/adapters/tests/test_upstreams.py
+++ b/sesameroute/adapters/tests/test_upstreams.py
@@ -226,6 +226,35 @@
     assert caught.value.verdict is Verdict.MAY_HAVE_RUN
 
 
+def refuse_twice(listener):
+    """Refuse a request, then again when the next one has come."""
+    refusal = b'HTTP/1.1 503 x\r\nSesame-Shed: 1\r\nContent-Length: 0\r\n\r\n'
+    connection = listener.accept()[0]
+    with connection:
+        connection.recv(65_536)
+        connection.sendall(refusal)
+        if connection.recv(65_536):
+            connection.sendall(refusal)
+    connection = listener.accept()[0]
+    with connection:
+        connection.recv(65_536)
+        connection.sendall(build_http_answer())
+
+
+def test_repeated_refusal_refuses_no_other_request(adapter):
+    """A second copy of a refusal said that the next request had not run."""
+    with socket.create_server((_ADDRESS, 0)) as listener:
+        upstream = build_upstream(listener.getsockname()[1])
+        threading.Thread(
+            target=refuse_twice, args=(listener,), daemon=True
+        ).start()
+        with pytest.raises(RequestError) as caught:
+            adapter.send(upstream, build_request(), new_connection=False)
+        assert caught.value.code == 'shed'
+        answer = adapter.send(upstream, build_request(), new_connection=False)
+        assert b''.join(answer.chunks) == b'ok'
+
+
 def test_unread_body_closes_connection(adapter):
     """A connection whose answer was not read to its end is not reused."""
     with serve(
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -220,11 +220,9 @@
         is_own = answer_metadata.is_sealed or answer_metadata.is_not_run
         if is_own and not answer_metadata.is_misdirected:
             outgoing.observe_metadata(answer_metadata)
-        body = AnswerBody(
-            response, pooled_connection, self.connections, outgoing.deadline
-        )
         if answer_metadata.is_misdirected or answer_metadata.is_not_run:
-            body.drain()
+            # The connection is not reused: a faulty server may write the
+            # refusal once more, where the next answer is expected.
             outcome = Outcome.SHED
             if answer_metadata.is_misdirected:
                 outcome = Outcome.MISDIRECTED
@@ -236,6 +234,9 @@
             )
         if not answer_metadata.is_sealed:
             raise _build_error('answer lacks the seal header', Outcome.LOST)
+        body = AnswerBody(
+            response, pooled_connection, self.connections, outgoing.deadline
+        )
         return ReceivedAnswer(answer, answer_metadata, body)
 
     def _send_request(
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -143,7 +143,7 @@
             options.get('host', 'h'),
             (
                 ('Host', 'h'),
-                ('Sesameroute-Attempt-Id', 'mine'),
+                ('Sesameroute-Attempt-Id', options.get('identifier', 'mine')),
                 ('Sesameroute-Affinity-Key', options.get('key', 'k')),
                 ('Sesameroute-Deadline-Ms', '5000'),
                 ('Connection', 'keep-alive'),
