Start no request that a planned stop would cut, and answer all before its end

What callers saw: in a planned stop of one node, requests that came late in the grace period were taken and passed on, and at its end they were cut with no answer, among them requests that may not be repeated. A node with a request that ran on did not end within the grace period and had to be killed.

Cause: a stopping node went on taking every request on kept connections (and new ones for up to half of the grace), whatever its time limit; at the end the HTTP server closed the callers' connections under the workers and then waited for them without a bound. The servers were also stopped one after the other, about 0.4 s each.

Change: limits.Shutdown decides which requests a stopping node starts: those whose time limit ends before the stop does, and in the first seconds those that likely end in time. Others get a 503 at once ("stopping", Retry-After 0, connection closed), also after they have waited for a slot; what a peer passes on is declined, so that it goes to another node. Deadlines are cut to the end of the stop. What still runs then gets its 504, since the exchanges with the backend servers are broken off, which counts as no evidence against a server.

--- a/sesameroute/adapters/_connection_pool.py
+++ b/sesameroute/adapters/_connection_pool.py
@@ -3,6 +3,7 @@
 import select
 import socket
 import threading
+import weakref
 from collections import defaultdict
 from dataclasses import dataclass
 
@@ -59,6 +60,11 @@
     max_idle_connections : int
         Largest number of idle connections per target.
 
+    Attributes
+    ----------
+    is_aborted : bool
+        Whether all exchanges have been broken off.
+
     """
 
     def __init__(
@@ -77,6 +83,8 @@
         self.max_age_seconds = max_age_seconds
         self.idle_seconds = idle_seconds
         self.max_idle_connections = max_idle_connections
+        self.is_aborted = False
+        self._opened: weakref.WeakSet[WireConnection] = weakref.WeakSet()
         self._lock = threading.Lock()
         self._idle: dict[tuple[str, int], list[PooledConnection]] = defaultdict(
             list,
@@ -101,6 +109,8 @@
         ------
         urllib3.exceptions.HTTPError
             The connection could not be opened; nothing was sent.
+        ConnectionAbortedError
+            All exchanges have been broken off; nothing was sent.
 
         """
         host, port = target
@@ -112,6 +122,11 @@
             source=self.source,
         )
         http_connection.connect()
+        with self._lock:
+            self._opened.add(http_connection)
+        if self.is_aborted:
+            http_connection.close()
+            raise ConnectionAbortedError('exchanges were broken off')
         now = self.clock.read_monotonic()
         return PooledConnection(
             target, http_connection, opened_at=now, last_used=now
@@ -144,6 +159,14 @@
         for target in tuple(self._idle):
             self.close_idle(target)
 
+    def abort(self) -> None:
+        """Break off all exchanges, and open no connection any more."""
+        self.is_aborted = True
+        with self._lock:
+            opened = tuple(self._opened)
+        for connection in opened:
+            connection.abort()
+
     def close(self) -> None:
         """Close all idle connections."""
         self.close_all_idle()
--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -151,6 +151,13 @@
         self.source = source
         self.response_class = self._build_response
         self._last_response: CheckedResponse | None = None
+        self._opened_socket: socket.socket | None = None
+
+    def abort(self) -> None:
+        """Break off the exchange: waits for the server end at once."""
+        if self._opened_socket is not None:
+            with contextlib.suppress(OSError):  # it may be closed already
+                self._opened_socket.shutdown(socket.SHUT_RDWR)
 
     @property
     def has_trailing_bytes(self) -> bool:
@@ -180,7 +187,7 @@
         if not isinstance(seconds, (int, float)):
             seconds = _CONNECT_SECONDS
         try:
-            return self.wire.connect(
+            self._opened_socket = self.wire.connect(
                 self.source,
                 (self.host, self.port),
                 seconds,
@@ -189,6 +196,7 @@
             raise ConnectTimeoutError(self, str(error)) from error
         except OSError as error:
             raise NewConnectionError(self, str(error)) from error
+        return self._opened_socket
 
 
 def build_pool(
--- a/sesameroute/forward/__init__.py
+++ b/sesameroute/forward/__init__.py
@@ -15,6 +15,7 @@
 from sesameroute.forward._relay_codec import (
     RelayCodec,
     decode_context,
+    is_refusal,
     mark_answer,
     strip_relay_header,
 )
@@ -29,6 +30,7 @@
     'RelayPeer',
     'RelayedRequest',
     'decode_context',
+    'is_refusal',
     'mark_answer',
     'strip_relay_header',
     'RequestMetadata',
--- a/sesameroute/forward/_body.py
+++ b/sesameroute/forward/_body.py
@@ -98,17 +98,22 @@
                 chunk = self._read()
             except _CONNECTION_ERRORS as error:
                 self.close()
-                raise TryError(
-                    f'answer body truncated: {error}',
-                    Outcome.LOST,
-                    may_have_run=True,
-                    has_server_ended=has_broken_off(error),
-                ) from error
+                raise self._classify_error(error) from error
             if not chunk:
                 self._release_connection()
                 return
             yield chunk
 
+    def _classify_error(self, error: Exception) -> TryError:
+        # This node, not the server, has broken off an aborted exchange.
+        is_aborted = self.connections.is_aborted
+        return TryError(
+            f'answer body truncated: {error}',
+            Outcome.TIMED_OUT if is_aborted else Outcome.LOST,
+            may_have_run=True,
+            has_server_ended=not is_aborted and has_broken_off(error),
+        )
+
     def _read(self) -> bytes:
         line = self.pooled_connection.http_connection
         if line.sock is not None:
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -164,8 +164,8 @@
         ):
             state.excluded = (*state.excluded, grant.backend)
             return False
-        # Servers, or all links, may have been lost.
-        return not (
+        # Servers, or all links, may have been lost, or a stop have begun.
+        return self.guards.may_start(state) and not (
             self.guards.quarantine.is_quarantined(state.fingerprint)
             or self.relay_.is_needed(state)
         )
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -1,14 +1,18 @@
 """Checks that limit or stop the sending of a request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from sesameroute.exceptions import RequestError
-from sesameroute.forward._local_answers import build_answer
+from sesameroute.forward._local_answers import (
+    build_answer,
+    build_failure_answer,
+)
 from sesameroute.forward._message import AnswerMetadata, TryError
 from sesameroute.forward._request_log import log_event
 from sesameroute.forward._request_state import RequestState, is_consumed
 from sesameroute.forward._retries import RetryBudgets
+from sesameroute.limits import Shutdown
 from sesameroute.placement import Outcome
 from sesameroute.ports import Answer, Clock
 from sesameroute.quarantine import Quarantine
@@ -18,6 +22,7 @@
 __all__ = ['Guards']
 
 _SUSPECTED = 'suspected'
+_STOPPING = 'stopping'
 # Interval at which a request asks again for a trial.
 _TRIAL_POLL_SECONDS = 0.05
 _MAX_TRIAL_WAIT_SECONDS = 0.5
@@ -32,7 +37,7 @@
     `retries` limits the tries after the first, `quarantine` stops requests
     that crash backend servers, `announcements` records the limits that the
     servers name, `end_detector` checks servers that fall silent, `clock` is
-    the source of time.
+    the source of time. `shutdown` decides what a stopping node still starts.
     """
 
     retries: RetryBudgets
@@ -40,13 +45,28 @@
     announcements: Announcements
     end_detector: EndDetector
     clock: Clock
+    shutdown: Shutdown = field(default_factory=Shutdown)
+
+    def may_start(self, state: RequestState) -> bool:
+        """Whether a try of a request may start, unless the node stops soon."""
+        return self.shutdown.may_start(
+            self.clock.read_monotonic(),
+            state.deadline,
+            state.route.latency_target,
+        )
 
     def check(self, state: RequestState) -> Answer | None:
-        """Return an error answer if the request is quarantined, else None.
+        """Return an error answer if no try may start, else None.
+
+        The node may stop too soon, or the request may be quarantined. From
+        now on, the deadline of the request is not after the end of a stop.
 
         A suspected request waits for the result of a trial, but not for long:
         suspicion delays a request, and only quarantine refuses it.
         """
+        if not self.may_start(state):
+            return _build_stop_answer(state)
+        state.deadline = self.shutdown.limit_deadline(state.deadline)
         ends = self.clock.read_monotonic() + _MAX_TRIAL_WAIT_SECONDS
         refusal = self._find_refusal(state)
         while refusal is not None:
@@ -117,6 +137,15 @@
         return None
 
 
+def _build_stop_answer(state: RequestState) -> Answer:
+    log_event(state, 'request turned away', _STOPPING, '')
+    if state.last_error is not None:
+        return build_failure_answer(
+            state.last_error, 0, may_have_run=state.may_have_run
+        )
+    return build_answer(HTTPStatus.SERVICE_UNAVAILABLE, _STOPPING, 0)
+
+
 def _build_quarantine_answer(
     state: RequestState, refusal: RequestError
 ) -> Answer:
--- a/sesameroute/forward/_relay.py
+++ b/sesameroute/forward/_relay.py
@@ -9,7 +9,11 @@
     build_failure_answer,
 )
 from sesameroute.forward._message import TryError
-from sesameroute.forward._relay_codec import RelayCodec, strip_relay_header
+from sesameroute.forward._relay_codec import (
+    RelayCodec,
+    is_refusal,
+    strip_relay_header,
+)
 from sesameroute.forward._request_log import log_event
 from sesameroute.forward._request_state import (
     RequestState,
@@ -159,7 +163,9 @@
             if error is not None:
                 log_event(state, 'answer cut midway', outcome.value, peer.name)
 
-        if state.may_have_run and codec.is_refusal(received.answer):
+        if state.may_have_run and is_refusal(
+            received.answer, codec.platform_codec
+        ):
             # The other node knows nothing of the earlier try.
             received.body.drain()
             return build_failure_answer(state.last_error, 0, may_have_run=True)
--- a/sesameroute/forward/_relay_codec.py
+++ b/sesameroute/forward/_relay_codec.py
@@ -12,6 +12,7 @@
 __all__ = [
     'RelayCodec',
     'decode_context',
+    'is_refusal',
     'mark_answer',
     'strip_relay_header',
 ]
@@ -63,14 +64,6 @@
             is_sealed=bool(texts),
         )
 
-    def is_refusal(self, answer: Answer) -> bool:
-        """Whether the other node itself says that a request has not run."""
-        metadata = self.platform_codec.read_answer_metadata(answer)
-        return (
-            answer.status == HTTPStatus.SERVICE_UNAVAILABLE
-            and not metadata.is_sealed
-        )
-
     def encode_context(self, version: int, elapsed: float) -> Headers:
         """Return the header that tells the other node about the request.
 
@@ -86,6 +79,15 @@
         return ((_RELAY_HEADER, f'{version};{milliseconds}'),)
 
 
+def is_refusal(answer: Answer, platform_codec: HeaderCodec) -> bool:
+    """Return whether a node, not a backend server, refuses a request."""
+    metadata = platform_codec.read_answer_metadata(answer)
+    return (
+        answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+        and not metadata.is_sealed
+    )
+
+
 def decode_context(headers: Headers) -> RelayedRequest | None:
     """Return what another node tells of a request; None if it is malformed.
 
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -207,7 +207,10 @@
             return self._read_matching_answer(pooled_connection, outgoing)
         except _TRY_ERRORS as error:
             pooled_connection.http_connection.close()
-            raise _classify_error(error) from error
+            failure = _classify_error(error)
+            if self.connections.is_aborted and failure.outcome is Outcome.LOST:
+                failure = _build_error('node stopped', Outcome.TIMED_OUT)
+            raise failure from error
 
     def _read_matching_answer(
         self, pooled_connection: PooledConnection, outgoing: OutgoingRequest
--- a/sesameroute/limits/__init__.py
+++ b/sesameroute/limits/__init__.py
@@ -20,6 +20,7 @@
         ],
         '_link': ['LinkBudgets', 'TokenBucket'],
         '_queue': ['WaitingRequest', 'WaitQueue', 'compute_max_wait'],
+        '_shutdown': ['Shutdown'],
         '_window': ['SlidingWindow'],
     },
 )
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -4,7 +4,7 @@
 import threading
 import uuid
 
-from sesameroute.adapters import MIN_KEY_BYTES, PeerNetwork
+from sesameroute.adapters import MIN_KEY_BYTES, FrontServer, PeerNetwork
 from sesameroute.node._dispatch import MessageDispatch
 from sesameroute.node._fleet import Fleet, NodeState
 from sesameroute.node._limit_exchange import LimitExchange
@@ -81,7 +81,6 @@
             self.peers,
             self.clock,
         )
-        self._is_leaving = threading.Event()
         self.allocator = FleetSlotAllocator(
             self.fleet,
             self.peers,
@@ -97,7 +96,6 @@
         self._node_servers = NodeServers(
             settings,
             self.allocator,
-            self._is_leaving,
             server_wire or TcpWire(),
         )
         self._servers = list(self._node_servers.servers)
@@ -140,9 +138,10 @@
     def stop(self) -> None:
         """Shut down gracefully: running requests finish first."""
         grace = self.settings.bounds.grace - _STOP_MARGIN_SECONDS
-        deadline = self.clock.read_monotonic() + grace
+        now = self.clock.read_monotonic()
+        deadline = now + grace
         _logger.info('node stopping')
-        self._is_leaving.set()
+        self._node_servers.shutdown.begin(now, deadline)
         self._broadcast_state()
         self._store.deregister()
         self._node_servers.shut_down(deadline)
@@ -172,8 +171,7 @@
         self._node_servers.stop_checks()
         self._store.stop()
         self.peers.stop()
-        for server in self._servers:
-            server.stop()
+        _stop_servers(self._servers)
 
     def _add_metrics_server(self, address: str) -> None:
         meter = NodeMeter(
@@ -221,9 +219,10 @@
         self.allocator.refresh()
         self._node_servers.apply_limits()
         is_ready = self.active_configuration.table_ is not None
+        is_leaving = self._node_servers.shutdown.has_begun()
         if self.fleet.update_own_state(
-            is_ready=is_ready and not self._is_leaving.is_set(),
-            is_leaving=self._is_leaving.is_set(),
+            is_ready=is_ready and not is_leaving,
+            is_leaving=is_leaving,
             reaches_servers=not self.allocator.reachability.is_cut_off_,
         ):
             self._broadcast_state()
@@ -243,13 +242,22 @@
     def _broadcast_state(self) -> None:
         """Send this node's state to its peers; later states are sent later."""
         with self._broadcast_lock:
-            if self._is_leaving.is_set():
+            if self._node_servers.shutdown.has_begun():
                 self.fleet.update_own_state(is_ready=False, is_leaving=True)
             state = self.fleet.build_state(self._store.mirror.revision_)
             for peer in self.peers.list_connected():
                 self.peers.send_one_way(peer, state)
 
 
+def _stop_servers(servers: list[FrontServer | MetricsServer]) -> None:
+    """Stop all servers at the same time, since each one takes a while."""
+    stopping = [threading.Thread(target=server.stop) for server in servers]
+    for thread in stopping:
+        thread.start()
+    for thread in stopping:
+        thread.join()
+
+
 def _add_seeds(fleet: Fleet, settings: NodeSettings) -> None:
     for seed in settings.peers.seeds:
         fleet.add_address(seed.rpartition(':')[0])
--- a/sesameroute/node/_relay_handler.py
+++ b/sesameroute/node/_relay_handler.py
@@ -8,6 +8,7 @@
     CallerRequest,
     Forwarder,
     decode_context,
+    is_refusal,
     mark_answer,
     strip_relay_header,
 )
@@ -53,7 +54,11 @@
             answer = Answer(HTTPStatus.SERVICE_UNAVAILABLE, (), iter(()), 0)
             return mark_answer(answer, identifier, declined=True)
         answer = self.forwarder.forward(request)
-        return mark_answer(answer, identifier, declined=False)
+        # What a stopping node refuses may run at another one.
+        declined = self.forwarder.guards.shutdown.has_begun() and (
+            is_refusal(answer, codec)
+        )
+        return mark_answer(answer, identifier, declined=declined)
 
     def _read(self, request: Any) -> CallerRequest:
         caller_request = super()._read(request)
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -1,6 +1,6 @@
 """The HTTP servers of a node and their graceful shutdown."""
 
-import threading
+import logging
 import time
 
 from sesameroute.adapters import ConnectionPool, FrontServer
@@ -13,6 +13,7 @@
     RetryBudgets,
     Sender,
 )
+from sesameroute.limits import Shutdown
 from sesameroute.node._address import parse_address
 from sesameroute.node._front import (
     DirectoryHandler,
@@ -30,6 +31,8 @@
 
 __all__ = ['NodeServers']
 
+_logger = logging.getLogger(__name__)
+
 # A request is quarantined after it has crashed this many backend servers.
 _MAX_BACKEND_LOSSES = 3
 # A node that is cut off from the others goes on serving what it can.
@@ -46,6 +49,8 @@
 # A node that is shutting down stops accepting after this time without a
 # request.
 _IDLE_SECONDS = 2.5
+# Time for the answers to the requests that run until the end of the stop.
+_LAST_ANSWERS_SECONDS = 0.3
 
 
 class NodeServers:
@@ -57,18 +62,20 @@
         Addresses and bounds.
     allocator : FleetSlotAllocator
         Grants slots on backend servers.
-    is_leaving : threading.Event
-        Set when the node begins to shut down.
     server_wire : Wire
         Opens the connections to backend servers.
 
+    Attributes
+    ----------
+    shutdown : Shutdown
+        The planned stop, once it has begun.
+
     """
 
     def __init__(
         self,
         settings: NodeSettings,
         allocator: FleetSlotAllocator,
-        is_leaving: threading.Event,
         server_wire: Wire,
     ) -> None:
         """Build the servers."""
@@ -77,10 +84,11 @@
         active_configuration = allocator.pools.active_configuration
         self.active_configuration = active_configuration
         self.clock = SystemClock()
+        self.shutdown = Shutdown()
         self._retries = RetryBudgets(
             _read_retry_budget(settings),
             fleet.count_known,
-            is_leaving.is_set,
+            self.shutdown.has_begun,
         )
         self.quarantine = Quarantine(
             fleet.own_state.address,
@@ -95,6 +103,10 @@
             settings.node.address,
             self.clock,
         )
+        relay_connections = ConnectionPool(
+            TcpWire(), settings.node.address, self.clock
+        )
+        self._connection_pools = (connections, relay_connections)
         self.prober = Prober(
             allocator.reachability, connections, allocator.pools.list_backends
         )
@@ -112,6 +124,7 @@
                 registry.announcements,
                 self.end_detector,
                 self.clock,
+                self.shutdown,
             ),
             self.clock,
         )
@@ -119,7 +132,7 @@
         self._front = FrontServer(
             parse_address(settings.listen.front),
             ForwardHandler(self.forwarder, self.clock),
-            is_leaving.is_set,
+            self.shutdown.has_begun,
         )
         ready = FrontServer(
             parse_address(settings.listen.ready),
@@ -135,7 +148,7 @@
         # Servers that take requests, and the header bytes that nodes add.
         self._taking = {self._front: 0}
         if settings.relay_address:
-            self._add_relay(settings, allocator, is_leaving)
+            self._add_relay(settings, allocator)
 
     def start_checks(self) -> None:
         """Start the checks of backend servers and of the links to them."""
@@ -174,12 +187,13 @@
 
         Callers with an old directory answer still connect, so the node
         accepts requests until it is idle, or until the longest route time-out
-        before the deadline: then the last requests can still finish.
+        before the deadline. What still runs at the deadline gets its final
+        answer then.
 
         Parameters
         ----------
         deadline : float
-            Monotonic time in seconds at which the process must end.
+            Monotonic time in seconds at which all requests end.
 
         """
         now = self.clock.read_monotonic()
@@ -188,14 +202,13 @@
         )
         for server in self._taking:
             server.stop_accepting()
-        while self.count_running() and self.clock.read_monotonic() < deadline:
-            time.sleep(_POLL_SECONDS)
+        self._wait_for_running(deadline)
+        self._end_running()
 
     def _add_relay(
         self,
         settings: NodeSettings,
         allocator: FleetSlotAllocator,
-        is_leaving: threading.Event,
     ) -> None:
         """Take requests from other nodes, and pass requests on to them."""
         reachability = allocator.reachability
@@ -206,14 +219,14 @@
                 self.clock,
                 lambda: reachability.is_cut_off_,
             ),
-            is_leaving.is_set,
+            self.shutdown.has_begun,
             threads=_AUXILIARY_THREADS,
         )
         self._taking[relay_server] = _RELAY_HEADER_BYTES
         self.servers = (*self.servers, relay_server)
         self.forwarder.relay_ = Relay(
             Sender(
-                ConnectionPool(TcpWire(), settings.node.address, self.clock),
+                self._connection_pools[-1],
                 RelayCodec(self.forwarder.sender.header_codec),
                 self.clock,
             ),
@@ -223,6 +236,24 @@
             lambda: self.active_configuration.version,
         )
 
+    def _wait_for_running(self, until: float) -> None:
+        while self.count_running() and self.clock.read_monotonic() < until:
+            time.sleep(_POLL_SECONDS)
+
+    def _end_running(self) -> None:
+        """Give the requests that still run their final answers."""
+        running = self.count_running()
+        if not running:
+            return
+        _logger.warning('requests ended by the stop', extra={'count': running})
+        # Breaking off an exchange says nothing about its backend server.
+        self.stop_checks()
+        for pool in self._connection_pools:
+            pool.abort()
+        self._wait_for_running(
+            self.clock.read_monotonic() + _LAST_ANSWERS_SECONDS
+        )
+
     def _wait_until_idle(self, accept_until: float) -> None:
         idle_since = self.clock.read_monotonic()
         while self.clock.read_monotonic() < accept_until:
