Let nodes that have just started take no leader's part of a cold server's rate

Cause: until it knows its peers, each node leads its region by its own view and uses the leader's part of the rate, and each new pool began with a burst of two requests for each cold server.

Change: for two seconds after its start a pool uses only the part of a node that can't reach its leader, and the budget of a cold server begins empty.

--- a/sesameroute/node/_pools.py
+++ b/sesameroute/node/_pools.py
@@ -22,6 +22,8 @@
 # and the part for each node that can't reach the leader.
 _LEADER_COLD_FRACTION = 0.8
 _FALLBACK_COLD_FRACTION = 0.05
+# Time after its start in which a node learns of the other nodes.
+_SETTLE_SECONDS = 2.0
 # Rate while no configuration is known, in requests per second.
 _DEFAULT_COLD_RATE_PER_SECOND = 5.0
 # Parts of the limit that a backend server names which the leader of its own
@@ -63,6 +65,7 @@
         self.active_configuration = active_configuration
         self.regions = dict(regions)
         self.clock = clock
+        self._started_at = clock.read_monotonic()
         self._lock = threading.Lock()
         self._pools: dict[str, Pool] = {}
         self._synced_changes: dict[str, int] = {}
@@ -93,7 +96,9 @@
         """Set the rates of requests to cold servers and to limited ones.
 
         The rate of a cold server is shared by the leader and the nodes that
-        can't reach it: together they must not exceed it.
+        can't reach it: together they must not exceed it. After a restart of
+        many nodes, each may lead by its own view, so none takes the leader's
+        part at first.
         """
         if self.registry.announcements.has_any:
             self.share_named_limits(pool)
@@ -106,7 +111,9 @@
         rate = terms.cold_rate if terms else _DEFAULT_COLD_RATE_PER_SECOND
         pool.limit_cold_starts(
             rate,
-            _LEADER_COLD_FRACTION if is_leader else _FALLBACK_COLD_FRACTION,
+            _LEADER_COLD_FRACTION
+            if is_leader and self._is_settled()
+            else _FALLBACK_COLD_FRACTION,
         )
 
     def share_named_limits(self, pool: Pool) -> None:
@@ -152,6 +159,10 @@
         """Iterate over a copy of the pools."""
         return iter(tuple(self._pools.values()))
 
+    def _is_settled(self) -> bool:
+        age = self.clock.read_monotonic() - self._started_at
+        return age >= _SETTLE_SECONDS
+
 
 class RunningGrants:
     """Counts this node's running requests by backend server and holder.
--- a/sesameroute/placement/_upstream.py
+++ b/sesameroute/placement/_upstream.py
@@ -38,6 +38,11 @@
 )
 
 
+def _build_empty_budget() -> StartBudget:
+    """Return an empty budget, since many pools may begin at the same time."""
+    return StartBudget(initial_tokens=0)
+
+
 @dataclass(slots=True)
 class UpstreamState:
     """Load, cached objects and health of one backend server.
@@ -82,7 +87,7 @@
     entry: RegistryEntry
     region: str
     recent: RecentKeys = field(default_factory=RecentKeys)
-    cold_start_budget: StartBudget = field(default_factory=StartBudget)
+    cold_start_budget: StartBudget = field(default_factory=_build_empty_budget)
     start_limit: StartLimit = field(default_factory=StartLimit)
     granted_slots: int = 0
     total_grants: int = 0
