List the known nodes only in state messages that need it

Change: the list goes out when it has changed, in each fifth message, and to a peer that has just connected; receivers only ever add addresses from it, so builds from before understand it. Streams with nothing to send are looked at without taking their lock four times a second.

--- a/sesameroute/adapters/_peer_stream.py
+++ b/sesameroute/adapters/_peer_stream.py
@@ -116,11 +116,12 @@
     def maintain(self) -> None:
         """Send buffered bytes and due heartbeats; close a stalled stream."""
         now = self.clock.read_monotonic()
-        with self._lock:
-            self._flush()
-            is_slow = now - self._blocked_since > STALL_SECONDS
-            if self._pending and is_slow:
-                self._shut_down()
+        if self._pending:
+            with self._lock:
+                self._flush()
+                is_slow = now - self._blocked_since > STALL_SECONDS
+                if self._pending and is_slow:
+                    self._shut_down()
         if now - self._last_sent >= HEARTBEAT_SECONDS:
             self.send(Frame(FrameKind.HEARTBEAT))
 
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -11,6 +11,8 @@
 
 # A node counts as live until its last state message is this old.
 _STATE_MAX_AGE_SECONDS = 3.5
+# One state message in this many lists all known nodes, also without a change.
+_COMPLETE_STATE_INTERVAL = 5
 # A lost node is no longer dialled after this time.
 _MAX_REDIAL_SECONDS = 15.0
 
@@ -31,7 +33,8 @@
     is_leaving : bool
         Whether the node is shutting down.
     known : tuple of str
-        IP addresses of the nodes that it considers live.
+        IP addresses of the nodes that it considers live; empty if they are
+        the same as in an earlier message.
     reaches_servers : bool
         Whether it reaches any backend server.
     relay : str
@@ -60,6 +63,28 @@
     received_at: float
 
 
+class _KnownList:
+    """Leaves the list of known nodes out of most messages.
+
+    With the list in each message, the bytes that a fleet sends grow with the
+    cube of its size.
+    """
+
+    def __init__(self) -> None:
+        self._last: tuple[str, ...] = ()
+        self._left_out = 0
+
+    def select(self, known: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the list if it is new or due, else an empty one."""
+        self._left_out += 1
+        is_due = self._left_out >= _COMPLETE_STATE_INTERVAL
+        if not is_due and sorted(known) == sorted(self._last):
+            return ()
+        self._last = known
+        self._left_out = 0
+        return known
+
+
 class Fleet:
     """Tracks the live nodes and elects a leader per topic and region.
 
@@ -86,6 +111,7 @@
         self._lock = threading.Lock()
         self._received: dict[str, _ReceivedState] = {}
         self._addresses: dict[str, float] = {}
+        self._known_list = _KnownList()
 
     def update_own_state(self, **changes: bool) -> bool:
         """Update fields of this node's state; return whether it has changed."""
@@ -110,16 +136,23 @@
             if address not in self._addresses:
                 self.add_address(address)
 
-    def build_state(self, revision: int = 0) -> NodeState:
+    def build_state(
+        self, revision: int = 0, *, is_complete: bool = True
+    ) -> NodeState:
         """Return this node's state with the live nodes that it knows.
 
         Parameters
         ----------
         revision : int, optional
             Revision of its copy of the store.
+        is_complete : bool, optional
+            Whether to list the live nodes even if the last state listed the
+            same ones. A message to a single node has to.
 
         """
         known = tuple(state.address for state in self.list_live())
+        if not is_complete:
+            known = self._known_list.select(known)
         return replace(self.own_state, known=known, revision=revision)
 
     def list_live(self) -> list[NodeState]:
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -244,7 +244,9 @@
         with self._broadcast_lock:
             if self._node_servers.shutdown.has_begun():
                 self.fleet.update_own_state(is_ready=False, is_leaving=True)
-            state = self.fleet.build_state(self._store.mirror.revision_)
+            state = self.fleet.build_state(
+                self._store.mirror.revision_, is_complete=False
+            )
             for peer in self.peers.list_connected():
                 self.peers.send_one_way(peer, state)
 
--- a/sesameroute/node/tests/test_state_messages.py
+++ b/sesameroute/node/tests/test_state_messages.py
@@ -15,8 +15,8 @@
     build_state = node.fleet.build_state
     is_built, may_send = threading.Event(), threading.Event()
 
-    def build_state_and_wait(revision):
-        state = build_state(revision)
+    def build_state_and_wait(revision, **options):
+        state = build_state(revision, **options)
         if threading.current_thread().name == 'held-up':
             is_built.set()
             may_send.wait(_HELD_UP_SECONDS)
