--- a/sesameroute/programs/explain.py
+++ b/sesameroute/programs/explain.py
@@ -39,6 +39,7 @@
 _REASON_TEXTS = {  # noqa: WPS407
     'no-room': 'no slot could be had in time: it has not run',
     'no-backend': 'no backend server was known: it has not run',
+    'stopping': 'this node stops and could not end it: sent nowhere',
     'too-late': 'its time was over before a slot was free: it has not run',
     'unreached': 'the backend server took no connection: it has not run',
     'shed': 'the backend server refused it: it has not run',
