--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -48,7 +48,7 @@
     shutdown: Shutdown = field(default_factory=Shutdown)
 
     def may_start(self, state: RequestState) -> bool:
-        """Whether a try of a request may start, unless the node stops soon."""
+        """Whether a try may start: a node that stops soon starts few."""
         return self.shutdown.may_start(
             self.clock.read_monotonic(),
             state.deadline,
@@ -58,8 +58,9 @@
     def check(self, state: RequestState) -> Answer | None:
         """Return an error answer if no try may start, else None.
 
-        The node may stop too soon, or the request may be quarantined. From
-        now on, the deadline of the request is not after the end of a stop.
+        The node may stop too soon for it, or the request may be quarantined.
+        The deadline of the request is moved to the end of the stop if that
+        comes first.
 
         A suspected request waits for the result of a trial, but not for long:
         suspicion delays a request, and only quarantine refuses it.
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -212,6 +212,7 @@
     ) -> None:
         """Take requests from other nodes, and pass requests on to them."""
         reachability = allocator.reachability
+        _, relay_connections = self._connection_pools
         relay_server = FrontServer(
             parse_address(settings.relay_address),
             RelayHandler(
@@ -226,7 +227,7 @@
         self.servers = (*self.servers, relay_server)
         self.forwarder.relay_ = Relay(
             Sender(
-                self._connection_pools[-1],
+                relay_connections,
                 RelayCodec(self.forwarder.sender.header_codec),
                 self.clock,
             ),
