Use the manual clock of the routing tests in two new tests

test_known_nodes and test_cold_starts each defined a clock that the tests of routing already have; their assertions are unchanged. The comment on drained bodies named the refusals of backend servers, whose connections are no longer reused; it now names those of other nodes, which still are.

Checks: make check, and the tests of both modules, of shutdowns and of truncated heads.

--- a/sesameroute/forward/_body.py
+++ b/sesameroute/forward/_body.py
@@ -15,8 +15,8 @@
 
 _CHUNK_BYTES = 65_536
 _MIN_WAIT_SECONDS = 0.001
-# A refusal's body is read up to this size so that its connection can be
-# reused.
+# The body of another node's refusal is read up to this size so that its
+# connection can be reused.
 _MAX_DRAIN_BYTES = 65_536
 _CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 # Idle connections are dropped this long before the server's own time-out.
--- a/sesameroute/node/tests/test_cold_starts.py
+++ b/sesameroute/node/tests/test_cold_starts.py
@@ -8,6 +8,7 @@
 from sesameroute.placement import Grant, Outcome, Release, SlotRequest
 from sesameroute.registry import Backend, BackendState, Registry
 from sesameroute.routes import ActiveConfiguration
+from sesameroute.routing.tests.samples import ManualClock
 
 REGIONS = {'north-a': 'north', 'south-a': 'south', 'west-a': 'west'}
 COLD_RATE = 5  # requests per second, as while no configuration is known
@@ -16,16 +17,6 @@
 END_SECONDS = 8
 
 
-class Clock:
-    """A clock that the test moves."""
-
-    def __init__(self):
-        self.now = 0
-
-    def read_monotonic(self):
-        return self.now
-
-
 class RestartedNode:
     """A node that knows its peers only some time after its start."""
 
@@ -87,7 +78,7 @@
 @pytest.mark.parametrize('join_seconds', [0.1, 1.5])
 def test_mass_restart_spares_cold_servers(number_of_nodes, join_seconds):
     """Each node took a part of the rate before it knew of the others."""
-    clock = Clock()
+    clock = ManualClock()
     nodes = [
         RestartedNode(
             clock,
--- a/sesameroute/node/tests/test_known_nodes.py
+++ b/sesameroute/node/tests/test_known_nodes.py
@@ -7,29 +7,18 @@
 
 from sesameroute.node._fleet import Fleet, NodeState
 from sesameroute.ports import encode_message
+from sesameroute.routing.tests.samples import ManualClock
 
 _MAX_BYTES = 200  # of a state message, in the mean, at any size
 _BEATS = 50
 
 
-class Clock:
-    """A clock that the test moves."""
-
-    def __init__(self):
-        """Start at zero."""
-        self.now = 0
-
-    def read_monotonic(self):
-        """Return the time in seconds."""
-        return self.now
-
-
 class Neighbour:
     """A node's view of a fleet whose other nodes all run."""
 
     def __init__(self, number_of_nodes):
         """Connect to the other nodes."""
-        self.clock = Clock()
+        self.clock = ManualClock()
         self.addresses = [
             f'10.1.{number}.34' for number in range(number_of_nodes)
         ]
