--- /dev/null
+++ b/sesameroute/node/tests/callers.py
@@ -0,0 +1,51 @@
+"""Callers that send requests to nodes, for tests."""
+
+import threading
+import time
+from collections import namedtuple
+from concurrent.futures import ThreadPoolExecutor
+
+from sesameroute.node.tests.cluster import send
+
+_CALLERS = 8
+
+CallerAnswer = namedtuple('CallerAnswer', ('time', 'status', 'seconds'))
+
+
+class Callers:
+    """Callers that send requests without a pause to some nodes.
+
+    Attributes
+    ----------
+    answers : list of CallerAnswer
+        Monotonic time, status and duration of each answer.
+
+    """
+
+    def __init__(self, numbers):
+        """Start to send."""
+        self.numbers = list(numbers)
+        self.answers = []
+        self._is_stopped = threading.Event()
+        self._threads = ThreadPoolExecutor(_CALLERS)
+        for caller in range(_CALLERS):
+            self._threads.submit(self._run, caller)
+
+    def stop(self):
+        """Stop sending."""
+        self._is_stopped.set()
+        self._threads.shutdown()
+
+    def _run(self, caller):
+        count = caller
+        while not self._is_stopped.is_set():
+            count += _CALLERS
+            number = self.numbers[count % len(self.numbers)]
+            started_at = time.monotonic()
+            try:
+                status = send(number, key=str(count % 24))[0]
+            except OSError:
+                status = 0  # the node is being restarted
+            now = time.monotonic()
+            self.answers.append(CallerAnswer(now, status, now - started_at))
+            self._is_stopped.wait(0.01)
--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -1,5 +1,6 @@
 """Nodes in one process with a store stand-in, for tests."""
 
+import itertools
 import json
 import os
 import time
@@ -61,6 +62,7 @@
         self.nodes = {}
         self.wires = {}
         self.version = 1
+        self._sequences = itertools.count(1)
         self.configure(prefix='/a/')
 
     def configure(self, **route):
@@ -118,7 +120,7 @@
             'slots': 4,
             'state': state,
             'cold_left_ms': 0,
-            'sequence': 1,
+            'sequence': next(self._sequences),
             'born': incarnation,
         }
         self.store.put(f'servers/{name}', json.dumps(entry).encode())
--- a/sesameroute/node/tests/test_named_limits.py
+++ b/sesameroute/node/tests/test_named_limits.py
@@ -1,15 +1,12 @@
 """Tests of nodes with backend servers that name a limit of requests."""
 
-import threading
 import time
-from collections import namedtuple
-from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from sesameroute.forward.tests.servers import LONG_BODY_BYTES
 from sesameroute.node.tests.backends import BackendStandIn
-from sesameroute.node.tests.cluster import send
+from sesameroute.node.tests.callers import Callers
 from sesameroute.ports import DeferredReply
 
 _LIMIT_PER_SECOND = 4.0
@@ -20,9 +17,6 @@
 _SLACK_REQUESTS = 5
 # From this time after a server first named its limit, the bound holds.
 _GRACE_SECONDS = 3.0
-_CALLERS = 8
-
-CallerAnswer = namedtuple('CallerAnswer', ('time', 'status', 'seconds'))
 
 
 @pytest.fixture
@@ -36,45 +30,6 @@
         each.stop()
 
 
-class Callers:
-    """Callers that send requests without a pause to some nodes.
-
-    Attributes
-    ----------
-    answers : list of CallerAnswer
-        Monotonic time, status and duration of each answer.
-
-    """
-
-    def __init__(self, numbers):
-        """Start to send."""
-        self.numbers = list(numbers)
-        self.answers = []
-        self._is_stopped = threading.Event()
-        self._threads = ThreadPoolExecutor(_CALLERS)
-        for caller in range(_CALLERS):
-            self._threads.submit(self._run, caller)
-
-    def stop(self):
-        """Stop sending."""
-        self._is_stopped.set()
-        self._threads.shutdown()
-
-    def _run(self, caller):
-        count = caller
-        while not self._is_stopped.is_set():
-            count += _CALLERS
-            number = self.numbers[count % len(self.numbers)]
-            started_at = time.monotonic()
-            try:
-                status = send(number, key=str(count % 24))[0]
-            except OSError:
-                status = 0  # the node is being restarted
-            now = time.monotonic()
-            self.answers.append(CallerAnswer(now, status, now - started_at))
-            self._is_stopped.wait(0.01)
-
-
 def name_limit(server, limit=_LIMIT_PER_SECOND):
     """Let a server name a limit in its answers; return since when."""
     server.headers = f'Server-Limit: {limit}\r\n'
--- a/sesameroute/platform/tests/store_standin.py
+++ b/sesameroute/platform/tests/store_standin.py
@@ -26,6 +26,10 @@
         Client IP addresses whose calls are answered with status 503.
     compacted_revision : int
         A watch from before this revision is answered with status 410.
+    era : int or None
+        Named in each answer; None names none.
+    is_away : bool
+        Whether all connections are closed without an answer.
     changed : threading.Condition
         Guards the items and is notified of each change.
 
@@ -39,6 +43,8 @@
         self.rejected_clients = set()
         self.revision = 1
         self.compacted_revision = 0
+        self.era = None
+        self.is_away = False
         self.items = {}
         self.events = []
         self.leases = {}
@@ -90,6 +96,34 @@
             self.compacted_revision = self.revision
             self.events = []
 
+    def copy_state(self):
+        """Return a copy of all contents, for `restore`."""
+        with self.changed:
+            return (
+                self.revision,
+                dict(self.items),
+                list(self.events),
+                dict(self.leases),
+            )
+
+    def go_away(self):
+        """Answer nothing until `restore`; waiting watches are cut."""
+        with self.changed:
+            self.is_away = True
+            self.changed.notify_all()
+
+    def restore(self, state):
+        """Come back from a copy: what was written since is lost."""
+        with self.changed:
+            revision, items, events, leases = state
+            self.revision = revision
+            self.items = dict(items)
+            self.events = list(events)
+            self.leases = dict(leases)
+            self.era = (self.era or 0) + 1
+            self.is_away = False
+            self.changed.notify_all()
+
     def list_page(self, prefix, after):
         """Return the page of items after a key."""
         with self.changed:
@@ -105,12 +139,12 @@
             }
 
     def wait_events(self, prefix, after, seconds):
-        """Return the changes after a revision, None if they are discarded."""
+        """Return the changes after a revision, None if it has no such."""
         deadline = time.monotonic() + seconds
         with self.changed:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return None
-            while True:
+            while not self.is_away:
                 found = [
                     event
                     for event in self.events
@@ -121,6 +155,7 @@
                 if found or remaining <= 0:
                     return {'events': found, 'current_rev': self.revision}
                 self.changed.wait(remaining)
+            return None
 
     def open_lease(self, ttl):
         """Open a lease and return the answer's body."""
@@ -171,6 +206,8 @@
         fault = store.faults.pop(0) if store.faults else 'fine'
         if self.client_address[0] in store.rejected_clients:
             fault = 'busy'
+        if store.is_away:
+            fault = 'reset'
         if fault == 'busy':
             return self._answer(503, {})
         if fault == 'many':
@@ -181,7 +218,7 @@
             self.close_connection = True
             return None
         status, content = self._run(store, body)
-        if fault == 'lost':
+        if fault == 'lost' or store.is_away:
             self.close_connection = True
             return None
         return self._answer(status, content)
@@ -216,5 +253,7 @@
         self.send_response(status)
         self.send_header('Content-Type', 'application/json')
         self.send_header('Content-Length', str(len(encoded)))
+        if self.server.store.era is not None:
+            self.send_header('Store-Era', str(self.server.store.era))
         self.end_headers()
         self.wfile.write(encoded)
