Follow a store that is restored from a copy, and undo nothing by it

What callers saw: after the store had come back from a copy some seconds old, changes that it confirmed were not in force (404 for added routes), requests reached servers whose entries said draining or were gone, and servers that were registered afterwards got nothing. A node that restarted then served the older configuration of the copy.

Cause: revisions of two eras of the store were compared. A restored store gives out revisions again; the mirror took all that lies below its own revision for old. Class: numbers from a counter that can go back used as an order. The same numbers order the copies among peers, and leases were renewed by numbers that belong to other nodes in the new era.

The watching node logged "store history lost" again and again; one full read after the other looked older than its replica.

Change: the header that names the era is read from all answers. Nodes compare positions, with the era above the revision in one number: in era 0 both are the same, and a build without eras follows one that knows them. What the restored store lacks or has in an older form is held until its writer writes again: configurations by version, entries of servers by start and sequence, evacuations and removals. Peers tell each other what they hold, and settle it by what they know of earlier eras. Entries that the copy lacks are used for 2.1 s more. The watching node reads all once for each restore, and once the history since the oldest item that the store lacks. Leases end with their era. A store that is older without naming an era is read every 5 s at most, not in a loop.

Also, the first call after an outage does not wait: a store that has passed the known revision already showed its era only after a second.

--- a/sesameroute/mirror/__init__.py
+++ b/sesameroute/mirror/__init__.py
@@ -1,11 +1,20 @@
 """Replica of the platform's metadata store, kept on every node."""
 
-from sesameroute.mirror._mirror import (
-    Mirror,
+from sesameroute.mirror._messages import (
+    HeldItem,
+    HeldItems,
     MirrorCopyRequest,
     MirrorItem,
     MirrorUpdate,
 )
+from sesameroute.mirror._mirror import Mirror
+from sesameroute.mirror._position import (
+    MAX_ERA,
+    MAX_REVISION,
+    Position,
+    find_era,
+)
+from sesameroute.mirror._retention import DocumentOrder
 from sesameroute.mirror._watcher import (
     HistoryLostError,
     StoreReader,
@@ -13,11 +22,18 @@
 )
 
 __all__ = [
+    'DocumentOrder',
+    'HeldItem',
+    'HeldItems',
     'HistoryLostError',
+    'MAX_ERA',
+    'MAX_REVISION',
     'Mirror',
+    'MirrorCopyRequest',
     'MirrorItem',
     'MirrorUpdate',
-    'MirrorCopyRequest',
+    'Position',
     'StoreReader',
     'StoreWatcher',
+    'find_era',
 ]
--- a/sesameroute/mirror/_mirror.py
+++ b/sesameroute/mirror/_mirror.py
@@ -6,97 +6,59 @@
 """
 
 import threading
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable
 
-from sesameroute.ports import register_message
+from sesameroute.mirror._items_in_force import ItemsInForce
+from sesameroute.mirror._messages import (
+    HeldItems,
+    MirrorItem,
+    MirrorUpdate,
+)
+from sesameroute.mirror._position import find_era
+from sesameroute.mirror._retention import DocumentOrder, UnorderedDocuments
 
-__all__ = ['Mirror', 'MirrorItem', 'MirrorUpdate', 'MirrorCopyRequest']
-
-
-@dataclass(frozen=True, slots=True)
-class MirrorItem:
-    """An item of the store, or its removal.
-
-    Attributes
-    ----------
-    key : str
-        Key in the store.
-    revision : int
-        Revision of the store at the item's last change.
-    content : bytes or None
-        Value of the item; None if it has been removed.
-
-    """
-
-    key: str
-    revision: int
-    content: bytes | None
-
-
-@register_message('mirror-news', is_nonblocking=True)
-@dataclass(frozen=True, slots=True)
-class MirrorUpdate:
-    """Changes of the store between two revisions, or a full copy.
-
-    Attributes
-    ----------
-    base : int
-        Revision after which the changes begin; 0 for a full copy.
-    revision : int
-        Revision up to which the changes are complete.
-    items : tuple of MirrorItem
-        Changed items, or all items of a full copy.
-    age : float
-        Seconds since the store was known to have no later revision.
-
-    """
-
-    base: int
-    revision: int
-    items: tuple[MirrorItem, ...]
-    age: float = 0
-
-
-@register_message('mirror-query', is_nonblocking=True)
-@dataclass(frozen=True, slots=True)
-class MirrorCopyRequest:
-    """Asks a peer for a full copy.
-
-    Attributes
-    ----------
-    revision : int
-        Revision that the asking node has; 0 if it has none.
-
-    """
-
-    revision: int
+__all__ = ['Mirror']
 
 
 class Mirror:
     """Replica of the store's items.
 
+    After the store was restored from a copy, items that the copy lacks or has
+    in an older form are held: they stay in force until they are written again.
+
     Parameters
     ----------
     on_change : callable
         Called with each changed item, in the order of application.
+    on_loss : callable, optional
+        Called with the key of each item that a restored store lacks and that
+        is not held. Its writer may write it again.
+    order : DocumentOrder, optional
+        Tells which of two documents of different eras was written last.
 
     Attributes
     ----------
     revision_ : int
-        Revision up to which all changes are applied; 0 before the first.
+        Packed position up to which all changes are applied; 0 before the
+        first.
     verified_at_ : float
         Latest monotonic time in seconds at which the replica was known to be
         up to date; minus infinity before the first update.
 
     """
 
-    def __init__(self, on_change: Callable[[MirrorItem], None]) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[MirrorItem], None],
+        on_loss: Callable[[str], None] = bool,
+        order: DocumentOrder | None = None,
+    ) -> None:
         """Start without items."""
-        self.on_change = on_change
         self.revision_ = 0
         self.verified_at_ = float('-inf')
-        self._items: dict[str, MirrorItem] = {}
+        self._items = ItemsInForce(
+            on_change, on_loss, order or UnorderedDocuments()
+        )
         self._lock = threading.RLock()
 
     def apply(self, update: MirrorUpdate, now: float) -> bool:
@@ -117,10 +79,12 @@
 
         """
         with self._lock:
-            if update.base == 0:
-                self._apply_copy(update)
-            elif update.base > self.revision_:
+            if _has_gap(update, self.revision_):
                 return False
+            if find_era(update.revision) > self.era_:
+                self._items.restore(update.items, self.revision_)
+            elif update.base == 0:
+                self._apply_copy(update)
             else:
                 self._apply_changes(update)
             self.revision_ = max(self.revision_, update.revision)
@@ -128,8 +92,55 @@
                 self.verified_at_ = max(self.verified_at_, now - update.age)
         return True
 
+    def merge_held(self, message: HeldItems) -> HeldItems | None:
+        """Hold what a peer holds; return what the peer does not know yet.
+
+        Returns
+        -------
+        HeldItems or None
+            What this replica holds, and what it knows to have been written
+            since, if the peer holds obsolete items.
+
+        """
+        with self._lock:
+            if find_era(message.revision) != self.era_:
+                return None
+            if not self._items.merge(message, self.revision_):
+                return None
+            return self._items.list_held(self.revision_, message.held)
+
+    def merge_history(self, history: MirrorUpdate) -> None:
+        """End what is held though it was removed after the restored copy.
+
+        Parameters
+        ----------
+        history : MirrorUpdate
+            Changes of the restored store since the revisions of the items
+            that it lacks.
+
+        """
+        with self._lock:
+            self._items.merge_history(history.items)
+
+    def list_missing(self) -> frozenset[MirrorItem]:
+        """Return the held items that the store lacks.
+
+        They were lost, or removed after the restored copy.
+        """
+        with self._lock:
+            return frozenset(
+                held.item
+                for held in self._items.held_.values()
+                if not held.replaces
+            )
+
+    def list_held(self) -> HeldItems:
+        """Return the held items."""
+        with self._lock:
+            return self._items.list_held(self.revision_, ())
+
     def build_full_copy(self, now: float) -> MirrorUpdate:
-        """Return a full copy.
+        """Return a full copy of what the store has.
 
         Parameters
         ----------
@@ -138,48 +149,49 @@
 
         """
         with self._lock:
-            items = tuple(self._items.values())
             age = now - self.verified_at_
-            return MirrorUpdate(0, self.revision_, items, age)
+            return MirrorUpdate(
+                0, self.revision_, tuple(self._items.stored_), age
+            )
 
     def list_items(self, prefix: str) -> list[MirrorItem]:
         """Return the items whose keys start with a prefix."""
         with self._lock:
+            found = map(self._items.find, sorted(self._items.list_keys()))
             return [
                 item
-                for key, item in self._items.items()
-                if key.startswith(prefix)
+                for item in found
+                if item.content is not None and item.key.startswith(prefix)
             ]
 
+    @property
+    def era_(self) -> int:
+        """Era of the store up to which changes are applied."""
+        return find_era(self.revision_)
+
     def _apply_changes(self, update: MirrorUpdate) -> None:
         # Changes up to the replica's revision have been applied. Applying
         # one again would restore an item that has been removed since.
         known_revision = self.revision_
-        for item in update.items:
-            if item.revision > known_revision:
-                self._apply_item(item)
+        self._items.put(
+            item for item in update.items if item.revision > known_revision
+        )
 
     def _apply_copy(self, update: MirrorUpdate) -> None:
         if update.revision < self.revision_:
             return
         present_keys = {item.key for item in update.items}
-        self._remove(self._items.keys() - present_keys, update.revision)
-        for item in update.items:
-            self._apply_item(item)
-
-    def _remove(self, keys: Iterable[str], revision: int) -> None:
-        for key in tuple(keys):
-            self._apply_item(MirrorItem(key, revision, None))
-
-    def _apply_item(self, item: MirrorItem) -> None:
-        current = self._items.get(item.key)
-        if current is not None and current.revision >= item.revision:
-            return
-        if item.content is None:
-            if current is None:
-                return
-            self._items.pop(item.key)
-        else:
-            self._items[item.key] = item
-        if current is None or current.content != item.content:
-            self.on_change(item)
+        self._items.put(
+            MirrorItem(stored.key, update.revision, None)
+            for stored in self._items.stored_
+            if stored.key not in present_keys
+        )
+        self._items.put(update.items)
+
+
+def _has_gap(update: MirrorUpdate, revision: int) -> bool:
+    """Whether a full copy is needed before the update can be applied."""
+    if update.base == 0:
+        return False
+    is_new_era = find_era(update.revision) > find_era(revision)
+    return update.base > revision or is_new_era
--- a/sesameroute/mirror/_watcher.py
+++ b/sesameroute/mirror/_watcher.py
@@ -7,7 +7,9 @@
 from typing import Protocol
 
 from sesameroute.exceptions import SesameError
-from sesameroute.mirror._mirror import Mirror, MirrorUpdate
+from sesameroute.mirror._messages import MirrorItem, MirrorUpdate
+from sesameroute.mirror._mirror import Mirror
+from sesameroute.mirror._position import Position
 from sesameroute.ports import Clock
 from sesameroute.telemetry import survive
 
@@ -22,6 +24,9 @@
 # Pause after the first error; it doubles with each further one.
 _MIN_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 0.8
+# Interval of reads while the store is older than the replica without having
+# named a new era.
+_OLDER_STORE_SECONDS = 5.0
 # Range of the random factor of a pause; keeps nodes from retrying together.
 _BACKOFF_JITTER = (0.7, 1.3)
 
@@ -53,14 +58,15 @@
         Parameters
         ----------
         revision : int
-            Last revision that the caller has.
+            Packed position that the caller has.
         seconds : float
             How long to wait for a change.
 
         Raises
         ------
         HistoryLostError
-            The store has discarded changes after this revision.
+            The store has discarded changes after this position, or was
+            restored from a copy.
         SesameError
             The store gave no usable answer.
 
@@ -102,6 +108,7 @@
         self._is_stopping = threading.Event()
         self._backoff_seconds = _MIN_BACKOFF_SECONDS
         self._is_history_lost = False
+        self._checked_missing: frozenset[MirrorItem] = frozenset()
 
     def start(self) -> None:
         """Start the thread."""
@@ -133,17 +140,48 @@
             self._back_off(error)
 
     def _update_once(self) -> None:
-        if self._is_history_lost or not self.mirror.revision_:
+        known = self.mirror.revision_
+        is_back = self._backoff_seconds > _MIN_BACKOFF_SECONDS
+        if self._is_history_lost or not known:
             update = self.store.read_all()
         else:
-            update = self.store.watch(self.mirror.revision_, _LONG_POLL_SECONDS)
-        if self._backoff_seconds > _MIN_BACKOFF_SECONDS:
-            _logger.info('store reached again', extra={'at': update.revision})
-        self._is_history_lost = False
+            # A store that was away may be restored: ask for its era at once.
+            wait = 0 if is_back else _LONG_POLL_SECONDS
+            update = self.store.watch(known, wait)
+        if is_back:
+            _log_position('store reached again', update.revision)
         self._backoff_seconds = _MIN_BACKOFF_SECONDS
+        if update.revision < known:
+            _log_position('store older than the replica', update.revision)
+            self._is_stopping.wait(_OLDER_STORE_SECONDS)
+            return
+        self._is_history_lost = False
+        self._apply(update)
+        self._is_stopping.wait(_WATCH_INTERVAL_SECONDS)
+
+    def _apply(self, update: MirrorUpdate) -> None:
+        era = self.mirror.era_
         self.mirror.apply(update, self.clock.read_monotonic())
+        if self.mirror.era_ != era:
+            _log_position('store in a new era', update.revision)
+        self._read_history()
         self.on_update(update)
-        self._is_stopping.wait(_WATCH_INTERVAL_SECONDS)
+
+    def _read_history(self) -> None:
+        """Read once whether items that the store lacks have been removed."""
+        missing = self.mirror.list_missing()
+        is_checked = missing <= self._checked_missing
+        self._checked_missing = missing
+        if is_checked:
+            return
+        first = min(Position.unpack(item.revision).revision for item in missing)
+        since = Position(self.mirror.era_, first).pack()
+        try:
+            self.mirror.merge_history(self.store.watch(since, 0))
+        except SesameError as error:
+            _logger.warning(
+                'history of held items not read', extra={'why': error.message}
+            )
 
     def _back_off(self, error: SesameError) -> None:
         if self._backoff_seconds == _MIN_BACKOFF_SECONDS:
@@ -154,3 +192,10 @@
         self._backoff_seconds = min(
             2 * self._backoff_seconds, _MAX_BACKOFF_SECONDS
         )
+
+
+def _log_position(event: str, revision: int) -> None:
+    position = Position.unpack(revision)
+    _logger.info(
+        event, extra={'era': position.era, 'revision': position.revision}
+    )
--- a/sesameroute/mirror/tests/test_mirror.py
+++ b/sesameroute/mirror/tests/test_mirror.py
@@ -10,6 +10,7 @@
     Mirror,
     MirrorItem,
     MirrorUpdate,
+    Position,
     StoreWatcher,
 )
 
@@ -145,9 +146,9 @@
         return 1.0
 
 
-def run_watcher(store, monkeypatch):
+def run_watcher(store, monkeypatch, order=None):
     """Run a watcher until the store has no answers left."""
-    mirror, _changes = build_mirror()
+    mirror = Mirror(bool, order=order)
     forwarded = []
     watcher = StoreWatcher(
         mirror,
@@ -194,3 +195,74 @@
     mirror, forwarded = run_watcher(store, monkeypatch)
     assert store.calls == ['all', 5, 5, 5]
     assert (mirror.revision_, len(forwarded)) == (6, 2)
+
+
+def test_restored_store_is_read_once(monkeypatch):
+    """Each read of the restored store looked older than the replica."""
+    in_era = Position(1, 3).pack()
+    store = ScriptedStore(
+        build_update(0, 9, ('a', 9, b'x')),
+        HistoryLostError('era 1'),
+        build_update(0, in_era),
+        build_update(in_era, in_era + 1, ('a', in_era + 1, b'y')),
+    )
+    mirror, forwarded = run_watcher(store, monkeypatch)
+    assert store.calls == ['all', 9, 'all', in_era]
+    assert [item.content for item in mirror.list_items('')] == [b'y']
+    assert len(forwarded) == 3
+
+
+def test_store_that_is_older_without_an_era_is_read_rarely(monkeypatch):
+    """The replica stays until the store has passed it."""
+    store = ScriptedStore(
+        build_update(0, 9, ('a', 9, b'x')),
+        HistoryLostError('gone'),
+        build_update(0, 5),
+        build_update(0, 12, ('a', 11, b'y')),
+        build_update(12, 12),
+    )
+    mirror, forwarded = run_watcher(store, monkeypatch)
+    assert store.calls == ['all', 9, 'all', 'all', 12]
+    assert (mirror.revision_, len(forwarded)) == (12, 3)
+
+
+class OperatorOrder:
+    """Order of documents without stamps; all are the operator's."""
+
+    def read_stamp(self, _document):
+        """Return no stamp."""
+
+    def is_durable(self, _key):
+        """Return True."""
+        return True
+
+
+@pytest.mark.parametrize(
+    ('history', 'expected'),
+    [
+        ((), [b'x']),
+        ((('a', 5, None),), [b'x']),
+        ((('a', 7, None),), []),
+        ((('a', 7, b'y'), ('a', 8, None)), []),
+    ],
+)
+def test_history_tells_lost_items_from_removed_ones(
+    monkeypatch, history, expected
+):
+    """What was removed after the copy, before the first read, is not held."""
+    in_era = Position(1, 9).pack()
+    since = Position(1, 6).pack()
+    changes = tuple(
+        (key, Position(1, revision).pack(), content)
+        for key, revision, content in history
+    )
+    store = ScriptedStore(
+        build_update(0, 6, ('a', 6, b'x')),
+        HistoryLostError('era 1'),
+        build_update(0, in_era),
+        build_update(since, in_era, *changes),
+        build_update(in_era, in_era),
+    )
+    mirror, _forwarded = run_watcher(store, monkeypatch, OperatorOrder())
+    assert store.calls == ['all', 6, 'all', since, in_era]
+    assert [item.content for item in mirror.list_items('')] == expected
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from sesameroute.mirror import MirrorCopyRequest, MirrorUpdate
+from sesameroute.mirror import HeldItems, MirrorCopyRequest, MirrorUpdate
 from sesameroute.node._fleet import Fleet, NodeState
 from sesameroute.node._limit_exchange import LimitExchange, LimitReport
 from sesameroute.node._slot_allocator import FleetSlotAllocator
@@ -53,6 +53,7 @@
         quarantine = loss_exchange.quarantine
         self._handlers: dict[type, Callable[[str, Any], Any]] = {
             NodeState: self._handle_state,
+            HeldItems: store.sync.receive_held,
             MirrorUpdate: store.sync.receive,
             MirrorCopyRequest: store.sync.answer,
             LossReport: lambda sender, report: (
--- a/sesameroute/node/_lease.py
+++ b/sesameroute/node/_lease.py
@@ -5,7 +5,7 @@
 import threading
 
 from sesameroute.exceptions import SesameError
-from sesameroute.platform import LeaseLostError, PlatformStore
+from sesameroute.platform import Lease, LeaseLostError, PlatformStore
 from sesameroute.telemetry import survive
 
 __all__ = ['NodeLease']
@@ -39,7 +39,7 @@
         self.store = store
         self.key = key
         self.content = content
-        self._lease = 0
+        self._lease: Lease | None = None
         self._is_stopping = threading.Event()
 
     def start(self) -> None:
@@ -53,7 +53,7 @@
     def stop(self) -> None:
         """Stop renewing and end the lease, which removes the key."""
         self.stop_renewing()
-        if not self._lease:
+        if self._lease is None:
             return
         try:
             self.store.end_lease(self._lease)
@@ -73,8 +73,9 @@
         """Return the seconds until the next renewal."""
         try:
             self._renew_or_open()
-        except LeaseLostError:
-            self._lease = 0
+        except LeaseLostError as error:
+            _logger.info('lease lost', extra={'why': error.message})
+            self._lease = None
             return 0
         except SesameError as error:
             _logger.info('lease not renewed', extra={'why': error.message})
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -9,10 +9,11 @@
 
 from sesameroute.adapters import FrontServer
 from sesameroute.forward import RequestRecord
+from sesameroute.mirror import Mirror
 from sesameroute.node._address import parse_address
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.placement import Outcome
-from sesameroute.ports import Answer, Peers
+from sesameroute.ports import Answer
 from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
@@ -40,8 +41,8 @@
         Known backend servers.
     allocator : FleetSlotAllocator
         Counts slots by service.
-    peers : Peers
-        Connections to the other nodes.
+    mirror : Mirror
+        This node's copy of the store.
     quarantine : Quarantine
         Counts requests that crash backend servers.
 
@@ -52,14 +53,14 @@
         active_configuration: ActiveConfiguration,
         registry: Registry,
         allocator: FleetSlotAllocator,
-        peers: Peers,
+        mirror: Mirror,
         quarantine: Quarantine,
     ) -> None:
         """Store the parameters and start with empty metrics."""
         self.active_configuration = active_configuration
         self.registry = registry
         self.allocator = allocator
-        self.peers = peers
+        self.mirror = mirror
         self.quarantine = quarantine
         self.meter_ = Meter()
 
@@ -133,8 +134,10 @@
         current_configuration = self.active_configuration.configuration
         version = current_configuration.version if current_configuration else 0
         yield Metric.CONFIGURATION_VERSION, version
-        yield Metric.PEERS, len(self.peers.list_connected())
+        yield Metric.PEERS, len(self.allocator.peers.list_connected())
         yield Metric.BACKENDS, len(self.registry)
+        yield Metric.STORE_ERA, self.mirror.era_
+        yield Metric.HELD_ITEMS, len(self.mirror.list_held().held)
         suspected, quarantined = self.quarantine.count_suspects()
         yield Metric.SUSPECTED_REQUESTS, suspected
         yield Metric.QUARANTINED_REQUESTS, quarantined
--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -4,7 +4,14 @@
 import math
 
 from sesameroute.exceptions import PeerError
-from sesameroute.mirror import Mirror, MirrorCopyRequest, MirrorUpdate
+from sesameroute.gossip import Gossip, broadcast
+from sesameroute.mirror import (
+    HeldItems,
+    Mirror,
+    MirrorCopyRequest,
+    MirrorUpdate,
+    find_era,
+)
 from sesameroute.node._fleet import Fleet
 from sesameroute.ports import Clock, Peers
 
@@ -21,12 +28,15 @@
 _logger = logging.getLogger(__name__)
 
 
-class MirrorSync:
+class MirrorSync(Gossip):
     """Decides which node watches the store and sends updates to peers.
 
     One node per region watches the store and sends the updates to the others.
     If no updates arrive, the others begin to watch in the order of their rank.
 
+    After the store was restored from a copy, the gossip is about what nodes
+    hold: one that has started since learns of it in this way only.
+
     Parameters
     ----------
     mirror : Mirror
@@ -48,9 +58,9 @@
         clock: Clock,
     ) -> None:
         """Store the parameters."""
+        super().__init__(fleet.own_state.address, peers)
         self.mirror = mirror
         self.fleet = fleet
-        self.peers = peers
         self.clock = clock
         self._requested_at = -math.inf
 
@@ -66,12 +76,25 @@
         """Send an update to all connected nodes."""
         for peer in self.peers.list_connected():
             self.peers.send_one_way(peer, update)
+        if update.base == 0:
+            broadcast(self.peers, self.vm, self.mirror.list_held())
 
     def receive(self, sender: str, update: MirrorUpdate) -> None:
         """Apply a peer's update; query its full copy if updates are missing."""
         if not self.mirror.apply(update, self.clock.read_monotonic()):
             self._request_copy(sender)
 
+    def receive_held(self, sender: str, message: HeldItems) -> None:
+        """Hold what a peer holds; tell it what it does not know yet."""
+        later = self.mirror.merge_held(message)
+        if later is not None:
+            self.peers.send_one_way(sender, later)
+
+    def build_message(self) -> HeldItems | None:
+        """Return the items that this node holds, None if there are none."""
+        message = self.mirror.list_held()
+        return message if message.held else None
+
     def compare(self, sender: str, revision: int) -> None:
         """Query the copy of a peer that knows more, if no updates come.
 
@@ -79,7 +102,9 @@
         before hears of what it missed in this way only.
         """
         age = self.clock.read_monotonic() - self.mirror.verified_at_
-        if revision > self.mirror.revision_ and age > _STALE_SECONDS:
+        is_behind = revision > self.mirror.revision_
+        is_era_over = find_era(revision) > self.mirror.era_
+        if is_era_over or (is_behind and age > _STALE_SECONDS):
             self._request_copy(sender)
 
     def answer(
@@ -91,6 +116,7 @@
             return copy
         if copy.revision > request.revision:
             self.peers.send_one_way(sender, copy)
+            self.share_with(sender)
         return None
 
     def fetch_if_empty(self) -> None:
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -115,6 +115,11 @@
             self._node_servers.loss_exchange,
             self._limit_exchange,
         )
+        self._gossips = (
+            self._node_servers.loss_exchange,
+            self._limit_exchange,
+            self._store.sync,
+        )
         self._is_stopped = threading.Event()
         self._broadcast_lock = threading.Lock()
         self._connected: frozenset[str] = frozenset()
@@ -178,7 +183,7 @@
             self.active_configuration,
             self.registry,
             self.allocator,
-            self.peers,
+            self._store.mirror,
             self._node_servers.quarantine,
         )
         self._node_servers.forwarder.observer_ = meter.observe
@@ -213,8 +218,8 @@
             self.allocator.release_node(lost)
         for found in connected - self._connected:
             self.peers.send_one_way(found, self.fleet.build_state())
-            self._node_servers.loss_exchange.share_with(found)
-            self._limit_exchange.share_with(found)
+            for gossip in self._gossips:
+                gossip.share_with(found)
         self._connected = connected
         self.allocator.refresh()
         self._node_servers.apply_limits()
@@ -234,8 +239,8 @@
 
     def _send_heartbeat(self) -> None:
         self._broadcast_state()
-        self._node_servers.loss_exchange.share_with_next()
-        self._limit_exchange.share_with_next()
+        for gossip in self._gossips:
+            gossip.share_with_next()
         _dial(self.fleet, self.peers, self.settings)
         self._store.sync.fetch_if_empty()
 
--- a/sesameroute/node/_receiver.py
+++ b/sesameroute/node/_receiver.py
@@ -83,6 +83,11 @@
         self.registry.remove(name, self.clock.read_monotonic())
         _logger.info('backend server not listed', extra={'backend': name})
 
+    def lose_backend(self, name: str) -> None:
+        """Keep a backend server until its lost entry should be back."""
+        self.registry.remove(name, self.clock.read_monotonic(), is_lost=True)
+        _logger.info('backend server entry lost', extra={'backend': name})
+
     def put_member(self, address: str, zone: str, region: str) -> None:
         """Add the address of a node."""
         self.fleet.add_address(address)
--- a/sesameroute/node/_store_connection.py
+++ b/sesameroute/node/_store_connection.py
@@ -9,7 +9,11 @@
 from sesameroute.node._mirror_sync import MirrorSync
 from sesameroute.node._receiver import NodeReceiver
 from sesameroute.node._settings import NodeSettings
-from sesameroute.platform import PlatformStore, StoreItemDispatcher
+from sesameroute.platform import (
+    PlatformDocumentOrder,
+    PlatformStore,
+    StoreItemDispatcher,
+)
 from sesameroute.ports import Clock, Peers, TcpWire
 
 __all__ = ['StoreConnection']
@@ -50,7 +54,11 @@
             TcpWire(),
             node_settings.address,
         )
-        self.mirror = Mirror(dispatcher.dispatch)
+        self.mirror = Mirror(
+            dispatcher.dispatch,
+            dispatcher.dispatch_loss,
+            PlatformDocumentOrder(),
+        )
         self.sync = MirrorSync(self.mirror, fleet, peers, clock)
         self._watcher = StoreWatcher(
             self.mirror,
--- a/sesameroute/node/tests/test_store_drill.py
+++ b/sesameroute/node/tests/test_store_drill.py
@@ -79,7 +79,7 @@
     assert count_reads(cluster.store) - reads <= drills * nodes
 
 
-@pytest.mark.parametrize('restarted', ['none', 'before', 'away', 'after'])
+@pytest.mark.parametrize('restarted', ['none', 'before', 'at-once', 'later'])
 def test_nothing_goes_back_by_a_restore(cluster, servers, added, restarted):
     """The old copy undid a configuration, a drain and evacuations.
 
@@ -103,11 +103,11 @@
     if restarted == 'before':
         restart()
     returned_at = lose_writes(cluster, 60, write)
-    if restarted == 'away':
+    if restarted == 'at-once':
         restart()
     cluster.register('added', added)
     time.sleep(1)
-    if restarted == 'after':
+    if restarted == 'later':
         restart()
     time.sleep(max(returned_at + _CONTACT_SECONDS - time.monotonic(), 0))
     since = time.monotonic()
--- a/sesameroute/platform/__init__.py
+++ b/sesameroute/platform/__init__.py
@@ -11,12 +11,15 @@
     encode_directory_answer,
     parse_directory_query,
 )
+from sesameroute.platform._document_order import PlatformDocumentOrder
 from sesameroute.platform._header_codec import PlatformHeaderCodec
 from sesameroute.platform._item_dispatcher import StoreItemDispatcher
-from sesameroute.platform._store import LeaseLostError, PlatformStore
+from sesameroute.platform._store import Lease, LeaseLostError, PlatformStore
 
 __all__ = [
+    'Lease',
     'LeaseLostError',
+    'PlatformDocumentOrder',
     'PlatformHeaderCodec',
     'StoreItemDispatcher',
     'PlatformStore',
--- a/sesameroute/platform/_item_dispatcher.py
+++ b/sesameroute/platform/_item_dispatcher.py
@@ -40,6 +40,9 @@
     def remove_backend(self, name: str) -> None:
         """Handle the removal of a backend server's entry."""
 
+    def lose_backend(self, name: str) -> None:
+        """Handle an entry that the store may have lost in a restore."""
+
     def put_member(self, address: str, zone: str, region: str) -> None:
         """Handle a new or changed entry of a node."""
 
@@ -77,6 +80,11 @@
                 extra={'key': item.key, 'why': str(error)},
             )
 
+    def dispatch_loss(self, key: str) -> None:
+        """Pass on that the store may have lost an item in a restore."""
+        if key.startswith(REGISTRY_PREFIX):
+            self.receiver.lose_backend(key.removeprefix(REGISTRY_PREFIX))
+
     def encode_member(self, address: str, zone: str, region: str) -> bytes:
         """Return the content of a node's entry."""
         return msgspec.json.encode(_Member(address, zone, region))
--- a/sesameroute/platform/_names.py
+++ b/sesameroute/platform/_names.py
@@ -10,7 +10,9 @@
     'LIMIT_HEADER',
     'LOAD_HEADER',
     'MEMBER_PREFIX',
+    'ERA_HEADER',
     'NOT_RUN_HEADER',
+    'OPERATOR_PREFIX',
     'READY_PATH',
     'REGISTRY_PREFIX',
     'RESOLVE_PATH',
@@ -33,13 +35,16 @@
 LIMIT_HEADER = 'Server-Limit'
 # Guarantees that the backend server has not run the request.
 NOT_RUN_HEADER = 'Sesameroute-Not-Run'
+# Number in the store's answers that rises when it is restored from a copy.
+ERA_HEADER = 'Store-Era'
 
 # Paths that a node serves.
 READY_PATH = '/-/ready'
 RESOLVE_PATH = '/-/resolve'
 
 # Keys in the store.
-CONFIGURATION_KEY = 'op/config'
-EVACUATION_PREFIX = 'op/evacuate/'
+OPERATOR_PREFIX = 'op/'
+CONFIGURATION_KEY = f'{OPERATOR_PREFIX}config'
+EVACUATION_PREFIX = f'{OPERATOR_PREFIX}evacuate/'
 REGISTRY_PREFIX = 'servers/'
 MEMBER_PREFIX = 'sesameroute/members/'
--- a/sesameroute/platform/_store.py
+++ b/sesameroute/platform/_store.py
@@ -4,6 +4,7 @@
 import json
 import logging
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
 from urllib.parse import urlencode
 
 from urllib3 import BaseHTTPResponse
@@ -19,7 +20,14 @@
     StoreOutcomeUnknownError,
     StoreUnreachableError,
 )
-from sesameroute.mirror import HistoryLostError, MirrorItem, MirrorUpdate
+from sesameroute.mirror import (
+    MAX_ERA,
+    MAX_REVISION,
+    HistoryLostError,
+    MirrorItem,
+    MirrorUpdate,
+    Position,
+)
 from sesameroute.platform._calls import (
     LeaseAnswer,
     Page,
@@ -28,9 +36,10 @@
     convert_item,
     decode_answer,
 )
+from sesameroute.platform._names import ERA_HEADER
 from sesameroute.ports import Wire
 
-__all__ = ['LeaseLostError', 'PlatformStore']
+__all__ = ['Lease', 'LeaseLostError', 'PlatformStore']
 
 _TIMEOUT_SECONDS = 1.0  # for an answer, in addition to the wait of a watch
 _MILLISECONDS = 1000
@@ -40,6 +49,7 @@
 _PRECONDITION_FAILED = 412
 _UNAVAILABLE_STATUSES = frozenset((429, 503))
 _JSON_HEADERS = (('Content-Type', 'application/json'),)
+_MAX_ERA_DIGITS = 16  # longer numbers are out of range, too
 _ALL_KEYS = ''  # key prefix; one watch covers all keys of the store
 
 _logger = logging.getLogger(__name__)
@@ -51,6 +61,23 @@
     code = 'lease-lost'
 
 
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease of the store.
+
+    Attributes
+    ----------
+    number : int
+        Its identifier, which is given out again in a later era.
+    era : int
+        Era of the store in which it was opened.
+
+    """
+
+    number: int
+    era: int
+
+
 def _ignore_call(_name: str, _result: str) -> None:
     """Do nothing; default of `on_call`."""
 
@@ -71,6 +98,12 @@
         HTTP status, ``down`` if the store could not be reached, or
         ``unknown`` if the call may have taken effect.
 
+    Attributes
+    ----------
+    era_ : int
+        Latest known era of the store. It rises when the store is restored
+        from a copy; revisions and leases are compared within one era only.
+
     """
 
     def __init__(
@@ -83,6 +116,7 @@
         """Store the parameters and build the connection pool."""
         self.address = address
         self.on_call = on_call
+        self.era_ = 0
         self._pool = build_pool(wire, source_ip, address, size=2)
 
     def read_all(self) -> MirrorUpdate:
@@ -91,12 +125,23 @@
         Items may change while the pages are read. The result therefore has
         the revision of the first page, so that the next watch returns these
         changes.
+
+        Raises
+        ------
+        StoreUnreachableError, StoreOutcomeUnknownError
+            The store gave no usable answer, or was restored meanwhile.
+
         """
         pages = list(self._read_pages(_ALL_KEYS))
+        first, era = pages[0]
+        if any(page_era != era for _page, page_era in pages):
+            raise StoreUnreachableError('store was restored meanwhile')
         items = tuple(
-            item for page in pages for item in _convert_items(page.items)
+            item
+            for page, _era in pages
+            for item in _convert_items(page.items, era)
         )
-        return MirrorUpdate(0, pages[0].current_rev, items)
+        return MirrorUpdate(0, _pack(era, first.current_rev), items)
 
     def watch(self, revision: int, seconds: float) -> MirrorUpdate:
         """Return the changes after a revision; wait for the first one.
@@ -109,26 +154,36 @@
             The store gave no usable answer.
 
         """
+        position = Position.unpack(revision)
+        self.era_ = max(self.era_, position.era)
         query = {
             'path_prefix': _ALL_KEYS,
-            'after': revision,
+            'after': position.revision,
             'wait_ms': int(seconds * _MILLISECONDS),
         }
         path = f'/-/kv-watch?{urlencode(query)}'
         answer = self._call('GET', path, wait=seconds)
         if answer.status == _GONE:
-            raise HistoryLostError(f'no history after revision {revision}')
-        watch_answer = decode_answer(_check_status(answer, _OK), WatchAnswer)
-        items = tuple(_convert_items(watch_answer.events))
-        return MirrorUpdate(revision, watch_answer.current_rev, items)
+            raise HistoryLostError(f'no history after {position}')
+        content = _check_status(answer, _OK)
+        era = self._read_era(answer)
+        if era != position.era:
+            raise HistoryLostError(f'era {era} has no history of {position}')
+        watch_answer = decode_answer(content, WatchAnswer)
+        items = tuple(_convert_items(watch_answer.events, era))
+        return MirrorUpdate(
+            revision, _pack(era, watch_answer.current_rev), items
+        )
 
-    def open_lease(self, seconds: float) -> int:
-        """Open a lease of this duration; return its identifier."""
+    def open_lease(self, seconds: float) -> Lease:
+        """Open a lease of this duration."""
         body = {'ttl_ms': int(seconds * _MILLISECONDS)}
         answer = self._call('POST', '/-/kv-lease', body)
-        return decode_answer(_check_status(answer, _OK), LeaseAnswer).lease
+        content = _check_status(answer, _OK)
+        number = decode_answer(content, LeaseAnswer).lease
+        return Lease(number, self._read_era(answer))
 
-    def renew_lease(self, lease: int) -> None:
+    def renew_lease(self, lease: Lease) -> None:
         """Renew a lease.
 
         Raises
@@ -137,16 +192,26 @@
             The lease has ended.
 
         """
-        answer = self._call('POST', f'/-/kv-keep/{lease}')
+        answer = self._call('POST', f'/-/kv-keep/{lease.number}')
         if answer.status == _NOT_FOUND:
-            raise LeaseLostError(f'lease {lease} has ended')
+            raise LeaseLostError(f'{lease} has ended')
         _check_status(answer, _OK)
+        self._check_lease(lease, answer)
+
+    def end_lease(self, lease: Lease) -> None:
+        """End a lease; the store removes the keys that were put under it.
+
+        Raises
+        ------
+        LeaseLostError
+            The store was restored since; the number may be another lease's.
 
-    def end_lease(self, lease: int) -> None:
-        """End a lease; the store removes the keys that were put under it."""
-        self._call('DELETE', f'/-/kv-lease-end/{lease}')
+        """
+        if self.era_ != lease.era:
+            raise LeaseLostError(f'{lease} is of an earlier era')
+        self._call('DELETE', f'/-/kv-lease-end/{lease.number}')
 
-    def put(self, key: str, content: bytes, lease: int = 0) -> int:
+    def put(self, key: str, content: bytes, lease: Lease | None = None) -> int:
         """Write a key; return the store's revision after the write.
 
         Parameters
@@ -155,13 +220,14 @@
             Key to write.
         content : bytes
             Value of the key.
-        lease : int, optional
-            Lease with whose end the key is removed; 0 for none.
+        lease : Lease, optional
+            Lease with whose end the key is removed.
 
         Raises
         ------
         LeaseLostError
-            The lease has ended; nothing was written.
+            The lease has ended. Nothing was written, or under a lease of a
+            later era with the same number.
         ConflictError
             The key has another revision; nothing was written.
         StoreUnreachableError
@@ -173,25 +239,32 @@
         new_item = {
             'key': key,
             'value': base64.b64encode(content).decode(),
-            'lease': lease,
+            'lease': lease.number if lease else 0,
         }
         body = {'precondition': [], 'puts': [new_item], 'remove': []}
         answer = self._call('POST', '/-/kv-txn', body)
         if answer.status == _NOT_FOUND:
-            raise LeaseLostError(f'lease {lease} has ended')
+            raise LeaseLostError(f'{lease} has ended')
         if answer.status == _PRECONDITION_FAILED:
             raise ConflictError(f'{key} has another revision')
-        return decode_answer(
-            _check_status(answer, _OK), TransactionAnswer
-        ).revision
-
-    def _read_pages(self, prefix: str) -> Iterator[Page]:
+        content = _check_status(answer, _OK)
+        if lease:
+            self._check_lease(lease, answer)
+        return decode_answer(content, TransactionAnswer).revision
+
+    def _check_lease(self, lease: Lease, answer: BaseHTTPResponse) -> None:
+        """Raise LeaseLostError if the store was restored since."""
+        if self._read_era(answer) != lease.era:
+            raise LeaseLostError(f'{lease} is of an earlier era')
+
+    def _read_pages(self, prefix: str) -> Iterator[tuple[Page, int]]:
+        """Yield the pages of a listing, each with the era of its answer."""
         after = ''
         while True:
             query = {'path_prefix': prefix, 'after': after}
             answer = self._call('GET', f'/-/kv-range?{urlencode(query)}')
             page = decode_answer(_check_status(answer, _OK), Page)
-            yield page
+            yield page, self._read_era(answer)
             if not page.has_more or not page.items:
                 return
             after = page.items[-1].key
@@ -223,8 +296,25 @@
                 f'store sent no answer: {error}'
             ) from error
         self.on_call(name, str(answer.status))
+        self.era_ = max(self.era_, self._read_era(answer))
         return answer
 
+    def _read_era(self, answer: BaseHTTPResponse) -> int:
+        """Return the era of an answer; the latest known one if not named."""
+        text = answer.headers.get(ERA_HEADER)
+        if text is None:
+            return self.era_
+        try:
+            era = int(text[:_MAX_ERA_DIGITS])
+        except ValueError:
+            era = -1
+        if not 0 <= era <= MAX_ERA:
+            _logger.warning(
+                'era not valid', extra={'era': text[:_MAX_ERA_DIGITS]}
+            )
+            return self.era_
+        return era
+
 
 def _check_status(answer: BaseHTTPResponse, status: int) -> bytes:
     if answer.status == status:
@@ -235,10 +325,18 @@
     raise StoreOutcomeUnknownError(text)
 
 
-def _convert_items(store_items: list) -> Iterator[MirrorItem]:
+def _pack(era: int, revision: int) -> int:
+    """Return a packed position; raise an error if it is out of range."""
+    if not 0 <= revision <= MAX_REVISION:
+        raise StoreOutcomeUnknownError('store sent a revision out of range')
+    return Position(era, revision).pack()
+
+
+def _convert_items(store_items: list, era: int) -> Iterator[MirrorItem]:
     """Yield the items that can be decoded; log the others."""
     for store_item in store_items:
         try:
-            yield convert_item(store_item)
+            item = convert_item(store_item)
+            yield replace(item, revision=_pack(era, item.revision))
         except StoreOutcomeUnknownError as error:
             _logger.warning('item ignored', extra={'why': error.message})
--- a/sesameroute/platform/tests/test_store.py
+++ b/sesameroute/platform/tests/test_store.py
@@ -6,7 +6,7 @@
     StoreOutcomeUnknownError,
     StoreUnreachableError,
 )
-from sesameroute.mirror import HistoryLostError
+from sesameroute.mirror import HistoryLostError, Position
 from sesameroute.platform import LeaseLostError, PlatformStore
 from sesameroute.platform.tests.store_standin import StoreStandIn
 from sesameroute.ports import TcpWire
@@ -90,7 +90,7 @@
     lease = store.open_lease(5)
     store.put('mine', b'x', lease)
     store.renew_lease(lease)
-    standin.end_lease(lease)
+    standin.end_lease(lease.number)
     assert 'mine' not in standin.items
     with pytest.raises(LeaseLostError):
         store.renew_lease(lease)
@@ -119,3 +119,69 @@
     standin.stop()
     with pytest.raises(StoreUnreachableError):
         store.read_all()
+
+
+def test_positions_rise_when_the_store_is_restored(standin, store):
+    """Revisions are given out again, so they alone order nothing."""
+    standin.era = 4
+    copy = standin.copy_state()
+    for number in range(9):
+        standin.put(f'servers/{number}', b'x')
+    before = store.read_all()
+    standin.restore(copy)
+    standin.put('servers/0', b'x')
+    with pytest.raises(HistoryLostError):
+        store.watch(before.revision, 0.1)
+    after = store.read_all()
+    assert after.revision == Position(5, standin.revision).pack()
+    assert after.items[0].revision > before.revision
+    standin.put('servers/1', b'x')
+    update = store.watch(after.revision, 0.1)
+    assert [item.key for item in update.items] == ['servers/1']
+
+
+def test_watch_reports_a_restore_that_revisions_do_not_show(standin, store):
+    """The restored store may have passed the known revision already."""
+    copy = standin.copy_state()
+    standin.put('a', b'')
+    known = store.read_all().revision
+    standin.restore(copy)
+    standin.put('a', b'')
+    standin.put('b', b'')
+    with pytest.raises(HistoryLostError):
+        store.watch(known, 0.1)
+
+
+@pytest.mark.parametrize(
+    'text', ['', '-1', 'x', '9' * 400, '1.5', str(1 << 22)]
+)
+def test_era_that_is_not_valid_counts_as_not_named(standin, store, text):
+    """The latest known era holds on."""
+    standin.era = 2
+    store.read_all()
+    standin.era = text
+    assert store.read_all().revision == Position(2, standin.revision).pack()
+
+
+@pytest.mark.parametrize('call', ['renew_lease', 'end_lease'])
+def test_lease_ends_with_its_era(standin, store, call):
+    """Its number may be another node's lease after a restore."""
+    copy = standin.copy_state()
+    lease = store.open_lease(5)
+    standin.restore(copy)
+    other = standin.open_lease(5000)['lease']
+    assert other == lease.number
+    store.read_all()
+    with pytest.raises(LeaseLostError):
+        getattr(store, call)(lease)
+    assert other in standin.leases
+
+
+def test_write_under_a_lease_of_an_earlier_era_is_reported(standin, store):
+    """The key may lie under another node's lease now."""
+    copy = standin.copy_state()
+    lease = store.open_lease(5)
+    standin.restore(copy)
+    standin.open_lease(5000)
+    with pytest.raises(LeaseLostError):
+        store.put('mine', b'x', lease)
--- a/sesameroute/registry/_registry.py
+++ b/sesameroute/registry/_registry.py
@@ -9,6 +9,10 @@
 
 __all__ = ['RegistryEntry', 'Registry']
 
+# After a restore of the store, servers that still exist write their entries
+# again within this time.
+_REWRITE_SECONDS = 2.1
+
 
 @dataclass(slots=True)
 class RegistryEntry:
@@ -21,16 +25,22 @@
     missing_since : float
         Monotonic time in seconds at which its entry disappeared from the
         store; infinite while the entry exists.
+    is_lost : bool
+        Whether the store may have lost the entry in a restore.
 
     """
 
     backend: Backend
     cold_until: float
     missing_since: float = math.inf
+    is_lost: bool = False
 
     def is_listed(self) -> bool:
-        """Whether the backend server has an entry in the store."""
-        return math.isinf(self.missing_since)
+        """Whether the backend server has an entry in the store.
+
+        One that was lost in a restore counts until it should be back.
+        """
+        return self.is_lost or math.isinf(self.missing_since)
 
 
 class Registry:
@@ -81,17 +91,30 @@
             cold_until = now + backend.cold_seconds
             if previous is None or previous.backend != backend:
                 self.change_count_ += 1
-            if previous is not None and not previous.is_listed():
+            if previous is not None and not math.isinf(previous.missing_since):
                 self.change_count_ += 1
             self._entries[backend.name] = RegistryEntry(backend, cold_until)
             return is_new
 
-    def remove(self, name: str, now: float) -> None:
-        """Start the grace period of a backend server that lost its entry."""
+    def remove(self, name: str, now: float, *, is_lost: bool = False) -> None:
+        """Start the grace period of a backend server that lost its entry.
+
+        Parameters
+        ----------
+        name : str
+            Name of the backend server.
+        now : float
+            Monotonic time in seconds.
+        is_lost : bool, optional
+            Whether the store may have lost the entry in a restore. The server
+            is then used as before until its entry should be back.
+
+        """
         with self._lock:
             entry = self._entries.get(name)
-            if entry is not None and entry.is_listed():
+            if entry is not None and math.isinf(entry.missing_since):
                 entry.missing_since = now
+                entry.is_lost = is_lost
                 self.change_count_ += 1
 
     def expire(self, now: float) -> list[str]:
@@ -107,7 +130,7 @@
             expired = [
                 name
                 for name, entry in self._entries.items()
-                if now - entry.missing_since >= self.grace_seconds
+                if now - entry.missing_since >= self._find_grace(entry)
             ]
             for name in expired:
                 self._entries.pop(name)
@@ -163,3 +186,6 @@
     def __len__(self) -> int:
         """Return the number of known backend servers."""
         return len(self._entries)
+
+    def _find_grace(self, entry: RegistryEntry) -> float:
+        return _REWRITE_SECONDS if entry.is_lost else self.grace_seconds
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -102,6 +102,16 @@
         'sesame_backends_suspended',
         'Backend servers that the pool on this node has suspended, by service.',
     )
+    STORE_ERA = _MetricSpecification(
+        Gauge,
+        'sesame_store_era',
+        'Era of the store; it rises when the store is restored from a copy.',
+    )
+    HELD_ITEMS = _MetricSpecification(
+        Gauge,
+        'sesame_held_items',
+        'Items in force that the restored store lacks or has in an older form.',
+    )
     BACKEND_LIMIT = _MetricSpecification(
         Gauge,
         'sesame_backend_limit',
