Swap by tag, so that no change after a restore is overwritten unseen

What operators saw, on the store with faults of the submission tests: an operator's change is read at revision 2, the store can't be reached and comes back at revision 1, another operator's change gets revision 2, and the first one's retry replaces it. It is reported as accepted, is not based on the other change, and may get the version that the other one has in force.

Cause: a compare-and-swap names a revision, and a restored store gives out revisions again.

A swap names the tag of the value that it replaces, if the store has tags. After a refusal, a value at the same revision with another tag counts as newer, so that the refusal shows the difference at once.

--- a/sesameroute/adapters/_store.py
+++ b/sesameroute/adapters/_store.py
@@ -5,8 +5,8 @@
 answers 204 if there was none in time; with ``If-None-Match: TAG`` beside, it
 waits for a value with another entity tag, whatever its revision. The tags of
 two values differ also if a restored store gave both the same revision.
-``PUT /kv/{key}`` with ``If-Match: REVISION`` replaces the value if it has that
-revision, and answers 412 otherwise.
+``PUT /kv/{key}`` with ``If-Match: REVISION`` or ``If-Match: TAG`` replaces the
+value if it has that revision or tag, and answers 412 otherwise.
 ``PUT /lease/{key}?holder=H&seconds=S`` takes or renews a lease, and answers
 409 if another holder has it.
 """
@@ -92,13 +92,22 @@
         """
         return self._get(_format_path('kv', key), self.timeout)
 
-    def swap(self, key: str, content: bytes, revision: int) -> StoredValue:
-        """Replace the value if it has `revision`; 0 stands for no value yet.
+    def swap(
+        self,
+        key: str,
+        content: bytes,
+        revision: int,
+        tag: str = '',
+    ) -> StoredValue:
+        """Replace the value if it has `tag`.
+
+        Without a tag, replace it if it has `revision`; 0 stands for no value
+        yet.
 
         Raises
         ------
         ConflictError
-            The key has another revision; nothing took effect.
+            The value has another tag or revision; nothing took effect.
         StoreUnreachableError
             The store could not be reached; nothing took effect.
         StoreOutcomeUnknownError
@@ -106,9 +115,9 @@
 
         """
         path = _format_path('kv', key)
-        answer = self._put(path, content, {'If-Match': str(revision)})
+        answer = self._put(path, content, {'If-Match': tag or str(revision)})
         if answer.status == _PRECONDITION_FAILED:
-            raise ConflictError(f'{key} no longer has revision {revision}')
+            raise ConflictError(f'{key} is no longer at revision {revision}')
         if answer.status != _OK:
             raise StoreOutcomeUnknownError(
                 f'store answered {answer.status} to {path}'
--- a/sesameroute/fakes/_memory_store.py
+++ b/sesameroute/fakes/_memory_store.py
@@ -91,24 +91,37 @@
         self.call_counts['read'] += 1
         return self._find(key)
 
-    def swap(self, key: str, content: bytes, revision: int) -> StoredValue:
-        """Replace the value if its revision is `revision`; 0 creates the key.
+    def swap(
+        self,
+        key: str,
+        content: bytes,
+        revision: int,
+        tag: str = '',
+    ) -> StoredValue:
+        """Replace the value if its tag is `tag`.
+
+        Without a tag, replace it if its revision is `revision`; 0 creates the
+        key.
 
         Raises
         ------
         ConflictError
-            The value has another revision.
+            The value has another tag or revision.
 
         """
         self.call_counts['swap'] += 1
         with self._changed:
             history = self._histories.setdefault(key, [])
-            current = history[-1].revision if history else 0
-            if current != revision:
+            current = history[-1] if history else StoredValue(b'', 0)
+            is_same = (
+                tag == current.tag if tag else revision == current.revision
+            )
+            if not is_same:
                 raise ConflictError(
-                    f'{key} has revision {current}, not {revision}'
+                    f'{key} is at revision {current.revision}, '
+                    f'not at {tag or revision}'
                 )
-            history.append(_build_value(content, current + 1))
+            history.append(_build_value(content, current.revision + 1))
             self._changed.notify_all()
             return history[-1]
 
--- a/sesameroute/fakes/_store.py
+++ b/sesameroute/fakes/_store.py
@@ -164,9 +164,11 @@
     def _swap(self, key: str, environ: Environ) -> Reply:
         length = int(environ.get('CONTENT_LENGTH') or 0)
         content = environ['wsgi.input'].read(length)
-        revision = int(environ.get('HTTP_IF_MATCH', '0'))
+        condition = environ.get('HTTP_IF_MATCH', '0')
+        is_revision = condition.isdecimal()
+        revision, tag = (int(condition), '') if is_revision else (0, condition)
         try:
-            return HTTPStatus.OK, self.memory.swap(key, content, revision)
+            return HTTPStatus.OK, self.memory.swap(key, content, revision, tag)
         except ConflictError:
             return HTTPStatus.PRECONDITION_FAILED, None
 
--- a/sesameroute/fakes/tests/test_store.py
+++ b/sesameroute/fakes/tests/test_store.py
@@ -64,6 +64,18 @@
     assert store.watch(_KEY, found.revision, 0.05, found.tag) is None
 
 
+def test_swap_of_restored_store(server, store):
+    """A tag shows that another value has the revision of the known one."""
+    store.swap(_KEY, b'one', 0)
+    known = store.swap(_KEY, b'two', 1)
+    server.memory.roll_back(_KEY, 1)
+    other = store.swap(_KEY, b'other', 1)
+    with pytest.raises(ConflictError):
+        store.swap(_KEY, b'three', known.revision, known.tag)
+    assert store.read(_KEY) == other
+    assert store.swap(_KEY, b'three', other.revision, other.tag).revision == 3
+
+
 def test_roll_back_ends_watch(server, store):
     """A watch that is waiting sees that the store is restored."""
     store.swap(_KEY, b'one', 0)
--- a/sesameroute/ports/_store.py
+++ b/sesameroute/ports/_store.py
@@ -40,13 +40,22 @@
 
         """
 
-    def swap(self, key: str, content: bytes, revision: int) -> StoredValue:
-        """Replace the value if its revision is `revision` (0: no value yet).
+    def swap(
+        self,
+        key: str,
+        content: bytes,
+        revision: int,
+        tag: str = '',
+    ) -> StoredValue:
+        """Replace the value if its tag is `tag`.
+
+        Without a tag, replace it if its revision is `revision` (0: no value
+        yet).
 
         Raises
         ------
         ConflictError
-            The value has another revision; nothing took effect.
+            The value has another tag or revision; nothing took effect.
         StoreUnreachableError
             The store was not reached; nothing took effect.
         StoreOutcomeUnknownError
--- a/sesameroute/submission/_configuration_store.py
+++ b/sesameroute/submission/_configuration_store.py
@@ -71,13 +71,16 @@
         self.seed = seed
         self._random = random.Random(seed)
 
-    def read(self, after: int = -1) -> StoredConfiguration:
+    def read(
+        self, after: StoredConfiguration | None = None
+    ) -> StoredConfiguration:
         """Return the stored configuration.
 
         Parameters
         ----------
-        after : int, optional
-            Revisions up to this one are treated as stale reads and retried.
+        after : StoredConfiguration, optional
+            This one and lower revisions are treated as stale reads and
+            retried.
 
         Raises
         ------
@@ -91,7 +94,7 @@
             except StoreUnreachableError:
                 continue
             base = decode_stored_configuration(stored)
-            if base.revision > after:
+            if after is None or _is_after(base, after):
                 return base
         raise StoreUnreachableError(
             f'store returned no current value within {self.timeout_seconds} s',
@@ -160,7 +163,7 @@
     ) -> SesameError | None:
         """Return None if the swap took effect, else the error."""
         try:
-            self.store.swap(self.key, encoded, base.revision)
+            self.store.swap(self.key, encoded, base.revision, base.tag)
         except (
             ConflictError,
             StoreUnreachableError,
@@ -189,7 +192,7 @@
         """
         may_have_been_accepted = isinstance(failure, StoreOutcomeUnknownError)
         try:
-            current = self.read(after=base.revision)
+            current = self.read(after=base)
         except StoreUnreachableError:
             if may_have_been_accepted:
                 raise failure from None
@@ -204,3 +207,13 @@
             f'version {current.version} was submitted before this one\n'
             f'{describe_difference(base.text, current.text)}',
         )
+
+
+def _is_after(read: StoredConfiguration, known: StoredConfiguration) -> bool:
+    """Return whether a read shows that `known` was replaced.
+
+    A store that was restored may have another value at the same revision.
+    """
+    if read.revision == known.revision:
+        return read.tag != known.tag
+    return read.revision > known.revision
--- a/sesameroute/submission/_stored_configuration.py
+++ b/sesameroute/submission/_stored_configuration.py
@@ -31,11 +31,15 @@
     revision : int
         Revision of the value in the store, which a compare-and-swap needs;
         0 if there is no value.
+    tag : str
+        Tag of the value, which a compare-and-swap takes instead if the store
+        has tags.
 
     """
 
     configuration: Configuration | None
     revision: int
+    tag: str = ''
 
     @property
     def version(self) -> int:
@@ -62,7 +66,7 @@
     if stored is None:
         return StoredConfiguration(None, 0)
     return StoredConfiguration(
-        decode_configuration(stored.content), stored.revision
+        decode_configuration(stored.content), stored.revision, stored.tag
     )
 
 
--- a/sesameroute/submission/tests/faulty_store.py
+++ b/sesameroute/submission/tests/faulty_store.py
@@ -75,7 +75,7 @@
         is_stale = fault is Fault.STALE and newest > 1
         return self.read_revision(newest - int(is_stale))
 
-    def swap(self, key, content, revision):
+    def swap(self, key, content, revision, tag=''):
         """Compare and swap, subject to the next fault."""
         fault = self._next_fault()
         if fault is Fault.DOWN:
@@ -83,10 +83,10 @@
         if fault is Fault.CONCURRENT_SUBMISSION:
             self.add_concurrent_submission()
         if fault is Fault.DELAYED:
-            self.delayed.append((content, revision))
+            self.delayed.append((content, revision, tag))
         if fault in {Fault.DELAYED, Fault.LOST_REQUEST}:
             raise StoreOutcomeUnknownError('lost')
-        self._apply(content, revision)
+        self._apply(content, revision, tag)
         if fault is Fault.LOST_ANSWER_AND_SUPERSEDED:
             self.add_concurrent_submission()
         if fault in {Fault.LOST_ANSWER, Fault.LOST_ANSWER_AND_SUPERSEDED}:
@@ -98,7 +98,7 @@
         if revision <= 0:
             return None
         content = encode_configuration(self.accepted[revision - 1])
-        return StoredValue(content, revision)
+        return StoredValue(content, revision, content.decode())
 
     def add_concurrent_submission(self):
         """Accept another operator's submission, based on the newest one."""
@@ -125,9 +125,10 @@
             self.deliver_delayed()
         return self.faults.popleft() if self.faults else Fault.NONE
 
-    def _apply(self, content, revision):
-        if revision != len(self.accepted):
-            raise ConflictError('other revision')
+    def _apply(self, content, revision, tag):
+        current = self.read_revision(len(self.accepted))
+        if revision != len(self.accepted) or (tag and tag != current.tag):
+            raise ConflictError('other value')
         configuration = decode_configuration(content)
         assert isinstance(configuration, Configuration)
         self.accepted.append(configuration)
--- a/sesameroute/submission/tests/test_submission_fuzz.py
+++ b/sesameroute/submission/tests/test_submission_fuzz.py
@@ -68,7 +68,7 @@
     """Mutation: looks for its submission id in the newest submission only."""
 
     def _resolve_conflict(self, base, configuration, failure):
-        current = self.read(after=base.revision)
+        current = self.read(after=base)
         if current.configuration.submission != configuration.submission:
             raise ConflictError('another')
 
@@ -88,7 +88,7 @@
 class StaleReadStore(ConfigurationStore):
     """Mutation: accepts stale reads."""
 
-    def read(self, after=-1):
+    def read(self, after=None):
         """Return the first value read, whatever its revision."""
         return super().read()
 
