Say that the store may have been restored when a swap is refused

What operators saw: a submission during the restore of the store ended with "another submission was accepted first" where nobody had submitted. The store refuses the swap, and then returns only revisions that are not above the one that the submission is based on; the cause may be a restore, lagging reads or an outage, which the message now says. The exit code is the same.

Evidence: test_refusal_names_the_restore failed before, with the message above.

--- a/sesameroute/submission/_configuration_store.py
+++ b/sesameroute/submission/_configuration_store.py
@@ -117,8 +117,9 @@
         InputError
             The configuration exceeds the size limit of the store.
         ConflictError
-            Another submission was accepted since `base` was read; the
-            message shows the difference if it could be read.
+            Another submission was accepted since `base` was read, or the
+            store was restored; the message shows the difference if it could
+            be read.
         StoreUnreachableError
             The store could not be reached; nothing was changed.
         StoreOutcomeUnknownError
@@ -197,7 +198,9 @@
             if may_have_been_accepted:
                 raise failure from None
             raise ConflictError(
-                'another submission was accepted first',
+                'the store no longer has the version that this one is based '
+                'on, and returned no newer one: it is stale, out of reach '
+                'or was restored',
             ) from None
         if configuration.submission in current.submissions:
             return
--- a/sesameroute/submission/tests/test_restored_store.py
+++ b/sesameroute/submission/tests/test_restored_store.py
@@ -65,6 +65,14 @@
     assert len(store.accepted) == 1 + following
 
 
+def test_refusal_names_the_restore(store):
+    """Without a newer value, the refusal does not claim that there is one."""
+    statement = read_statement(store.accepted[-1].text)
+    store.submissions_after_restore = 0
+    with pytest.raises(ConflictError, match='or was restored'):
+        _make_submitter(store).submit(statement)
+
+
 @pytest.mark.parametrize('following', [1, 2])
 def test_change_applies_to_what_followed(store, following):
     """A change that was refused is made again on the newest configuration."""
