--- a/sesameroute/ports/_store.py
+++ b/sesameroute/ports/_store.py
@@ -8,10 +8,23 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredValue:
-    """A value and its revision, the basis of a compare-and-swap."""
+    """A value and its revision, the basis of a compare-and-swap.
+
+    Attributes
+    ----------
+    content : bytes
+    revision : int
+        Grows by one with every write. A store that was restored from an
+        older copy gives revisions again.
+    tag : str
+        Differs between any two values, also of the same revision; empty if
+        the store has no tags.
+
+    """
 
     content: bytes
     revision: int
+    tag: str = ''
 
 
 class Store(Protocol):
@@ -27,13 +40,22 @@
 
         """
 
-    def swap(self, key: str, content: bytes, revision: int) -> StoredValue:
-        """Replace the value if its revision is `revision` (0: no value yet).
+    def swap(
+        self,
+        key: str,
+        content: bytes,
+        revision: int,
+        tag: str = '',
+    ) -> StoredValue:
+        """Replace the value if its tag is `tag`.
+
+        Without a tag, replace it if its revision is `revision` (0: no value
+        yet).
 
         Raises
         ------
         ConflictError
-            The value has another revision; nothing took effect.
+            The value has another tag or revision; nothing took effect.
         StoreUnreachableError
             The store was not reached; nothing took effect.
         StoreOutcomeUnknownError
@@ -46,8 +68,11 @@
         key: str,
         revision: int,
         timeout: float,
+        tag: str = '',
     ) -> StoredValue | None:
-        """Wait for a value with a revision above `revision`.
+        """Wait for a value with another tag than `tag`.
+
+        Without a tag, wait for a revision above `revision`.
 
         Returns
         -------
