Use a server once its zone is known, also if it was not at first

What callers saw: an entry that first named an unknown zone, then a good one with a later start, another address and a known zone under the same name: the server got no requests. The same for a zone that the settings name only after a reload.

Cause: the pool computed a server's region only when it first saw the name; later entries and changed zones didn't touch it.

Evidence: the new test, with the zone unknown in the entry or in the settings and with the same or a later incarnation, failed in all four cases (refused instead of granted). It passes now.

Change: the region is computed with each update from the registry.

--- a/sesameroute/placement/_states.py
+++ b/sesameroute/placement/_states.py
@@ -84,10 +84,11 @@
         self._states = {}
         for entry in entries:
             backend = entry.backend
+            region = regions.get(backend.zone, '')
             state = previous.get(backend.name)
             if state is None:
-                region = regions.get(backend.zone, '')
                 state = UpstreamState(entry, region, last_outcome_at=now)
+            state.region = region
             state.update_entry(entry)
             self._states[backend.name] = state
         self._applied_limits = None
