Let a value that msgpack can't carry end no peer stream

What callers saw: an entry of a server whose `born` has 400 digits; the threads of the peer connections ended with OverflowError.

Cause: `pack_frame` let all errors of msgpack but "too long" escape, a reply was packed outside of the handler's guard, and an error in the thread of a stream ended it. A host that can't be encoded (a label of 64 characters) raises UnicodeError, which is no OSError, and ended the thread that dials in the same way.

Change: encoding errors become PeerError and a log line, a call whose reply can't be sent fails at once, and an unexpected error while a frame is handled or a peer is dialled is logged. Errors are logged with a bounded text: they may quote the value, or an integer too long to print.

--- a/sesameroute/adapters/_peer_dialer.py
+++ b/sesameroute/adapters/_peer_dialer.py
@@ -9,6 +9,7 @@
 
 from sesameroute.adapters._peer_handshake import Session, dial_handshake
 from sesameroute.exceptions import PeerError
+from sesameroute.telemetry import survive
 
 if TYPE_CHECKING:
     from sesameroute.adapters._peers import PeerNetwork
@@ -81,9 +82,9 @@
             )
             if self.network.streams.find(self.name):
                 continue
-            was_connected = self._dial()
-            if was_connected:
-                backoff = _MIN_BACKOFF_SECONDS
+            with survive('peer connection'):
+                if self._dial():
+                    backoff = _MIN_BACKOFF_SECONDS
             # Jitter keeps the peers from reconnecting all at once when a
             # failure domain becomes reachable again.
             self._is_stopping.wait(backoff * (0.5 + self._random.random()))
--- a/sesameroute/adapters/_peer_dispatcher.py
+++ b/sesameroute/adapters/_peer_dispatcher.py
@@ -7,7 +7,7 @@
 
 from sesameroute.adapters._peer_frames import Frame, FrameKind
 from sesameroute.adapters._peer_stream import PeerStream
-from sesameroute.exceptions import InputError
+from sesameroute.exceptions import InputError, describe_error
 from sesameroute.ports import (
     DeferredReply,
     MessageHandler,
@@ -51,6 +51,10 @@
         try:
             message = decode_message(frame.content)
         except InputError as error:
+            _logger.info(
+                'peer message not valid',
+                extra={'peer': stream.peer.sender, 'why': error.message},
+            )
             _fail(stream, frame, error.message)
             return
         if frame.kind is FrameKind.ONE_WAY or message.is_nonblocking:
@@ -76,9 +80,12 @@
         except Exception as error:  # noqa: BLE001
             _logger.error(
                 'peer message not handled',
-                extra={'type': type(message).__name__, 'why': repr(error)},
+                extra={
+                    'type': type(message).__name__,
+                    'why': describe_error(error, repr),
+                },
             )
-            _fail(stream, frame, repr(error))
+            _fail(stream, frame, describe_error(error, repr))
             return
         if frame.kind is not FrameKind.CALL:
             return
@@ -90,7 +97,8 @@
 
 def _reply(stream: PeerStream, frame: Frame, reply: Any) -> None:
     packed = None if reply is None else encode_message(reply)
-    stream.send(Frame(FrameKind.REPLY, frame.number, packed))
+    if not stream.send(Frame(FrameKind.REPLY, frame.number, packed)):
+        _fail(stream, frame, 'reply could not be sent')
 
 
 def _fail(stream: PeerStream, frame: Frame, text: str) -> None:
--- a/sesameroute/adapters/_peer_frames.py
+++ b/sesameroute/adapters/_peer_frames.py
@@ -15,7 +15,7 @@
 
 import msgpack
 
-from sesameroute.exceptions import PeerError
+from sesameroute.exceptions import PeerError, describe_error
 
 __all__ = [
     'MAX_FRAME_BYTES',
@@ -34,6 +34,7 @@
 _DIGEST = 'sha256'
 _MIN_COMPRESSED_BYTES = 4096
 _MAX_BODY_BYTES = MAX_FRAME_BYTES - 1024  # leaves room for the MAC
+_ENCODING_ERRORS = (OverflowError, RecursionError, TypeError, ValueError)
 _COMPRESSED_MARK = b'\xc1'  # never the first byte of a msgpack object
 
 
@@ -158,11 +159,17 @@
     Raises
     ------
     PeerError
-        The frame is longer than a reader accepts.
+        The frame is longer than a reader accepts, or has a value that msgpack
+        can't carry, such as an integer of more than 64 bits.
 
     """
     fields = (int(frame.kind), frame.number, frame.content)
-    packed = msgpack.packb(fields)
+    try:
+        packed = msgpack.packb(fields)
+    except _ENCODING_ERRORS as error:
+        raise PeerError(
+            f'frame could not be encoded: {describe_error(error)}'
+        ) from error
     if len(packed) > _MAX_BODY_BYTES:
         raise PeerError(
             f'frame has {len(packed)} bytes, allowed: {_MAX_BODY_BYTES}'
@@ -177,7 +184,9 @@
     try:
         kind, number, content = msgpack.unpackb(_decompress(packed))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise PeerError(f'frame is not valid: {error}') from error
+        raise PeerError(
+            f'frame is not valid: {describe_error(error)}'
+        ) from error
     if kind not in _KINDS or not isinstance(number, int):
         raise PeerError('frame has an unknown kind or no number')
     return Frame(FrameKind(kind), number, content)
--- a/sesameroute/adapters/_peer_stream.py
+++ b/sesameroute/adapters/_peer_stream.py
@@ -1,5 +1,6 @@
 """One peer stream: sends without blocking, detects silence and stalls."""
 
+import logging
 import select
 import socket
 import threading
@@ -30,6 +31,8 @@
 _CHUNK_BYTES = 65_536
 _MILLISECONDS = 1000
 
+_logger = logging.getLogger(__name__)
+
 
 class PeerStream:
     """A connection to a peer after the handshake.
@@ -90,7 +93,11 @@
         """Send or queue a frame; return whether that succeeded."""
         try:
             packed = pack_frame(frame)
-        except PeerError:
+        except PeerError as error:
+            _logger.warning(
+                'peer frame not sent',
+                extra={'peer': self.peer.sender, 'why': error.message},
+            )
             return False
         with self._lock:
             self._last_sent = self.clock.read_monotonic()
--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -212,7 +212,8 @@
                 return
             stream.send(Frame(FrameKind.HEARTBEAT))
             for frame in stream.receive():
-                self._handle_frame(stream, frame)
+                with survive('peer frame'):
+                    self._handle_frame(stream, frame)
 
     def _handle_frame(self, stream: PeerStream, frame: Frame) -> None:
         if frame.kind in _REPLY_KINDS:
--- a/sesameroute/exceptions.py
+++ b/sesameroute/exceptions.py
@@ -4,6 +4,7 @@
 verdict on whether the request may have run.
 """
 
+from collections.abc import Callable
 from enum import IntEnum, unique
 from http.client import IncompleteRead
 
@@ -18,10 +19,13 @@
     'SesameError',
     'StoreUnreachableError',
     'StoreOutcomeUnknownError',
+    'describe_error',
     'has_broken_off',
     'has_refused',
 ]
 
+_MAX_REASON_CHARACTERS = 200
+
 
 @unique
 class ExitCode(IntEnum):
@@ -125,6 +129,37 @@
         self.retry_after = retry_after
 
 
+def describe_error(
+    error: BaseException, render: Callable[[BaseException], str] = str
+) -> str:
+    """Return the text of an error, cut to a length that suits a log line.
+
+    An error may quote the value that it is about, whatever its size.
+
+    Parameters
+    ----------
+    error : BaseException
+        The error.
+    render : callable, optional
+        `str` or `repr`.
+
+    Examples
+    --------
+    >>> describe_error(KeyError('name'), repr)
+    "KeyError('name')"
+    >>> len(describe_error(InputError('x' * 10_000)))
+    203
+
+    """
+    try:
+        text = render(error)
+    except (ValueError, RecursionError):  # an integer too long to print
+        return type(error).__name__
+    if len(text) > _MAX_REASON_CHARACTERS:
+        return f'{text[:_MAX_REASON_CHARACTERS]}...'
+    return text
+
+
 def has_broken_off(error: BaseException | None) -> bool:
     """Whether a server closed or reset a connection before it had answered.
 
--- a/sesameroute/ports/_message.py
+++ b/sesameroute/ports/_message.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
-from sesameroute.exceptions import InputError
+from sesameroute.exceptions import InputError, describe_error
 
 __all__ = ['decode_message', 'encode_message', 'register_message']
 
 MessageType = TypeVar('MessageType', bound=type)
 
 _NATIVE_TYPES = (bytes,)  # Types that msgpack encodes without a conversion.
+_DECODING_ERRORS = (KeyError, RecursionError, TypeError, ValueError)
 _CLASSES_BY_TAG: dict[str, type] = {}  # noqa: WPS407
 
 
@@ -62,5 +63,7 @@
         return msgspec.convert(
             fields, _CLASSES_BY_TAG[tag], builtin_types=_NATIVE_TYPES
         )
-    except (KeyError, TypeError, ValueError) as error:
-        raise InputError(f'peer message is not valid: {error}') from error
+    except _DECODING_ERRORS as error:
+        raise InputError(
+            f'peer message is not valid: {describe_error(error)}'
+        ) from error
--- a/sesameroute/telemetry/_survival.py
+++ b/sesameroute/telemetry/_survival.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from sesameroute.exceptions import describe_error
+
 __all__ = ['survive']
 
 _logger = logging.getLogger(__name__)
@@ -36,7 +38,7 @@
             'unexpected error',
             extra={
                 'activity': activity,
-                'why': repr(error),
+                'why': describe_error(error, repr),
                 'at': f'{frame.name}:{frame.lineno}',
             },
         )
