Escape special characters in the labels of metrics

What operators saw: a backend server, route or service whose name has a quote, a backslash or a line end made the page of metrics unreadable.

Cause: aioprometheus writes the values of labels as they are.

Evidence: the new test failed for all three characters; it passes now.

--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -25,6 +25,8 @@
     10,
     math.inf,
 )
+# Characters that the text format escapes in the values of labels.
+_LABEL_ESCAPES = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
 
 
 class _MetricSpecification(NamedTuple):
@@ -173,23 +175,25 @@
     def add(self, metric: Metric, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
         with self._lock:
-            self._collectors[metric].add(labels, amount)
+            self._collectors[metric].add(_escape_labels(labels), amount)
 
     def set(self, metric: Metric, amount: float, **labels: str) -> None:
         """Set a gauge."""
         with self._lock:
-            self._collectors[metric].set(labels, amount)
+            self._collectors[metric].set(_escape_labels(labels), amount)
 
     def observe(self, metric: Metric, amount: float, **labels: str) -> None:
         """Add one observation to a histogram."""
         with self._lock:
-            self._collectors[metric].observe(labels, float(amount))
+            self._collectors[metric].observe(
+                _escape_labels(labels), float(amount)
+            )
 
     def read(self, metric: Metric, **labels: str) -> Any:
         """Return a metric's value, or 0 if the labels were never used."""
         with self._lock:
             try:
-                return self._collectors[metric].get(labels)
+                return self._collectors[metric].get(_escape_labels(labels))
             except KeyError:
                 return 0
 
@@ -200,6 +204,12 @@
         return content
 
 
+def _escape_labels(labels: dict[str, str]) -> dict[str, str]:
+    return {
+        name: text.translate(_LABEL_ESCAPES) for name, text in labels.items()
+    }
+
+
 def _create_collector(
     spec: _MetricSpecification, registry: Registry
 ) -> Collector:
--- a/sesameroute/telemetry/tests/test_telemetry.py
+++ b/sesameroute/telemetry/tests/test_telemetry.py
@@ -49,6 +49,19 @@
     assert not lines.getvalue()
 
 
+@pytest.mark.parametrize(
+    ('name', 'expected'),
+    [('a"b', r'a\"b'), ('a\nb', r'a\nb'), (r'a\b', r'a\\b'), ('a b', 'a b')],
+)
+def test_special_characters_in_labels_are_escaped(name, expected):
+    """A quote or a line end in a name made the whole page unreadable."""
+    meter = Meter()
+    meter.add(Metric.LOOKUPS, service=name)
+    page = meter.render().decode()
+    assert f'sesame_lookups_total{{service="{expected}"}} 1\n' in page
+    assert meter.read(Metric.LOOKUPS, service=name) == 1
+
+
 def test_concurrent_updates_are_not_lost():
     meter = Meter()
 
