Leave out header numbers that can't be converted

A deadline header of 400 digits, or of a superscript digit, and such a load header in an answer raised an error outside of the package's own.

Cause: `str.isdigit` is true for digits that `int` refuses, such as the superscript two of latin-1; `int` refuses more than 4,300 digits, and a division raises OverflowError for numbers that no float can hold.

Evidence: three of the new cases for the deadline and three of those for the load raised or returned the huge number; all pass now.

Change: only one to fifteen ASCII digits are a number.

--- a/sesameroute/platform/_header_codec.py
+++ b/sesameroute/platform/_header_codec.py
@@ -1,6 +1,7 @@
 """Reader and writer of the platform's HTTP headers."""
 
 import math
+import re
 
 from sesameroute.forward import AnswerMetadata, HeaderCodec, RequestMetadata
 from sesameroute.platform._names import (
@@ -19,6 +20,8 @@
 
 _MILLISECONDS = 1000
 _MISDIRECTED = 421  # HTTP status `Misdirected Request`
+# Larger numbers are not valid.
+_WHOLE_NUMBER = re.compile('[0-9]{1,15}')
 # The load header has the fields `running,waiting,slots`.
 _LOAD_FIELD_COUNT = 3
 # Headers that a node replaces instead of forwarding.
@@ -84,7 +87,7 @@
 
 def _parse_deadline(text: str) -> float | None:
     """Return a deadline in seconds, None if it is not valid."""
-    if not text.isdigit():
+    if not _WHOLE_NUMBER.fullmatch(text):
         return None
     return int(text) / _MILLISECONDS
 
@@ -116,7 +119,8 @@
     (2, -1)
 
     """
-    fields = text.split(',')
-    if len(fields) != _LOAD_FIELD_COUNT or not fields[1].strip().isdigit():
-        return -1
-    return int(fields[1])
+    fields = [field.strip() for field in text.split(',')]
+    is_valid = len(fields) == _LOAD_FIELD_COUNT
+    if is_valid and _WHOLE_NUMBER.fullmatch(fields[1]):
+        return int(fields[1])
+    return -1
--- a/sesameroute/platform/tests/test_documents.py
+++ b/sesameroute/platform/tests/test_documents.py
@@ -219,6 +219,15 @@
             RequestMetadata('a', '17', 1.2),
         ),
         ((('Sesameroute-Deadline-Ms', 'soon'),), RequestMetadata('', '', None)),
+        ((('Sesameroute-Deadline-Ms', '²'),), RequestMetadata('', '', None)),
+        (
+            (('Sesameroute-Deadline-Ms', '9' * 400),),
+            RequestMetadata('', '', None),
+        ),
+        (
+            (('Sesameroute-Deadline-Ms', '9' * 5000),),
+            RequestMetadata('', '', None),
+        ),
         ((), RequestMetadata('', '', None)),
     ],
 )
@@ -280,6 +289,16 @@
     )
 
 
+@pytest.mark.parametrize('waiting', ['', '-1', '²', '9' * 400, '9' * 5000])
+def test_odd_load_header_is_left_out(waiting):
+    """A digit that `int` refuses, or too many, raised an error."""
+    headers = (('Sesameroute-Server-Load', f'3,{waiting},8'),)
+    answer_metadata = PlatformHeaderCodec().read_answer_metadata(
+        Answer(200, headers)
+    )
+    assert answer_metadata.queue_length == -1
+
+
 def test_headers_to_a_backend_server():
     """They state the remaining time and the backend server's name."""
     header_codec = PlatformHeaderCodec()
