Decode the items of a store's answer one by one if one is not valid

What operators would see: one item with a revision of 400 digits, or without one, in a listing or a watch: the whole answer was refused, so that the node stopped following the store, as long as it was there.

Cause: the answer was decoded as a whole. A nesting that is too deep raised RecursionError, which no caller expected. Items of which the value could not be read were logged without their key, and items of any size were taken, although two of 1 MB don't fit into a frame to a peer.

Change: only if an answer can't be decoded, its items are decoded one by one. An item that is not valid, or above 64 KiB (the configuration excepted), is left out with one line that has its key and a short reason. A listing goes on after its last valid item.

--- a/sesameroute/platform/__init__.py
+++ b/sesameroute/platform/__init__.py
@@ -12,10 +12,12 @@
     parse_directory_query,
 )
 from sesameroute.platform._header_codec import PlatformHeaderCodec
+from sesameroute.platform._ignored_items import IgnoredItems
 from sesameroute.platform._item_dispatcher import StoreItemDispatcher
 from sesameroute.platform._store import LeaseLostError, PlatformStore
 
 __all__ = [
+    'IgnoredItems',
     'LeaseLostError',
     'PlatformHeaderCodec',
     'StoreItemDispatcher',
--- a/sesameroute/platform/_calls.py
+++ b/sesameroute/platform/_calls.py
@@ -1,44 +1,26 @@
 """JSON bodies of the store's answers."""
 
-import base64
-import binascii
-from typing import TypeVar
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any, TypeVar
 
 import msgspec
 
-from sesameroute.exceptions import StoreOutcomeUnknownError
-from sesameroute.mirror import MirrorItem
+from sesameroute.exceptions import StoreOutcomeUnknownError, describe_error
+from sesameroute.platform._field_types import Revision
+from sesameroute.platform._items import Item, decode_item
 
 __all__ = [
     'LeaseAnswer',
     'Page',
     'TransactionAnswer',
     'WatchAnswer',
-    'convert_item',
     'decode_answer',
 ]
 
 AnswerBody = TypeVar('AnswerBody')
 
-
-class Item(msgspec.Struct):
-    """An item of the store, or its removal.
-
-    Attributes
-    ----------
-    revision : int
-        Revision of the item's last change; the store may be at a later one.
-    value : str
-        Content in base64.
-    deleted : bool
-        Whether the item has been removed.
-
-    """
-
-    key: str
-    revision: int
-    value: str = ''
-    deleted: bool = False
+_DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 
 class Page(msgspec.Struct):
@@ -54,7 +36,7 @@
     """
 
     items: list[Item]
-    current_rev: int
+    current_rev: Revision
     has_more: bool = False
 
 
@@ -71,7 +53,18 @@
     """
 
     events: list[Item]
-    current_rev: int
+    current_rev: Revision
+
+
+class _RawPage(msgspec.Struct):
+    items: list[msgspec.Raw]
+    current_rev: Revision
+    has_more: bool = False
+
+
+class _RawWatchAnswer(msgspec.Struct):
+    events: list[msgspec.Raw]
+    current_rev: Revision
 
 
 class LeaseAnswer(msgspec.Struct):
@@ -106,6 +99,8 @@
 def decode_answer(content: bytes, body: type[AnswerBody]) -> AnswerBody:
     """Return the decoded body of an answer.
 
+    An item that can't be decoded becomes an `InvalidItem`.
+
     Parameters
     ----------
     content : bytes
@@ -120,28 +115,39 @@
 
     """
     try:
-        return msgspec.json.decode(content, type=body)
-    except msgspec.MsgspecError as error:
+        return _decode_body(content, body)
+    except _DECODING_ERRORS as error:
         raise StoreOutcomeUnknownError(
-            f'store sent no valid body: {error}'
+            f'store sent no valid body: {describe_error(error)}'
         ) from error
 
 
-def convert_item(item: Item) -> MirrorItem:
-    """Return the item as the mirror stores it.
+def _decode_body(content: bytes, body: type[AnswerBody]) -> AnswerBody:
+    """Decode a body, item by item if one of them is not valid."""
+    try:
+        return msgspec.json.decode(content, type=body)
+    except msgspec.MsgspecError:
+        if body not in _ITEMWISE_DECODERS:
+            raise
+    return _ITEMWISE_DECODERS[body](content)
 
-    Raises
-    ------
-    StoreOutcomeUnknownError
-        The value is not valid base64.
 
-    """
-    if item.deleted:
-        return MirrorItem(item.key, item.revision, None)
-    try:
-        content = base64.b64decode(item.value, validate=True)
-    except (binascii.Error, ValueError) as error:
-        raise StoreOutcomeUnknownError(
-            f'value of {item.key} is not valid base64: {error}'
-        ) from error
-    return MirrorItem(item.key, item.revision, content)
+def _decode_page(content: bytes) -> Page:
+    page = msgspec.json.decode(content, type=_RawPage)
+    items = [decode_item(each) for each in page.items]
+    # The next page begins after the key of the last item.
+    items.sort(key=lambda item: (isinstance(item, Item), item.key))
+    if page.has_more and not items[-1].key:
+        raise msgspec.ValidationError('no item of the page has a key')
+    return Page(items, page.current_rev, page.has_more)
+
+
+def _decode_watch_answer(content: bytes) -> WatchAnswer:
+    answer = msgspec.json.decode(content, type=_RawWatchAnswer)
+    events = [decode_item(each) for each in answer.events]
+    return WatchAnswer(events, answer.current_rev)
+
+
+_ITEMWISE_DECODERS: Mapping[type, Callable[[bytes], Any]] = MappingProxyType(
+    {Page: _decode_page, WatchAnswer: _decode_watch_answer}
+)
--- a/sesameroute/platform/_store.py
+++ b/sesameroute/platform/_store.py
@@ -2,7 +2,6 @@
 
 import base64
 import json
-import logging
 from collections.abc import Callable, Iterator
 from urllib.parse import urlencode
 
@@ -19,15 +18,16 @@
     StoreOutcomeUnknownError,
     StoreUnreachableError,
 )
-from sesameroute.mirror import HistoryLostError, MirrorItem, MirrorUpdate
+from sesameroute.mirror import HistoryLostError, MirrorUpdate
 from sesameroute.platform._calls import (
     LeaseAnswer,
     Page,
     TransactionAnswer,
     WatchAnswer,
-    convert_item,
     decode_answer,
 )
+from sesameroute.platform._ignored_items import IgnoredItems
+from sesameroute.platform._items import convert_items
 from sesameroute.ports import Wire
 
 __all__ = ['LeaseLostError', 'PlatformStore']
@@ -42,8 +42,6 @@
 _JSON_HEADERS = (('Content-Type', 'application/json'),)
 _ALL_KEYS = ''  # key prefix; one watch covers all keys of the store
 
-_logger = logging.getLogger(__name__)
-
 
 class LeaseLostError(ConflictError):
     """The lease has expired or has been ended."""
@@ -70,6 +68,8 @@
         Called after each call with the name of the call and its result: the
         HTTP status, ``down`` if the store could not be reached, or
         ``unknown`` if the call may have taken effect.
+    ignored_items : IgnoredItems, optional
+        Records the items that are not valid.
 
     """
 
@@ -79,10 +79,12 @@
         wire: Wire,
         source_ip: str,
         on_call: Callable[[str, str], None] = _ignore_call,
+        ignored_items: IgnoredItems | None = None,
     ) -> None:
         """Store the parameters and build the connection pool."""
         self.address = address
         self.on_call = on_call
+        self.ignored_items = ignored_items or IgnoredItems()
         self._pool = build_pool(wire, source_ip, address, size=2)
 
     def read_all(self) -> MirrorUpdate:
@@ -94,7 +96,9 @@
         """
         pages = list(self._read_pages(_ALL_KEYS))
         items = tuple(
-            item for page in pages for item in _convert_items(page.items)
+            item
+            for page in pages
+            for item in convert_items(page.items, self.ignored_items)
         )
         return MirrorUpdate(0, pages[0].current_rev, items)
 
@@ -119,7 +123,7 @@
         if answer.status == _GONE:
             raise HistoryLostError(f'no history after revision {revision}')
         watch_answer = decode_answer(_check_status(answer, _OK), WatchAnswer)
-        items = tuple(_convert_items(watch_answer.events))
+        items = tuple(convert_items(watch_answer.events, self.ignored_items))
         return MirrorUpdate(revision, watch_answer.current_rev, items)
 
     def open_lease(self, seconds: float) -> int:
@@ -233,12 +237,3 @@
     if answer.status in _UNAVAILABLE_STATUSES:
         raise StoreUnreachableError(text)
     raise StoreOutcomeUnknownError(text)
-
-
-def _convert_items(store_items: list) -> Iterator[MirrorItem]:
-    """Yield the items that can be decoded; log the others."""
-    for store_item in store_items:
-        try:
-            yield convert_item(store_item)
-        except StoreOutcomeUnknownError as error:
-            _logger.warning('item ignored', extra={'why': error.message})
