Check the ranges of all entries where they come in

What operators saw: one entry of a server with a start of 400 digits was taken and ended threads of the peer connections. Other fields were taken without a bound, too: ports from -1 to 99999, hosts that are no IP address, slots of 30 digits, names that no header carries, and versions of configurations that no log line or page of metrics can print.

Cause: the decoders checked types, not ranges, and quoted values of any length in their errors. An unexpected error in the handler of one item kept the mirror from passing on the items after it.

Change: the types of the fields have ranges that all later parts can carry: integers that are exact as floats, time limits that poll(2) takes, ports from 1 to 65535, IP addresses, bounded names. The dispatcher survives errors of a handler and logs the key.

--- a/sesameroute/platform/_documents.py
+++ b/sesameroute/platform/_documents.py
@@ -1,13 +1,24 @@
-"""Decoders for the documents of the operator and of backend servers.
+"""Decoder for the configuration of the operator.
 
 The private models check the types of the JSON fields; they are then converted
-to the types of `routes` and `registry`.
+to the types of `routes`.
 """
 
 import msgspec
 
-from sesameroute.exceptions import InputError
-from sesameroute.registry import Backend, BackendState
+from sesameroute.exceptions import InputError, describe_error
+from sesameroute.platform._field_types import (
+    Count,
+    Milliseconds,
+    Name,
+    PathPrefix,
+    Rate,
+    Seconds,
+    Text,
+    TimeLimit,
+    Version,
+    Weight,
+)
 from sesameroute.routes import (
     CallerLimits,
     Configuration,
@@ -17,76 +28,62 @@
     WeightedService,
 )
 
-__all__ = ['decode_backend', 'decode_configuration']
+__all__ = ['decode_configuration']
 
 _MILLISECONDS = 1000
 _VERSION_BASE = 16  # versions are hexadecimal numbers
+_DECODING_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError)
 
 
 class _Split(msgspec.Struct):
-    service: str
-    weight: float
+    service: Name
+    weight: Weight
 
 
 class _Path(msgspec.Struct):
-    name: str
-    path_prefix: str
+    name: Name
+    path_prefix: PathPrefix
     kind: RequestKind
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int
-    max_attempts: int
+    timeout_ms: TimeLimit
+    target_latency_ms: Milliseconds
+    priority: Count
+    max_attempts: Count
     # Whether backend servers are faster for objects that they have served
     # before; callers are not bound to one backend server.
     session_affinity: bool = False
     # Regions that may serve the route; empty means all.
-    allowed_regions: list[str] = []
-    service: str | None = None
+    allowed_regions: list[Name] = []
+    service: Text | None = None
     traffic_split: list[_Split] = []
 
 
 class _Host(msgspec.Struct):
-    host: str
+    host: Text
     paths: list[_Path]
 
 
 class _Service(msgspec.Struct):
-    name: str
-    health_path: str
-    max_connections: int
-    cold_start_s: float = 0
-    cold_per_s: float = 1
+    name: Name
+    health_path: PathPrefix
+    max_connections: Count
+    cold_start_s: Seconds = 0
+    cold_per_s: Rate = 1
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_ms: TimeLimit
+    idle_timeout_ms: TimeLimit
 
 
 class _Configuration(msgspec.Struct):
-    version: str
+    version: Version
     services: list[_Service]
     limits: _Limits
     virtual_hosts: list[_Host]
 
 
-class _Backend(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: BackendState
-    # Remaining warm-up time after the server's start, as of this heartbeat.
-    cold_left_ms: float
-    # Number of heartbeats that this incarnation has written.
-    sequence: int
-    # Unix time of the server's start in milliseconds; used as the number of
-    # the incarnation.
-    born: int = 0
-
-
 def decode_configuration(content: bytes) -> Configuration:
     """Return the operator's configuration.
 
@@ -99,41 +96,10 @@
     try:
         document = msgspec.json.decode(content, type=_Configuration)
         return _convert_configuration(document)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise InputError(f'configuration is not valid: {error}') from error
-
-
-def decode_backend(name: str, content: bytes) -> Backend:
-    """Return a backend server from its entry in the store.
-
-    Raises
-    ------
-    InputError
-        The document is not valid.
-
-    """
-    try:
-        document = msgspec.json.decode(content, type=_Backend)
-        host, _, port = document.address.rpartition(':')
-        target = host, int(port)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise InputError(f'entry {name} is not valid: {error}') from error
-    if document.slots < 1 or not target[0]:
+    except _DECODING_ERRORS as error:
         raise InputError(
-            f'entry {name} needs a slot and a host, '
-            f'got {document.slots} slots at host {target[0]!r}'
-        )
-    return Backend(
-        name,
-        document.service,
-        target[0],
-        target[1],
-        document.zone,
-        document.slots,
-        document.state,
-        max(document.cold_left_ms, 0) / _MILLISECONDS,
-        document.born,
-    )
+            f'configuration is not valid: {describe_error(error)}'
+        ) from error
 
 
 def _convert_configuration(document: _Configuration) -> Configuration:
--- a/sesameroute/platform/_item_dispatcher.py
+++ b/sesameroute/platform/_item_dispatcher.py
@@ -1,16 +1,19 @@
 """Decodes changed items of the store and passes them to a receiver."""
 
-import logging
 from typing import Protocol
 
 import msgspec
 
 from sesameroute.exceptions import InputError
 from sesameroute.mirror import MirrorItem
-from sesameroute.platform._documents import (
+from sesameroute.platform._documents import decode_configuration
+from sesameroute.platform._entries import (
+    Member,
     decode_backend,
-    decode_configuration,
+    decode_member,
 )
+from sesameroute.platform._field_types import MAX_KEY_CHARACTERS
+from sesameroute.platform._ignored_items import IgnoredItems
 from sesameroute.platform._names import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -19,11 +22,10 @@
 )
 from sesameroute.registry import Backend
 from sesameroute.routes import Configuration
+from sesameroute.telemetry import survive
 
 __all__ = ['StoreItemDispatcher', 'Receiver']
 
-_logger = logging.getLogger(__name__)
-
 
 class Receiver(Protocol):
     """Handler of the documents in the store."""
@@ -44,12 +46,6 @@
         """Handle a new or changed entry of a node."""
 
 
-class _Member(msgspec.Struct):
-    ip: str
-    zone: str
-    region: str
-
-
 class StoreItemDispatcher:
     """Decodes changed items by key and passes them to a receiver.
 
@@ -59,27 +55,35 @@
     ----------
     receiver : Receiver
         Called with the decoded documents.
+    ignored_items : IgnoredItems, optional
+        Records the items that are not valid.
 
     """
 
-    def __init__(self, receiver: Receiver) -> None:
-        """Store the receiver and start without evacuated zones."""
+    def __init__(
+        self,
+        receiver: Receiver,
+        ignored_items: IgnoredItems | None = None,
+    ) -> None:
+        """Store the parameters and start without evacuated zones."""
         self.receiver = receiver
+        self.ignored_items = ignored_items or IgnoredItems()
         self._evacuated: frozenset[str] = frozenset()
 
     def dispatch(self, item: MirrorItem) -> None:
-        """Decode a changed item and pass it to the receiver."""
-        try:
-            self._dispatch(item)
-        except (InputError, msgspec.MsgspecError, RecursionError) as error:
-            _logger.warning(
-                'item not valid',
-                extra={'key': item.key, 'why': str(error)},
-            )
+        """Decode a changed item and pass it to the receiver.
+
+        It raises no error, so that the items after this one are handled.
+        """
+        with survive(f'item {item.key[:MAX_KEY_CHARACTERS]}'):
+            try:
+                self._dispatch(item)
+            except InputError as error:
+                self.ignored_items.record(item.key, error)
 
     def encode_member(self, address: str, zone: str, region: str) -> bytes:
         """Return the content of a node's entry."""
-        return msgspec.json.encode(_Member(address, zone, region))
+        return msgspec.json.encode(Member(address, zone, region))
 
     def build_member_key(self, address: str) -> str:
         """Return the key of a node's entry."""
@@ -102,7 +106,7 @@
 
     def _handle_member(self, item: MirrorItem) -> None:
         if item.content is not None:
-            member = msgspec.json.decode(item.content, type=_Member)
+            member = decode_member(item.content)
             self.receiver.put_member(member.ip, member.zone, member.region)
 
     def _handle_evacuation(self, item: MirrorItem) -> None:
--- a/sesameroute/platform/tests/test_documents.py
+++ b/sesameroute/platform/tests/test_documents.py
@@ -13,10 +13,8 @@
     encode_directory_answer,
     parse_directory_query,
 )
-from sesameroute.platform._documents import (
-    decode_backend,
-    decode_configuration,
-)
+from sesameroute.platform._documents import decode_configuration
+from sesameroute.platform._entries import decode_backend
 from sesameroute.ports import Answer
 from sesameroute.registry import Backend, BackendState
 from sesameroute.routes import RequestKind, WeightedService
