--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -104,6 +104,10 @@
         """Count a call to the platform's store."""
         self.meter_.add(Metric.STORE_CALLS, call=name, result=result)
 
+    def observe_ignored(self, kind: str) -> None:
+        """Count an item of the store that is ignored as not valid."""
+        self.meter_.add(Metric.IGNORED_ITEMS, kind=kind)
+
     def _update_gauges(self) -> None:
         for metric, amount in self._list_gauges():
             self.meter_.set(metric, amount)
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -185,6 +185,7 @@
         self.allocator.observer_ = meter.observe_try
         self._node_servers.quarantine.evidence.observer_ = meter.observe_loss
         self._store.observe_calls(meter.observe_call)
+        self._store.ignored_items.observer_ = meter.observe_ignored
         self._servers.append(MetricsServer(address, meter))
 
     def _run_pool_loop(self) -> None:
--- a/sesameroute/node/_store_connection.py
+++ b/sesameroute/node/_store_connection.py
@@ -9,7 +9,11 @@
 from sesameroute.node._mirror_sync import MirrorSync
 from sesameroute.node._receiver import NodeReceiver
 from sesameroute.node._settings import NodeSettings
-from sesameroute.platform import PlatformStore, StoreItemDispatcher
+from sesameroute.platform import (
+    IgnoredItems,
+    PlatformStore,
+    StoreItemDispatcher,
+)
 from sesameroute.ports import Clock, Peers, TcpWire
 
 __all__ = ['StoreConnection']
@@ -31,6 +35,11 @@
     clock : Clock
         Source of time.
 
+    Attributes
+    ----------
+    ignored_items : IgnoredItems
+        Records the items that are not valid.
+
     """
 
     def __init__(
@@ -44,11 +53,13 @@
         """Build the components without starting them."""
         self.clock = clock
         node_settings = settings.node
-        dispatcher = StoreItemDispatcher(receiver)
+        self.ignored_items = IgnoredItems()
+        dispatcher = StoreItemDispatcher(receiver, self.ignored_items)
         self._store = PlatformStore(
             parse_address(settings.store.address),
             TcpWire(),
             node_settings.address,
+            ignored_items=self.ignored_items,
         )
         self.mirror = Mirror(dispatcher.dispatch)
         self.sync = MirrorSync(self.mirror, fleet, peers, clock)
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -119,6 +119,11 @@
         'sesame_store_calls_total',
         'Calls to the store by name and result.',
     )
+    IGNORED_ITEMS = _MetricSpecification(
+        Counter,
+        'sesame_ignored_items_total',
+        'Items of the store that were ignored as not valid, by kind.',
+    )
     LOSSES = _MetricSpecification(
         Counter,
         'sesame_losses_total',
