Refuse a stored configuration whose version no heartbeat can carry

The product's own path has the fault of the platform's entries: the version in the store had no bound, but heartbeats name the version in force and hold integers of 64 bits.

Not played on a fleet.

--- a/sesameroute/membership/_configuration.py
+++ b/sesameroute/membership/_configuration.py
@@ -10,8 +10,9 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from enum import StrEnum, unique
+from typing import Annotated
 
-from pydantic import TypeAdapter
+from pydantic import Field, TypeAdapter
 
 from sesameroute.exceptions import InputError, SesameError
 from sesameroute.ports import register_message
@@ -26,6 +27,9 @@
 ]
 
 
+_MAX_VERSION = 9_223_372_036_854_775_807  # largest integer of a message
+
+
 @register_message('configuration')
 @dataclass(frozen=True, slots=True)
 class Configuration:
@@ -46,7 +50,7 @@
 
     """
 
-    version: int
+    version: Annotated[int, Field(ge=0, le=_MAX_VERSION)]
     submission: str
     text: str
     recent: tuple[str, ...] = ()
