Skip a look-up whose answer has an odd number or nesting

What callers saw: a look-up's answer with a time to live of 400 digits, or nested too deeply, raised OverflowError or RecursionError out of the caller; a weight that is a text raised TypeError at the choice. Weights that are not a number and ports out of range were taken.

Cause: the answer was read without types and ranges.

Evidence: six new rows of the table of bad answers failed; with the answer decoded into types with ranges, the next look-up is asked.

--- a/sesameroute/caller/_directory.py
+++ b/sesameroute/caller/_directory.py
@@ -1,10 +1,12 @@
 """Cache of look-up answers: entry VMs by service."""
 
-import json
 import random
 import threading
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
 
 from sesameroute.adapters import ConnectionPool
 from sesameroute.caller._lookup_request import query_lookup
@@ -15,6 +17,9 @@
 __all__ = ['Directory', 'EntryAddress', 'LookupAnswer']
 
 _MILLISECONDS = 1000
+_MAX_TTL_MS = 3_600_000
+_MAX_PORT = 65_535
+_MAX_WEIGHT = 1e9
 # Time for all look-ups together, if no answer is cached.
 _FIRST_LOOKUP_SECONDS = 1.5
 # The same if an expired answer is cached.
@@ -45,11 +50,16 @@
 
     vm: str
     address: str
-    port: int
-    weight: float
+    port: Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
+    weight: Annotated[float, msgspec.Meta(ge=0, le=_MAX_WEIGHT)]
     prefix: str
 
 
+class _AnswerBody(msgspec.Struct):
+    entries: tuple[EntryAddress, ...]
+    ttl_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_TTL_MS)]
+
+
 @dataclass(frozen=True, slots=True)
 class LookupAnswer:
     """Entry VMs for one service.
@@ -246,12 +256,8 @@
 
     def _parse_answer(self, body: bytes) -> LookupAnswer | None:
         try:
-            fields = json.loads(body)
-            entries = tuple(
-                EntryAddress(**entry_fields)
-                for entry_fields in fields['entries']
-            )
-            seconds = fields['ttl_ms'] / _MILLISECONDS
-        except (ValueError, KeyError, TypeError):
+            answer = msgspec.json.decode(body, type=_AnswerBody)
+        except (msgspec.MsgspecError, RecursionError):
             return None
-        return LookupAnswer(entries, self.clock.read_monotonic() + seconds)
+        until = self.clock.read_monotonic() + answer.ttl_ms / _MILLISECONDS
+        return LookupAnswer(answer.entries, until)
--- a/sesameroute/caller/tests/test_directory.py
+++ b/sesameroute/caller/tests/test_directory.py
@@ -24,6 +24,12 @@
 )
 
 
+def write_entry(**changes):
+    """Return the body of an answer with one changed entry."""
+    entries = [_ENTRIES[0] | changes]
+    return json.dumps({'ttl_ms': 50, 'entries': entries}).encode()
+
+
 def run_lookup(script):
     """Return a look-up process that follows a script."""
     return ScriptedServer(script, _ADDRESS)
@@ -53,6 +59,12 @@
         b'garbage\r\n\r\n',
         build_http_answer(b'not json'),
         build_http_answer(b'{"entries": [{"vm": 1}], "ttl_ms": 1}'),
+        build_http_answer(b'{"entries": [], "ttl_ms": 1%s}' % (b'0' * 400)),
+        build_http_answer(b'{"entries":' * 50_000),
+        build_http_answer(write_entry(weight=float('nan'))),
+        build_http_answer(write_entry(weight='often')),
+        build_http_answer(write_entry(port=10**400)),
+        build_http_answer(write_entry(port=65_536)),
     ],
 )
 def test_failing_lookup_is_skipped(bad_answer):
