Check the ranges of a node's settings and addresses

A changed settings file with a grace period that is not a number or infinite, or without a port in range, was put in force; no thread can wait for such a time or connect to such a port. An address with a superscript digit or a port of 5,000 digits raised ValueError.

Not played on a node.

--- a/sesameroute/node/_settings.py
+++ b/sesameroute/node/_settings.py
@@ -1,15 +1,22 @@
 """Settings of a node: one INI file, fully validated before it is used."""
 
 from configparser import Error, RawConfigParser
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
-from sesameroute.exceptions import InputError
+from sesameroute.exceptions import InputError, describe_error
 
 __all__ = ['NodeSettings', 'parse_node_settings']
 
 _LIST_KEYS = frozenset(('ports', 'seeds'))
+_MAX_PORT = 65_535
+_MAX_SECONDS = 86_400
+_MAX_NUMBER = 1e9
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_SECONDS)]
+Number = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 
 
 class Identity(msgspec.Struct, forbid_unknown_fields=True):
@@ -33,7 +40,7 @@
 class Peers(msgspec.Struct, forbid_unknown_fields=True):
     """Connections between nodes."""
 
-    ports: list[int]
+    ports: Annotated[list[Port], msgspec.Meta(min_length=1)]
     key: str
     seeds: list[str] = []
 
@@ -47,10 +54,10 @@
 class Bounds(msgspec.Struct, forbid_unknown_fields=True):
     """Bounds set by the operators; times in seconds."""
 
-    grace: float = 6.0
-    retry_ratio: float = 0.2
-    retry_slack: float = 50
-    longest_ttl: float = 5.0
+    grace: Seconds = 6.0
+    retry_ratio: Number = 0.2
+    retry_slack: Number = 50
+    longest_ttl: Seconds = 5.0
 
 
 class Limits(msgspec.Struct, forbid_unknown_fields=True):
@@ -118,7 +125,7 @@
     try:
         return msgspec.convert(sections, NodeSettings, strict=False)
     except msgspec.ValidationError as error:
-        raise InputError(f'{source}: {error}') from error
+        raise InputError(f'{source}: {describe_error(error)}') from error
 
 
 def _split_lists(pairs: list[tuple[str, str]]) -> list[tuple[str, object]]:
--- a/sesameroute/node/tests/test_reload.py
+++ b/sesameroute/node/tests/test_reload.py
@@ -4,9 +4,11 @@
 
 from sesameroute.exceptions import InputError
 from sesameroute.node import SettingsFile
+from sesameroute.node._address import parse_address
 from sesameroute.node.tests import cluster
 
 ADDRESS = '127.0.0.1'
+PORTS = f'ports = {cluster.PEERS_PORT},18415'
 
 
 def write(path, zone='north-a', grace='3', seeds=''):
@@ -51,6 +53,49 @@
     assert settings_file.settings.peers.seeds == ['127.0.0.9:1']
 
 
+@pytest.mark.parametrize(
+    ('line', 'odd_line'),
+    [
+        ('grace = 3', 'grace = nan'),
+        ('grace = 3', 'grace = inf'),
+        ('grace = 3', 'grace = 1e300'),
+        ('grace = 3', 'grace = -1'),
+        ('grace = 3', 'retry_slack = nan'),
+        (PORTS, 'ports = ,'),
+        (PORTS, 'ports = 0'),
+        (PORTS, 'ports = 65536'),
+        pytest.param(PORTS, f'ports = {"9" * 5000}', id='digits'),
+    ],
+)
+def test_odd_number_keeps_old_settings(path, line, odd_line, caplog):
+    """No thread can wait for such a time, or connect to such a port."""
+    settings_file = SettingsFile(path)
+    before = settings_file.settings
+    path.write_text(path.read_text().replace(line, odd_line))
+    assert not settings_file.reload()
+    assert settings_file.settings is before
+    assert len(caplog.records[-1].why) < 400
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        '',
+        ':80',
+        '127.0.0.1',
+        '127.0.0.1:',
+        '127.0.0.1:²',
+        '127.0.0.1:65536',
+        pytest.param(f'127.0.0.1:{"9" * 5000}', id='digits'),
+    ],
+)
+def test_odd_address_is_not_valid(text):
+    """Nodes tell each other their addresses."""
+    with pytest.raises(InputError) as caught:
+        parse_address(text)
+    assert len(caught.value.message) < 200
+
+
 @pytest.mark.parametrize('broken', ['', '[node', 'grace = soon'])
 def test_invalid_file_keeps_old_settings(path, broken, caplog):
     """A file that is not valid is logged once and keeps the old settings.
