--- a/sesameroute/platform/__init__.py
+++ b/sesameroute/platform/__init__.py
@@ -13,10 +13,12 @@
 )
 from sesameroute.platform._document_order import PlatformDocumentOrder
 from sesameroute.platform._header_codec import PlatformHeaderCodec
+from sesameroute.platform._ignored_items import IgnoredItems
 from sesameroute.platform._item_dispatcher import StoreItemDispatcher
 from sesameroute.platform._store import Lease, LeaseLostError, PlatformStore
 
 __all__ = [
+    'IgnoredItems',
     'Lease',
     'LeaseLostError',
     'PlatformDocumentOrder',
--- a/sesameroute/platform/_store.py
+++ b/sesameroute/platform/_store.py
@@ -22,7 +22,6 @@
 )
 from sesameroute.mirror import (
     MAX_ERA,
-    MAX_REVISION,
     HistoryLostError,
     MirrorItem,
     MirrorUpdate,
@@ -33,9 +32,10 @@
     Page,
     TransactionAnswer,
     WatchAnswer,
-    convert_item,
     decode_answer,
 )
+from sesameroute.platform._ignored_items import IgnoredItems
+from sesameroute.platform._items import convert_items
 from sesameroute.platform._names import ERA_HEADER
 from sesameroute.ports import Wire
 
@@ -97,6 +97,8 @@
         Called after each call with the name of the call and its result: the
         HTTP status, ``down`` if the store could not be reached, or
         ``unknown`` if the call may have taken effect.
+    ignored_items : IgnoredItems, optional
+        Records the items that are not valid.
 
     Attributes
     ----------
@@ -112,10 +114,12 @@
         wire: Wire,
         source_ip: str,
         on_call: Callable[[str, str], None] = _ignore_call,
+        ignored_items: IgnoredItems | None = None,
     ) -> None:
         """Store the parameters and build the connection pool."""
         self.address = address
         self.on_call = on_call
+        self.ignored_items = ignored_items or IgnoredItems()
         self.era_ = 0
         self._pool = build_pool(wire, source_ip, address, size=2)
 
@@ -139,9 +143,9 @@
         items = tuple(
             item
             for page, _era in pages
-            for item in _convert_items(page.items, era)
+            for item in self._convert_items(page.items, era)
         )
-        return MirrorUpdate(0, _pack(era, first.current_rev), items)
+        return MirrorUpdate(0, Position(era, first.current_rev).pack(), items)
 
     def watch(self, revision: int, seconds: float) -> MirrorUpdate:
         """Return the changes after a revision; wait for the first one.
@@ -170,9 +174,9 @@
         if era != position.era:
             raise HistoryLostError(f'era {era} has no history of {position}')
         watch_answer = decode_answer(content, WatchAnswer)
-        items = tuple(_convert_items(watch_answer.events, era))
+        items = tuple(self._convert_items(watch_answer.events, era))
         return MirrorUpdate(
-            revision, _pack(era, watch_answer.current_rev), items
+            revision, Position(era, watch_answer.current_rev).pack(), items
         )
 
     def open_lease(self, seconds: float) -> Lease:
@@ -252,6 +256,12 @@
             self._check_lease(lease, answer)
         return decode_answer(content, TransactionAnswer).revision
 
+    def _convert_items(self, items: list, era: int) -> Iterator[MirrorItem]:
+        """Yield the valid items, with their positions as revisions."""
+        for item in convert_items(items, self.ignored_items):
+            position = Position(era, item.revision)
+            yield replace(item, revision=position.pack())
+
     def _check_lease(self, lease: Lease, answer: BaseHTTPResponse) -> None:
         """Raise LeaseLostError if the store was restored since."""
         if self._read_era(answer) != lease.era:
@@ -323,20 +333,3 @@
     if answer.status in _UNAVAILABLE_STATUSES:
         raise StoreUnreachableError(text)
     raise StoreOutcomeUnknownError(text)
-
-
-def _pack(era: int, revision: int) -> int:
-    """Return a packed position; raise an error if it is out of range."""
-    if not 0 <= revision <= MAX_REVISION:
-        raise StoreOutcomeUnknownError('store sent a revision out of range')
-    return Position(era, revision).pack()
-
-
-def _convert_items(store_items: list, era: int) -> Iterator[MirrorItem]:
-    """Yield the items that can be decoded; log the others."""
-    for store_item in store_items:
-        try:
-            item = convert_item(store_item)
-            yield replace(item, revision=_pack(era, item.revision))
-        except StoreOutcomeUnknownError as error:
-            _logger.warning('item ignored', extra={'why': error.message})
