Test restores of the store in a row and beside a mass restart; a valid start time in the marker

Two more cases of a restored store; both pass. The marker of the tests had its start in nanoseconds, which is beyond the range of an entry now.

--- a/sesameroute/node/tests/drills.py
+++ b/sesameroute/node/tests/drills.py
@@ -46,7 +46,7 @@
         'state': 'ready',
         'cold_left_ms': 0,
         'sequence': number,
-        'born': time.time_ns(),
+        'born': int(time.time() * 1000),
     }
     return json.dumps(entry).encode()
 
--- a/sesameroute/node/tests/test_store_drill.py
+++ b/sesameroute/node/tests/test_store_drill.py
@@ -255,3 +255,36 @@
     cluster.configure(prefix='/b/')
     time.sleep(_APPLY_SECONDS)
     assert {send(number, '/b/x')[0] for number in (1, 2)} == {200}
+
+
+def test_nodes_that_all_restart_follow_a_restore(cluster, servers):
+    """Nodes that know nothing of before take what the store has."""
+    numbers = (1, 2, 3)
+    cluster.start_nodes(*numbers)
+    lose_writes(cluster, 60, lambda: cluster.configure(prefix='/b/'))
+    for number in numbers:
+        cluster.nodes[number].kill()
+    cluster.start_nodes(*numbers)
+    time.sleep(_CONTACT_SECONDS)
+    cluster.configure(prefix='/c/')
+    cluster.register('server-0', servers[0], state='draining')
+    time.sleep(max(_APPLY_SECONDS, _DRAIN_SECONDS))
+    since = time.monotonic()
+    for key in range(48):
+        assert send(1 + key % 3, '/c/x', key=str(key))[0] == 200
+    assert count_since(servers[0], since) == 0
+
+
+def test_restores_in_a_row_are_followed(cluster, servers):
+    """The second restore comes before anything is written again."""
+    numbers = (1, 2, 3)
+    cluster.start_nodes(*numbers)
+    lose_writes(cluster, 60, lambda: cluster.configure(prefix='/b/'))
+    copy = cluster.store.copy_state()
+    time.sleep(0.5)
+    cluster.store.restore(copy)
+    time.sleep(_CONTACT_SECONDS)
+    assert {send(number, '/b/x')[0] for number in numbers} == {200}
+    cluster.configure(prefix='/c/')
+    time.sleep(_APPLY_SECONDS)
+    assert {send(number, '/c/x')[0] for number in numbers} == {200}
