Hold what a restore has lost also among nodes that are out of step

- A node that starts gets what its peers hold before their copy, and keeps it until it knows the era.
- What a peer knows settles only what this node could have seen: not if the peer is ahead, and nothing that a peer says was written is put into the table.
- Versions and counts of writes decide before positions, so that writes that are repeated in their order, or a second restore, undo nothing.
- Lost entries are awaited anew after each restore.
The longest pause between calls to a store that is away is 0.4 s (0.8 s before): lost entries that nobody wrote again were used for longer than 3 s.
- The history of held items is read again after an error.

--- a/sesameroute/mirror/_item_table.py
+++ b/sesameroute/mirror/_item_table.py
@@ -8,30 +8,29 @@
 
 # Removals that are remembered, the latest ones.
 _MAX_REMOVALS = 1024
-
-_Removal = tuple[MirrorItem | None, MirrorItem | None]
-_UNKNOWN: _Removal = (None, None)
+# Items of one key that are remembered when the last one is removed.
+_MAX_PAST_ITEMS = 8
 
 
 class ItemTable:
     """Items by key; only a later revision replaces an item.
 
-    Removals are remembered for a while, with the items that were removed.
+    Removals are remembered for a while, with the items before them.
     """
 
     def __init__(self) -> None:
         """Start without items."""
         self._items: dict[str, MirrorItem] = {}
-        self._removals: dict[str, _Removal] = {}
+        self._removals: dict[str, MirrorItem] = {}
+        self._past: dict[str, tuple[MirrorItem, ...]] = {}
 
     def find(self, key: str) -> MirrorItem | None:
         """Return the item, its removal, or None if neither is known."""
-        removal, _removed = self._removals.get(key, _UNKNOWN)
-        return self._items.get(key, removal)
+        return self._items.get(key) or self._removals.get(key)
 
-    def find_removed(self, key: str) -> MirrorItem | None:
-        """Return the item that was removed; None if it is not known."""
-        return self._removals.get(key, _UNKNOWN)[1]
+    def list_past(self, key: str) -> tuple[MirrorItem, ...]:
+        """Return the items before a removal, the last one at the end."""
+        return self._past.get(key, ())
 
     def read_revision(self, key: str) -> int:
         """Return the revision of the last known change; 0 if there is none."""
@@ -47,9 +46,14 @@
         if item.content is not None:
             self._items[item.key] = item
             return
-        self._removals[item.key] = (item, previous)
+        if previous is not None:
+            past = (*self._past.get(item.key, ()), previous)
+            self._past[item.key] = past[-_MAX_PAST_ITEMS:]
+        self._removals[item.key] = item
         if len(self._removals) > _MAX_REMOVALS:
-            self._removals.pop(next(iter(self._removals)))
+            forgotten = next(iter(self._removals))
+            self._removals.pop(forgotten)
+            self._past.pop(forgotten, None)
 
     def list_keys(self) -> set[str]:
         """Return the keys of all items and removals."""
--- a/sesameroute/mirror/_items_in_force.py
+++ b/sesameroute/mirror/_items_in_force.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable, Iterable
 
+from sesameroute.mirror._held_merge import HeldMerge
 from sesameroute.mirror._item_table import ItemTable
-from sesameroute.mirror._known_positions import KnownPositions
 from sesameroute.mirror._messages import HeldItem, HeldItems, MirrorItem
-from sesameroute.mirror._position import Position, find_era
+from sesameroute.mirror._position import Position
 from sesameroute.mirror._reporter import Reporter
 from sesameroute.mirror._retention import (
     DocumentOrder,
-    is_repeated,
+    has_ended,
     is_still_in_force,
 )
 
@@ -35,8 +35,10 @@
         The items of the store in its present era.
     held_ : dict of str to HeldItem
         By key, the items of earlier eras that stay in force.
-    known_ : KnownPositions
-        Up to where the changes of earlier eras are known.
+    exchange_ : HeldMerge
+        Exchanges the held items with peers.
+    lost_ : set of str
+        Keys of the items that were lost without being held.
 
     """
 
@@ -50,7 +52,8 @@
         self.order = order
         self.stored_ = ItemTable()
         self.held_: dict[str, HeldItem] = {}
-        self.known_ = KnownPositions()
+        self.exchange_ = HeldMerge(self)
+        self.lost_: set[str] = set()
         self._reporter = Reporter(self.find, on_change, on_loss)
 
     def find(self, key: str) -> MirrorItem | None:
@@ -68,20 +71,37 @@
             with self._reporter.observe({item.key}):
                 self._put(item)
 
-    def restore(self, items: tuple[MirrorItem, ...], known: int) -> None:
+    def restore(
+        self,
+        items: tuple[MirrorItem, ...],
+        revision: int,
+        known: int,
+        early: Iterable[HeldItems],
+    ) -> None:
         """Replace the store's items; hold what stays in force.
 
         Parameters
         ----------
         items : tuple of MirrorItem
             All items of the restored store.
+        revision : int
+            Packed position of these items.
         known : int
             Packed position up to which changes were known before.
+        early : iterable of HeldItems
+            What peers told of the new era before this node knew it.
 
         """
         offered = {item.key: item for item in items}
         keys = self.list_keys() | offered.keys()
-        with self._reporter.observe(keys, is_restore=True):
+        keys |= {told.item.key for each in early for told in each.held}
+        lost = {
+            key
+            for key in self.list_keys() - offered.keys()
+            if self.find(key).content is not None
+            and not self.order.is_durable(key)
+        }
+        with self._reporter.observe(keys, lost):
             self.held_ = {
                 key: HeldItem(
                     self.find(key),
@@ -93,7 +113,12 @@
             self.stored_ = ItemTable()
             for item in items:
                 self.stored_.put(item)
-        self.known_.learn((known,))
+            self.exchange_.known_.learn((known,))
+            for message in early:
+                self.exchange_.merge(message, revision)
+        for key in self.lost_ - offered.keys() - lost:
+            self._reporter.on_loss(key)
+        self.lost_ = (self.lost_ | lost) - offered.keys() - self.held_.keys()
 
     def merge(self, message: HeldItems, revision: int) -> bool:
         """Merge what a peer holds.
@@ -114,14 +139,7 @@
         """
         told_keys = {told.item.key for told in message.held}
         with self._reporter.observe(told_keys | self.held_.keys()):
-            if message.revision <= revision:
-                self._settle(told_keys, KnownPositions(message.known))
-            obsolete = [
-                self._merge_item(told, find_era(revision))
-                for told in message.held
-            ]
-        self.known_.learn(message.known)
-        return any(obsolete)
+            return self.exchange_.merge(message, revision)
 
     def merge_history(self, changes: Iterable[MirrorItem]) -> None:
         """End what is held for lack of items that were removed meanwhile."""
@@ -132,65 +150,25 @@
             if key in latest and _has_later_revision(latest[key], held.item)
         )
 
-    def list_held(self, revision: int, told: Iterable[HeldItem]) -> HeldItems:
-        """Return the held items, and told ones that have been written."""
-        written = tuple(
-            HeldItem(self.stored_.find(each.item.key), 0)
-            for each in told
-            if _is_written(each, self.stored_)
-        )
-        return HeldItems(
-            revision,
-            self.known_.list_packed(),
-            (*self.held_.values(), *written),
-        )
-
-    def _settle(self, told_keys: set[str], known: KnownPositions) -> None:
-        """Drop what a peer knows and does not hold."""
-        for key, held in tuple(self.held_.items()):
-            if key not in told_keys and known.settles(held.item):
-                self.held_.pop(key)
+    def is_written(self, held: HeldItem) -> bool:
+        """Whether the key has been written in the present era since."""
+        stored = self.stored_.find(held.item.key)
+        return stored is not None and has_ended(held, stored, self.order)
 
     def _put(self, item: MirrorItem) -> None:
         self.stored_.put(item)
+        self.lost_.discard(item.key)
         held = self.held_.pop(item.key, None)
-        if held is None:
-            return
-        if not _is_written(held, self.stored_):
-            self.held_[item.key] = held
-        elif is_repeated(held.item, item, self.order):
-            self.held_[item.key] = HeldItem(held.item, item.revision)
-
-    def _merge_item(self, told: HeldItem, era: int) -> bool:
-        """Merge an item; return whether it is obsolete."""
-        item = told.item
-        held = self.held_.get(item.key)
-        if find_era(item.revision) == era:
-            if held and item.revision > held.replaces:
-                self._put(item)
-            return False
-        if held:
-            is_obsolete = held.item.revision > item.revision
-        else:
-            is_obsolete = self.known_.settles(item) or _is_written(
-                told, self.stored_
-            )
-        if not is_obsolete:
-            self.held_[item.key] = told
-        return is_obsolete
+        if held is not None and not self.is_written(held):
+            replaces = max(held.replaces, item.revision)
+            self.held_[item.key] = HeldItem(held.item, replaces)
 
     def _is_kept(self, key: str, offered: MirrorItem | None) -> bool:
-        removed = (
-            self.stored_.find(key)
-            if key in self.held_
-            else self.stored_.find_removed(key)
-        )
-        return is_still_in_force(self.find(key), offered, removed, self.order)
-
-
-def _is_written(told: HeldItem, stored: ItemTable) -> bool:
-    """Whether the key has been written in the present era since."""
-    return stored.read_revision(told.item.key) > told.replaces
+        past = self.stored_.list_past(key)
+        restored = self.stored_.find(key)
+        if key in self.held_ and restored is not None:
+            past = (*past, restored)
+        return is_still_in_force(self.find(key), offered, past, self.order)
 
 
 def _has_later_revision(change: MirrorItem, held_item: MirrorItem) -> bool:
--- a/sesameroute/mirror/_mirror.py
+++ b/sesameroute/mirror/_mirror.py
@@ -19,6 +19,9 @@
 
 __all__ = ['Mirror']
 
+# Messages that are kept until the era that they are about is known.
+_MAX_EARLY = 8
+
 
 class Mirror:
     """Replica of the store's items.
@@ -59,6 +62,7 @@
         self._items = ItemsInForce(
             on_change, on_loss, order or UnorderedDocuments()
         )
+        self._early: list[HeldItems] = []
         self._lock = threading.RLock()
 
     def apply(self, update: MirrorUpdate, now: float) -> bool:
@@ -82,7 +86,7 @@
             if _has_gap(update, self.revision_):
                 return False
             if find_era(update.revision) > self.era_:
-                self._items.restore(update.items, self.revision_)
+                self._enter_era(update)
             elif update.base == 0:
                 self._apply_copy(update)
             else:
@@ -103,11 +107,13 @@
 
         """
         with self._lock:
+            if find_era(message.revision) > self.era_:
+                self._early = [*self._early[1 - _MAX_EARLY :], message]
             if find_era(message.revision) != self.era_:
                 return None
             if not self._items.merge(message, self.revision_):
                 return None
-            return self._items.list_held(self.revision_, message.held)
+            return self._items.exchange_.list_held(self.revision_, message.held)
 
     def merge_history(self, history: MirrorUpdate) -> None:
         """End what is held though it was removed after the restored copy.
@@ -120,7 +126,8 @@
 
         """
         with self._lock:
-            self._items.merge_history(history.items)
+            if find_era(history.revision) == self.era_:
+                self._items.merge_history(history.items)
 
     def list_missing(self) -> frozenset[MirrorItem]:
         """Return the held items that the store lacks.
@@ -137,7 +144,7 @@
     def list_held(self) -> HeldItems:
         """Return the held items."""
         with self._lock:
-            return self._items.list_held(self.revision_, ())
+            return self._items.exchange_.list_held(self.revision_, ())
 
     def build_full_copy(self, now: float) -> MirrorUpdate:
         """Return a full copy of what the store has.
@@ -169,6 +176,14 @@
         """Era of the store up to which changes are applied."""
         return find_era(self.revision_)
 
+    def _enter_era(self, update: MirrorUpdate) -> None:
+        era = find_era(update.revision)
+        early = [each for each in self._early if find_era(each.revision) == era]
+        self._early = []
+        self._items.restore(
+            update.items, update.revision, self.revision_, early
+        )
+
     def _apply_changes(self, update: MirrorUpdate) -> None:
         # Changes up to the replica's revision have been applied. Applying
         # one again would restore an item that has been removed since.
--- a/sesameroute/mirror/_reporter.py
+++ b/sesameroute/mirror/_reporter.py
@@ -1,6 +1,6 @@
 """Reports which items have changed."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
@@ -30,16 +30,25 @@
 
     @contextmanager
     def observe(
-        self, keys: Iterable[str], *, is_restore: bool = False
+        self, keys: Iterable[str], lost: Collection[str] = ()
     ) -> Iterator[None]:
-        """Report the changes of some keys in the block, in their order."""
+        """Report the changes of some keys in the block, in their order.
+
+        Parameters
+        ----------
+        keys : iterable of str
+            The keys.
+        lost : collection of str, optional
+            Those whose items are lost if they are missing after the block.
+
+        """
         before = {key: self._read(key) for key in sorted(keys)}
         yield
         for key, content in before.items():
             if content == self._read(key):
                 continue
             present = self.find(key)
-            if present is None and is_restore:
+            if present is None and key in lost:
                 self.on_loss(key)
             else:
                 self.on_change(present or MirrorItem(key, 0, None))
--- a/sesameroute/mirror/_retention.py
+++ b/sesameroute/mirror/_retention.py
@@ -8,13 +8,14 @@
 
 from typing import Protocol
 
-from sesameroute.mirror._messages import MirrorItem
+from sesameroute.mirror._messages import HeldItem, MirrorItem
 from sesameroute.mirror._position import Position
 
 __all__ = [
     'DocumentOrder',
     'UnorderedDocuments',
-    'is_repeated',
+    'has_ended',
+    'is_later',
     'is_still_in_force',
 ]
 
@@ -25,7 +26,8 @@
     def read_stamp(self, document: MirrorItem) -> tuple[int, ...] | None:
         """Return a stamp that rises with each write of the document's key.
 
-        None if the document has none.
+        Its last number counts the writes of one writer. None if the document
+        has no stamp.
         """
 
     def is_durable(self, key: str) -> bool:
@@ -46,7 +48,7 @@
 def is_still_in_force(
     known: MirrorItem,
     offered: MirrorItem | None,
-    last: MirrorItem | None,
+    past: tuple[MirrorItem, ...],
     order: DocumentOrder,
 ) -> bool:
     """Return whether a known item stays in force after a restore.
@@ -57,8 +59,9 @@
         The item, or its removal, as known from the era before.
     offered : MirrorItem or None
         The item in the restored store.
-    last : MirrorItem or None
-        The item before its removal, if `known` is a removal.
+    past : tuple of MirrorItem
+        The items before its removal, if `known` is a removal, the last one
+        at the end.
     order : DocumentOrder
         Reads the stamps of the documents.
 
@@ -69,24 +72,36 @@
         return known.content != offered.content and _is_overtaken(
             offered, known, order
         )
-    return last is not None and _is_removed(offered, last, order)
+    return bool(past) and _is_removed(offered, past, order)
 
 
-def is_repeated(
-    held: MirrorItem, written: MirrorItem, order: DocumentOrder
+def is_later(one: MirrorItem, other: MirrorItem, order: DocumentOrder) -> bool:
+    """Return whether an item was written after another one of its key.
+
+    The position decides only without stamps: after a restore, an earlier
+    document may be written again in a later era.
+    """
+    stamps = order.read_stamp(one), order.read_stamp(other)
+    if None in stamps or stamps[0] == stamps[1]:
+        return one.revision > other.revision
+    return stamps[0] > stamps[1]
+
+
+def has_ended(
+    held: HeldItem, written: MirrorItem, order: DocumentOrder
 ) -> bool:
-    """Return whether a write only repeats what came before a held item.
+    """Return whether a write in the present era ends what is held.
 
-    The operator may write all again that was lost, the oldest first.
+    A writer may write all again that was lost, the oldest first. Only the
+    count of its writes tells that, the last number of a stamp.
     """
-    if None in {held.content, written.content}:
+    if written.revision <= held.replaces:
         return False
-    stamps = order.read_stamp(written), order.read_stamp(held)
-    return (
-        order.is_durable(held.key)
-        and None not in stamps
-        and stamps[0] < stamps[1]
-    )
+    stamps = order.read_stamp(written), order.read_stamp(held.item)
+    if None in stamps:
+        return True
+    (*writer, count), (*held_writer, held_count) = stamps
+    return writer != held_writer or count >= held_count
 
 
 def _is_overtaken(
@@ -104,12 +119,12 @@
 
 
 def _is_removed(
-    offered: MirrorItem, last: MirrorItem, order: DocumentOrder
+    offered: MirrorItem, past: tuple[MirrorItem, ...], order: DocumentOrder
 ) -> bool:
-    """Whether the restored item is the removed one or an earlier one."""
-    stamps = order.read_stamp(offered), order.read_stamp(last)
+    """Whether the restored item is one of those before the removal."""
+    stamps = order.read_stamp(offered), order.read_stamp(past[-1])
     if None in stamps:
-        return _read_revision(offered) == _read_revision(last)
+        return _read_revision(offered) in map(_read_revision, past)
     return stamps[0] <= stamps[1]
 
 
--- a/sesameroute/mirror/_watcher.py
+++ b/sesameroute/mirror/_watcher.py
@@ -23,7 +23,7 @@
 _RECHECK_SECONDS = 0.1
 # Pause after the first error; it doubles with each further one.
 _MIN_BACKOFF_SECONDS = 0.1
-_MAX_BACKOFF_SECONDS = 0.8
+_MAX_BACKOFF_SECONDS = 0.4
 # Interval of reads while the store is older than the replica without having
 # named a new era.
 _OLDER_STORE_SECONDS = 5.0
@@ -170,18 +170,20 @@
     def _read_history(self) -> None:
         """Read once whether items that the store lacks have been removed."""
         missing = self.mirror.list_missing()
-        is_checked = missing <= self._checked_missing
-        self._checked_missing = missing
-        if is_checked:
+        if missing <= self._checked_missing:
             return
         first = min(Position.unpack(item.revision).revision for item in missing)
         since = Position(self.mirror.era_, first).pack()
         try:
             self.mirror.merge_history(self.store.watch(since, 0))
+        except HistoryLostError as error:
+            _logger.info('no history of held items', extra={'why': str(error)})
         except SesameError as error:
             _logger.warning(
                 'history of held items not read', extra={'why': error.message}
             )
+            return
+        self._checked_missing = missing
 
     def _back_off(self, error: SesameError) -> None:
         if self._backoff_seconds == _MIN_BACKOFF_SECONDS:
--- a/sesameroute/mirror/tests/restored_store.py
+++ b/sesameroute/mirror/tests/restored_store.py
@@ -18,7 +18,7 @@
 
     def read_stamp(self, document):
         """Return the numbers before the colon; None if there are none."""
-        stamp, _, _text = document.content.partition(b':')
+        stamp, _, _text = (document.content or b'').partition(b':')
         return tuple(map(int, stamp.split(b'.'))) if stamp else None
 
     def is_durable(self, key):
@@ -149,4 +149,4 @@
 
     def _lose(self, key):
         assert not key.startswith('op/')
-        self.in_force.pop(key)
+        self.in_force.pop(key, None)
--- a/sesameroute/mirror/tests/test_mirror.py
+++ b/sesameroute/mirror/tests/test_mirror.py
@@ -266,3 +266,22 @@
     mirror, _forwarded = run_watcher(store, monkeypatch, OperatorOrder())
     assert store.calls == ['all', 6, 'all', since, in_era]
     assert [item.content for item in mirror.list_items('')] == expected
+
+
+def test_history_is_read_again_after_an_error(monkeypatch):
+    """One call that failed left a zone evacuated that had been taken back."""
+    in_era = Position(1, 9).pack()
+    since = Position(1, 6).pack()
+    removal = ('a', Position(1, 7).pack(), None)
+    store = ScriptedStore(
+        build_update(0, 6, ('a', 6, b'x')),
+        HistoryLostError('era 1'),
+        build_update(0, in_era),
+        StoreUnreachableError('busy'),
+        build_update(in_era, in_era),
+        build_update(since, in_era, removal),
+        build_update(in_era, in_era),
+    )
+    mirror, _forwarded = run_watcher(store, monkeypatch, OperatorOrder())
+    assert since in store.calls[4:]
+    assert not mirror.list_items('')
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -79,4 +79,4 @@
 
     def _handle_state(self, sender: str, state: NodeState) -> None:
         self.fleet.receive_state(state)
-        self.sync.compare(sender, state.revision)
+        self.sync.compare(sender, state)
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -41,7 +41,10 @@
         Address for requests that other nodes pass on, ``IP:PORT``; empty if
         it takes none.
     revision : int
-        Revision of its copy of the store.
+        Packed position of its copy of the store.
+    first_era : int or None
+        First era of the store that it knows of, -1 if it knows none yet; None
+        for builds that know no eras.
 
     """
 
@@ -55,6 +58,7 @@
     reaches_servers: bool = True
     relay: str = ''
     revision: int = 0
+    first_era: int | None = None
 
 
 @dataclass(slots=True)
@@ -113,7 +117,7 @@
         self._addresses: dict[str, float] = {}
         self._known_list = _KnownList()
 
-    def update_own_state(self, **changes: bool) -> bool:
+    def update_own_state(self, **changes: bool | int) -> bool:
         """Update fields of this node's state; return whether it has changed."""
         with self._lock:
             updated = replace(self.own_state, **changes)
--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -12,7 +12,8 @@
     MirrorUpdate,
     find_era,
 )
-from sesameroute.node._fleet import Fleet
+from sesameroute.node._era_translation import EraTranslation
+from sesameroute.node._fleet import Fleet, NodeState
 from sesameroute.ports import Clock, Peers
 
 __all__ = ['MirrorSync']
@@ -47,6 +48,8 @@
         Connections to the other nodes.
     clock : Clock
         Source of time.
+    eras : EraTranslation
+        Translates for peers of builds that know no eras.
 
     """
 
@@ -56,12 +59,14 @@
         fleet: Fleet,
         peers: Peers,
         clock: Clock,
+        eras: EraTranslation,
     ) -> None:
         """Store the parameters."""
         super().__init__(fleet.own_state.address, peers)
         self.mirror = mirror
         self.fleet = fleet
         self.clock = clock
+        self.eras = eras
         self._requested_at = -math.inf
 
     def should_watch(self) -> bool:
@@ -75,13 +80,14 @@
     def broadcast(self, update: MirrorUpdate) -> None:
         """Send an update to all connected nodes."""
         for peer in self.peers.list_connected():
-            self.peers.send_one_way(peer, update)
+            self.peers.send_one_way(peer, self.eras.encode(peer, update))
         if update.base == 0:
             broadcast(self.peers, self.vm, self.mirror.list_held())
 
     def receive(self, sender: str, update: MirrorUpdate) -> None:
         """Apply a peer's update; query its full copy if updates are missing."""
-        if not self.mirror.apply(update, self.clock.read_monotonic()):
+        decoded = self.eras.decode(sender, update, self.mirror.revision_)
+        if not self.mirror.apply(decoded, self.clock.read_monotonic()):
             self._request_copy(sender)
 
     def receive_held(self, sender: str, message: HeldItems) -> None:
@@ -95,12 +101,16 @@
         message = self.mirror.list_held()
         return message if message.held else None
 
-    def compare(self, sender: str, revision: int) -> None:
+    def compare(self, sender: str, state: NodeState) -> None:
         """Query the copy of a peer that knows more, if no updates come.
 
         While the store is down, nobody sends updates. A node that was cut off
         before hears of what it missed in this way only.
         """
+        self.eras.observe_peer(sender, state.first_era)
+        revision = self.eras.decode_revision(
+            sender, state.revision, self.mirror.revision_
+        )
         age = self.clock.read_monotonic() - self.mirror.verified_at_
         is_behind = revision > self.mirror.revision_
         is_era_over = find_era(revision) > self.mirror.era_
@@ -110,13 +120,21 @@
     def answer(
         self, sender: str, request: MirrorCopyRequest
     ) -> MirrorUpdate | None:
-        """Return the full copy, or send it to a peer that has an older one."""
+        """Return the full copy, or send it to a peer that has an older one.
+
+        What this node holds comes before, so that nothing older is in force
+        at the peer meanwhile.
+        """
+        self.share_with(sender)
         copy = self.mirror.build_full_copy(self.clock.read_monotonic())
-        if not request.revision:
-            return copy
-        if copy.revision > request.revision:
-            self.peers.send_one_way(sender, copy)
-            self.share_with(sender)
+        known = self.eras.decode_revision(
+            sender, request.revision, copy.revision
+        )
+        encoded = self.eras.encode(sender, copy)
+        if not known:
+            return encoded
+        if copy.revision > known:
+            self.peers.send_one_way(sender, encoded)
         return None
 
     def fetch_if_empty(self) -> None:
@@ -135,13 +153,12 @@
                 )
                 continue
             if copy is not None and copy.revision:
-                self.mirror.apply(copy, self.clock.read_monotonic())
+                self.receive(peer, copy)
                 return
 
     def _request_copy(self, peer: str) -> None:
         now = self.clock.read_monotonic()
         if now - self._requested_at >= _REQUEST_INTERVAL_SECONDS:
             self._requested_at = now
-            self.peers.send_one_way(
-                peer, MirrorCopyRequest(self.mirror.revision_)
-            )
+            revision = self.eras.encode_revision(peer, self.mirror.revision_)
+            self.peers.send_one_way(peer, MirrorCopyRequest(revision))
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -65,6 +65,7 @@
             node_settings.region,
             settings.listen.front,
             relay=settings.relay_address,
+            first_era=-1,
         )
         self.fleet = Fleet(own_state, self.peers, self.clock)
         self.active_configuration = ActiveConfiguration()
@@ -250,6 +251,7 @@
         with self._broadcast_lock:
             if self._node_servers.shutdown.has_begun():
                 self.fleet.update_own_state(is_ready=False, is_leaving=True)
+            self.fleet.update_own_state(first_era=self._store.eras.first_era_)
             state = self.fleet.build_state(
                 self._store.mirror.revision_, is_complete=False
             )
--- a/sesameroute/node/_store_connection.py
+++ b/sesameroute/node/_store_connection.py
@@ -4,6 +4,7 @@
 
 from sesameroute.mirror import Mirror, StoreWatcher
 from sesameroute.node._address import parse_address
+from sesameroute.node._era_translation import EraTranslation
 from sesameroute.node._fleet import Fleet
 from sesameroute.node._lease import NodeLease
 from sesameroute.node._mirror_sync import MirrorSync
@@ -67,7 +68,8 @@
             dispatcher.dispatch_loss,
             PlatformDocumentOrder(),
         )
-        self.sync = MirrorSync(self.mirror, fleet, peers, clock)
+        self.eras = EraTranslation(lambda: self._store.first_era_)
+        self.sync = MirrorSync(self.mirror, fleet, peers, clock, self.eras)
         self._watcher = StoreWatcher(
             self.mirror,
             self._store,
--- a/sesameroute/node/tests/test_store_drill.py
+++ b/sesameroute/node/tests/test_store_drill.py
@@ -288,3 +288,56 @@
     cluster.configure(prefix='/c/')
     time.sleep(_APPLY_SECONDS)
     assert {send(number, '/c/x')[0] for number in numbers} == {200}
+
+
+@pytest.mark.parametrize('nodes', [3, 7])
+def test_node_that_learns_from_peers_only_brings_nothing_back(
+    cluster, servers, nodes
+):
+    """A node that starts cut off from the store after a restore.
+
+    Peers told it what they hold before it had a copy of the store, and the
+    copy that it then asked for came without.
+    """
+    numbers = tuple(range(1, nodes + 1))
+    cluster.start_nodes(*numbers)
+
+    def write():
+        cluster.configure(prefix='/b/')
+        cluster.register('server-0', servers[0], state='draining')
+        cluster.store.put('op/evacuate/north-b', b'{}')
+
+    lose_writes(cluster, 60, write)
+    time.sleep(_CONTACT_SECONDS)
+    started = numbers[-1]
+    cluster.nodes[started].kill()
+    cluster.store.rejected_clients.add(f'{NETWORK_PREFIX}.{started}')
+    since = time.monotonic()
+    node = cluster.add_node(started, seeds=numbers)
+    assert wait_for(lambda: node.active_configuration.configuration)
+    undone = []
+    while time.monotonic() < since + 2 * _CONTACT_SECONDS:
+        if send(started, '/a/x', key=str(time.monotonic()))[0] == 200:
+            undone.append(round(time.monotonic() - since, 2))
+        time.sleep(0.02)
+    assert undone[:1] + undone[-1:] == []
+    assert [count_since(each, since) for each in servers[:2]] == [0, 0]
+    assert node.registry.evacuated == frozenset({'north-b'})
+
+
+def test_server_not_written_again_is_gone_after_the_longest_pause(
+    cluster, servers, added, monkeypatch
+):
+    """A single node had just begun its longest pause as the store was back."""
+    monkeypatch.setattr(
+        'sesameroute.mirror._watcher.random.uniform', lambda _low, high: high
+    )
+    cluster.start_nodes(1)
+    returned_at = lose_writes(
+        cluster,
+        60,
+        lambda: cluster.register('added', added),
+        away_seconds=1.35,
+    )
+    time.sleep(max(returned_at + _CONTACT_SECONDS - time.monotonic(), 0))
+    assert cluster.nodes[1].registry.find('added') is None
--- a/sesameroute/platform/_store.py
+++ b/sesameroute/platform/_store.py
@@ -105,6 +105,8 @@
     era_ : int
         Latest known era of the store. It rises when the store is restored
         from a copy; revisions and leases are compared within one era only.
+    first_era_ : int
+        Era of the first answer; -1 before it.
 
     """
 
@@ -121,6 +123,7 @@
         self.on_call = on_call
         self.ignored_items = ignored_items or IgnoredItems()
         self.era_ = 0
+        self.first_era_ = -1
         self._pool = build_pool(wire, source_ip, address, size=2)
 
     def read_all(self) -> MirrorUpdate:
@@ -307,6 +310,8 @@
             ) from error
         self.on_call(name, str(answer.status))
         self.era_ = max(self.era_, self._read_era(answer))
+        if self.first_era_ < 0:
+            self.first_era_ = self.era_
         return answer
 
     def _read_era(self, answer: BaseHTTPResponse) -> int:
--- a/sesameroute/registry/_registry.py
+++ b/sesameroute/registry/_registry.py
@@ -11,7 +11,7 @@
 
 # After a restore of the store, servers that still exist write their entries
 # again within this time.
-_REWRITE_SECONDS = 2.1
+_REWRITE_SECONDS = 2.2
 
 
 @dataclass(slots=True)
@@ -112,7 +112,9 @@
         """
         with self._lock:
             entry = self._entries.get(name)
-            if entry is not None and math.isinf(entry.missing_since):
+            if entry is None:
+                return
+            if math.isinf(entry.missing_since) or (is_lost and entry.is_lost):
                 entry.missing_since = now
                 entry.is_lost = is_lost
                 self.change_count_ += 1
