Give documents that are not valid no place in the order of writes

What operators would see: another writer leaves an odd configuration with a high version, which all nodes ignore; after the store is restored from a copy, that document is held as the newest, so that neither the restored configuration nor any later one comes into force. An odd entry with a late start hides a server's own one until it writes again.

Cause: the order read version, start and number of writes by models of its own, without ranges and without the other fields, so that it ranked documents that the dispatcher ignores.

Change: the order uses the decoders of the documents; one that is not valid has no stamp, and the restored one counts.

--- a/sesameroute/platform/_document_order.py
+++ b/sesameroute/platform/_document_order.py
@@ -2,7 +2,11 @@
 
 import msgspec
 
+from sesameroute.exceptions import InputError
 from sesameroute.mirror import MirrorItem
+from sesameroute.platform._documents import decode_configuration
+from sesameroute.platform._entries import decode_backend
+from sesameroute.platform._field_types import Count
 from sesameroute.platform._names import (
     CONFIGURATION_KEY,
     OPERATOR_PREFIX,
@@ -11,16 +15,9 @@
 
 __all__ = ['PlatformDocumentOrder']
 
-_VERSION_BASE = 16  # versions are hexadecimal numbers
-
-
-class _ConfigurationStamp(msgspec.Struct):
-    version: str
-
 
 class _BackendStamp(msgspec.Struct):
-    sequence: int
-    born: int = 0
+    sequence: Count
 
 
 class PlatformDocumentOrder:
@@ -30,11 +27,12 @@
         """Return a stamp that rises with each write of the document's key.
 
         A configuration has its version, a backend server's entry the time of
-        its start and the number of its writes since; evacuations have none.
+        its start and the number of its writes since; evacuations and
+        documents that are not valid have none.
         """
         try:
             return _decode_stamp(document)
-        except (msgspec.MsgspecError, ValueError, RecursionError):
+        except InputError:
             return None  # the document is ignored, which is logged there
 
     def is_durable(self, key: str) -> bool:
@@ -49,11 +47,10 @@
     if document.content is None:
         return None
     if document.key == CONFIGURATION_KEY:
-        configuration = msgspec.json.decode(
-            document.content, type=_ConfigurationStamp
-        )
-        return (int(configuration.version, _VERSION_BASE),)
+        return (decode_configuration(document.content).version,)
     if document.key.startswith(REGISTRY_PREFIX):
-        backend = msgspec.json.decode(document.content, type=_BackendStamp)
-        return backend.born, backend.sequence
+        name = document.key.removeprefix(REGISTRY_PREFIX)
+        backend = decode_backend(name, document.content)
+        stamp = msgspec.json.decode(document.content, type=_BackendStamp)
+        return backend.incarnation, stamp.sequence
     return None
