Take all start times of servers that messages between nodes can carry

The bound on `born` was that of integers exact as floats, but no part uses a start time as one; markers of the store's drills, whose starts are in nanoseconds, were ignored, so that these tests failed.

--- a/sesameroute/platform/_entries.py
+++ b/sesameroute/platform/_entries.py
@@ -13,6 +13,7 @@
 from sesameroute.platform._field_types import (
     Address,
     Count,
+    Incarnation,
     Milliseconds,
     Name,
     Slots,
@@ -41,7 +42,7 @@
     sequence: Count
     # Unix time of the server's start in milliseconds; used as the number of
     # the incarnation.
-    born: Count = 0
+    born: Incarnation = 0
 
 
 class Member(msgspec.Struct):
--- a/sesameroute/platform/_field_types.py
+++ b/sesameroute/platform/_field_types.py
@@ -16,6 +16,7 @@
     'MAX_KEY_CHARACTERS',
     'Address',
     'Count',
+    'Incarnation',
     'Key',
     'Milliseconds',
     'Name',
@@ -39,6 +40,7 @@
 _MAX_PATH_CHARACTERS = 4096
 _MAX_ADDRESS_CHARACTERS = 64  # IP address and port
 _MAX_INTEGER = 9_007_199_254_740_991  # exact as a float, too
+_MAX_INCARNATION = 9_223_372_036_854_775_807  # largest one of 64 bits
 _MAX_SLOTS = 100_000
 _MAX_MILLISECONDS = 2_147_483_647  # longest time-out of poll(2)
 _MAX_SECONDS = _MAX_MILLISECONDS / 1000
@@ -47,6 +49,7 @@
 
 Count = Annotated[int, Meta(ge=0, le=_MAX_INTEGER)]
 Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
+Incarnation = Annotated[int, Meta(ge=0, le=_MAX_INCARNATION)]
 Slots = Annotated[int, Meta(ge=1, le=_MAX_SLOTS)]
 Milliseconds = Annotated[float, Meta(le=_MAX_MILLISECONDS)]
 Seconds = Annotated[float, Meta(ge=0, le=_MAX_SECONDS)]
--- a/sesameroute/platform/tests/test_documents.py
+++ b/sesameroute/platform/tests/test_documents.py
@@ -120,6 +120,13 @@
         decode_configuration(content)
 
 
+@pytest.mark.parametrize('born', [0, 1772216211000, 2**63 - 1])
+def test_start_times_that_messages_carry_are_valid(born):
+    """Messages between nodes have integers of 64 bits."""
+    content = json.dumps(ENTRY | {'born': born}).encode()
+    assert decode_backend('i-1', content).incarnation == born
+
+
 def test_backend_entry_is_decoded_completely():
     """The start time identifies the incarnation."""
     assert decode_backend('i-1', json.dumps(ENTRY).encode()) == Backend(
