--- a/sesameroute/node/tests/test_odd_entries.py
+++ b/sesameroute/node/tests/test_odd_entries.py
@@ -127,6 +127,26 @@
         assert lines[key] in ({1, 2} if content is LARGE else expected)
 
 
+def test_odd_configuration_is_not_held_after_a_restore(cluster, server, caplog):
+    """One with a high version was held against all later ones."""
+    cluster.register('good', server)
+    cluster.start_nodes(*NUMBERS)
+    assert wait_for(lambda: serves('/a/'))
+    state = cluster.store.copy_state()
+    cluster.store.put('op/config', write_json({'version': 'ffffffff'}))
+    assert wait_for(
+        lambda: (
+            [each.msg for each in caplog.records].count('item not valid')
+            == len(NUMBERS)
+        )
+    )
+    cluster.store.restore(state)
+    cluster.configure(prefix='/b/')
+    assert wait_for(lambda: serves('/b/'))
+    cluster.configure(prefix='/c/')
+    assert wait_for(lambda: serves('/c/'))
+
+
 def test_number_too_large_ends_no_peer_stream(cluster, server, ended_threads):
     """Grants for a server with such an entry ended the streams' threads."""
     good_server = BackendStandIn()
