--- a/sesameroute/fakes/tests/test_fleet.py
+++ b/sesameroute/fakes/tests/test_fleet.py
@@ -187,3 +187,18 @@
     assert {node.version for node in fleet.nodes.values()} == {0}
     fleet.store.faults.outage = StoreOutage.NONE
     fleet.wait_for_version(1, 15)
+
+
+@pytest.mark.parametrize('is_restore_seen', [False, True])
+def test_configuration_reaches_every_node_after_restore(fleet, is_restore_seen):
+    """A version is put in force at a revision that was used before."""
+    for version in (1, 2):
+        fleet.submit(version)
+        fleet.wait_for_version(version, 15)
+    time.sleep(1)  # Until every watcher knows the revision.
+    fleet.store.memory.roll_back(CONFIGURATION_KEY, 1)
+    if is_restore_seen:
+        time.sleep(1)
+    fleet.submit(3)
+    fleet.wait_for_version(3, 15)
+    assert fleet.store.memory.read(CONFIGURATION_KEY).revision == 2
