Take a backend server that says in its answers that it leaves out of use

Callers' requests went on to servers that had said `Server-Leaving: 1` in their answers while their entry in the store stayed unchanged: no code read the header, so a node knew of a leaving server from its entry alone.

The word is one state of an incarnation together with its limit: an announcement, from any answer that is certainly the server's own (sealed, or marked as not run; not a 421). It is final for that incarnation, counts as a change of the registry and takes the server out of all that the registry lists, so that pools, grants, retries, kept connections that broke and relayed requests follow. Peers hear it at once, on connecting and by gossip for as long as the server is known; the message keeps its tag, and builds of before ignore the new field.

--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -35,9 +35,10 @@
     """Checks that limit or stop tries.
 
     `retries` limits the tries after the first, `quarantine` stops requests
-    that crash backend servers, `announcements` records the limits that the
-    servers name, `end_detector` checks servers that fall silent, `clock` is
-    the source of time. `shutdown` decides what a stopping node still starts.
+    that crash backend servers, `announcements` records what the servers
+    say of themselves, `end_detector` checks servers that fall silent, `clock`
+    is the source of time. `shutdown` decides what a stopping node still
+    starts.
     """
 
     retries: RetryBudgets
@@ -83,11 +84,13 @@
     def may_resend(self, state: RequestState) -> bool:
         """Whether the same backend server may get the request again.
 
-        Not if it has named a limit: the grant is for one request.
+        Not if it leaves, or has named a limit: the grant is for one request.
         """
-        limit = self.announcements.find_limit(state.backend, state.incarnation)
+        server = state.backend, state.incarnation
+        if self.announcements.is_leaving(*server):
+            return False
         return (
-            limit is None
+            self.announcements.find_limit(*server) is None
             and not is_consumed(state.body)
             and not self.quarantine.is_quarantined(state.fingerprint)
             and self.retries.acquire(state.service)
@@ -106,13 +109,14 @@
     def observe_metadata(
         self, state: RequestState, metadata: AnswerMetadata
     ) -> None:
-        """Record the limit that a server named in its answer, or none."""
+        """Record what a server says of itself in its answer."""
         self.announcements.record(
             Announcement(
                 state.backend,
                 state.incarnation,
                 self.clock.read_monotonic(),
                 metadata.request_limit,
+                is_leaving=metadata.is_leaving,
             )
         )
 
--- a/sesameroute/forward/_message.py
+++ b/sesameroute/forward/_message.py
@@ -111,6 +111,8 @@
     request_limit : float or None
         Requests per second that the server takes from all nodes together;
         None if it names no limit.
+    is_leaving : bool
+        Whether the server says that it takes no new requests until its end.
 
     """
 
@@ -120,6 +122,7 @@
     is_sealed: bool
     queue_length: int = -1
     request_limit: float | None = None
+    is_leaving: bool = False
 
 
 class HeaderCodec:
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -71,6 +71,8 @@
         Request lines and headers of the requests.
     bodies : list of bytes
         Bodies of the requests.
+    headers : str
+        Lines that are added to the head of each answer.
     connections : int
         Number of connections that were accepted.
     closed : threading.Event
@@ -83,6 +85,7 @@
         self.scripts = list(scripts)
         self.heads = []
         self.bodies = []
+        self.headers = ''
         self.connections = 0
         self.closed = threading.Event()
         self._server = socket.create_server(('127.0.0.1', 0))
@@ -121,7 +124,9 @@
             self.scripts.pop(0)
         text, end = SCRIPTS[script]
         identifier = find_header(head, 'sesameroute-attempt-id')
-        connection.sendall(text.replace('{0}', identifier).encode('latin-1'))
+        text = text.replace('{0}', identifier)
+        text = text.replace('\r\n', f'\r\n{self.headers}', 1)
+        connection.sendall(text.encode('latin-1'))
         if end == 'hang':
             connection.settimeout(5)
             if not connection.recv(1):
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -4,8 +4,11 @@
 from typing import Any
 
 from sesameroute.mirror import MirrorCopyRequest, MirrorUpdate
+from sesameroute.node._announcement_exchange import (
+    AnnouncementExchange,
+    AnnouncementReport,
+)
 from sesameroute.node._fleet import Fleet, NodeState
-from sesameroute.node._limit_exchange import LimitExchange, LimitReport
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.node._store_connection import StoreConnection
 from sesameroute.quarantine import (
@@ -33,8 +36,8 @@
         Handles all other messages, which concern slots.
     loss_exchange : LossExchange
         Handles reports about requests that crash backend servers.
-    limit_exchange : LimitExchange
-        Handles reports about limits that backend servers name.
+    announcement_exchange : AnnouncementExchange
+        Handles reports of what backend servers say of themselves.
 
     """
 
@@ -44,7 +47,7 @@
         store: StoreConnection,
         allocator: FleetSlotAllocator,
         loss_exchange: LossExchange,
-        limit_exchange: LimitExchange,
+        announcement_exchange: AnnouncementExchange,
     ) -> None:
         """Store the handlers by message type."""
         self.allocator = allocator
@@ -58,8 +61,8 @@
             LossReport: lambda sender, report: (
                 quarantine.evidence.handle_loss_report(report, sender)
             ),
-            LimitReport: lambda sender, message: limit_exchange.receive(
-                message, sender
+            AnnouncementReport: lambda sender, report: (
+                announcement_exchange.receive(report, sender)
             ),
             PastLosses: lambda _, message: loss_exchange.receive(message),
             TrialRequest: lambda _, message: quarantine.grant_trial(message),
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -14,7 +14,7 @@
 from sesameroute.placement import Outcome
 from sesameroute.ports import Answer, Peers
 from sesameroute.quarantine import Quarantine
-from sesameroute.registry import Registry
+from sesameroute.registry import Registry, list_leaving
 from sesameroute.routes import ActiveConfiguration
 from sesameroute.telemetry import Meter, Metric
 
@@ -62,6 +62,7 @@
         self.peers = peers
         self.quarantine = quarantine
         self.meter_ = Meter()
+        self._leaving: set[tuple[str, str]] = set()
 
     def __call__(self, _request: Any) -> Answer:
         """Return all metrics in the Prometheus text format."""
@@ -109,12 +110,27 @@
             self.meter_.set(metric, amount)
         for metric, backend, amount in self._list_backend_gauges():
             self.meter_.set(metric, amount, backend=backend)
+        self._update_leaving()
         for service, held, usable in self.allocator.count_slots():
             self.meter_.set(Metric.SLOTS_HELD, held, service=service)
             self.meter_.set(Metric.SLOTS, usable, service=service)
         for name, suspended in self._count_suspended():
             self.meter_.set(Metric.BACKENDS_SUSPENDED, suspended, service=name)
 
+    def _update_leaving(self) -> None:
+        """Set the gauges of servers that leave, by who told this node."""
+        now = self.allocator.clock.read_monotonic()
+        ages = {
+            (each.backend, each.source or '-'): now - each.said_at
+            for each in list_leaving(self.registry)
+        }
+        ended = dict.fromkeys(self._leaving - ages.keys(), -1)
+        self._leaving = set(ages)
+        for (backend, source), age in (*ended.items(), *ages.items()):
+            self.meter_.set(
+                Metric.BACKEND_LEAVING, age, backend=backend, source=source
+            )
+
     def _count_suspended(self) -> Iterator[tuple[str, int]]:
         now = self.allocator.clock.read_monotonic()
         for pool in self.allocator.pools:
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -5,9 +5,9 @@
 import uuid
 
 from sesameroute.adapters import MIN_KEY_BYTES, FrontServer, PeerNetwork
+from sesameroute.node._announcement_exchange import AnnouncementExchange
 from sesameroute.node._dispatch import MessageDispatch
 from sesameroute.node._fleet import Fleet, NodeState
-from sesameroute.node._limit_exchange import LimitExchange
 from sesameroute.node._metrics import MetricsServer, NodeMeter
 from sesameroute.node._pools import PoolTable
 from sesameroute.node._receiver import NodeReceiver
@@ -101,19 +101,21 @@
         self._servers = list(self._node_servers.servers)
         if settings.listen.metrics:
             self._add_metrics_server(settings.listen.metrics)
-        self._limit_exchange = LimitExchange(
+        self._announcement_exchange = AnnouncementExchange(
             node_settings.address,
             self.peers,
-            self.registry.announcements,
+            self.registry,
             self.clock,
         )
-        self.registry.announcements.listener_ = self._limit_exchange.publish
+        self.registry.announcements.listener_ = (
+            self._announcement_exchange.publish
+        )
         self._dispatch = MessageDispatch(
             self.fleet,
             self._store,
             self.allocator,
             self._node_servers.loss_exchange,
-            self._limit_exchange,
+            self._announcement_exchange,
         )
         self._is_stopped = threading.Event()
         self._broadcast_lock = threading.Lock()
@@ -214,7 +216,7 @@
         for found in connected - self._connected:
             self.peers.send_one_way(found, self.fleet.build_state())
             self._node_servers.loss_exchange.share_with(found)
-            self._limit_exchange.share_with(found)
+            self._announcement_exchange.share_with(found)
         self._connected = connected
         self.allocator.refresh()
         self._node_servers.apply_limits()
@@ -235,7 +237,7 @@
     def _send_heartbeat(self) -> None:
         self._broadcast_state()
         self._node_servers.loss_exchange.share_with_next()
-        self._limit_exchange.share_with_next()
+        self._announcement_exchange.share_with_next()
         _dial(self.fleet, self.peers, self.settings)
         self._store.sync.fetch_if_empty()
 
--- a/sesameroute/node/tests/backends.py
+++ b/sesameroute/node/tests/backends.py
@@ -34,6 +34,8 @@
     ----------
     arrivals : list of Arrival
         Monotonic time, node and path of each request.
+    answer_times : list of float
+        Monotonic time of each answer.
     crashes : list of Crash
         Monotonic time of each crash and the path that it ran.
     is_harmful : callable
@@ -43,6 +45,8 @@
         of closing them.
     observe_restart : callable
         Called after it has started again.
+    status : int
+        Status of the answers.
     headers : str
         Lines that are added to the head of each answer.
     body : str
@@ -55,10 +59,12 @@
         self.work_seconds = work_seconds
         self.down_seconds = down_seconds
         self.arrivals = []
+        self.answer_times = []
         self.crashes = []
         self.is_harmful = CRASH_PATH.__eq__
         self.is_silent = False
         self.observe_restart = _ignore_restart
+        self.status = 200
         self.headers = ''
         self.body = 'whole'
         self._lock = threading.Lock()
@@ -133,8 +139,9 @@
         if not self._is_up.is_set():
             self._is_up.wait()
             return False
-        answer = build_answer(200, self.body, self.headers)
+        answer = build_answer(self.status, self.body, self.headers)
         identifier = find_header(head, 'sesameroute-attempt-id')
+        self.answer_times.append(time.monotonic())
         connection.sendall(answer.replace('{0}', identifier).encode())
         return True
 
--- a/sesameroute/platform/_header_codec.py
+++ b/sesameroute/platform/_header_codec.py
@@ -8,6 +8,7 @@
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
     EXPECTED_INSTANCE_HEADER,
+    LEAVING_HEADER,
     LIMIT_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
@@ -21,6 +22,7 @@
 _MISDIRECTED = 421  # HTTP status `Misdirected Request`
 # The load header has the fields `running,waiting,slots`.
 _LOAD_FIELD_COUNT = 3
+_IS_LEAVING = '1'  # the only valid value of that header
 # Headers that a node replaces instead of forwarding.
 _PER_HOP_HEADERS = frozenset(
     (DEADLINE_HEADER.lower(), EXPECTED_INSTANCE_HEADER.lower())
@@ -75,6 +77,7 @@
             SEAL_HEADER.lower() in by_name,
             _parse_queue_length(by_name.get(LOAD_HEADER.lower(), '')),
             _parse_limit(by_name.get(LIMIT_HEADER.lower(), '')),
+            by_name.get(LEAVING_HEADER.lower(), '').strip() == _IS_LEAVING,
         )
 
 
--- a/sesameroute/platform/_names.py
+++ b/sesameroute/platform/_names.py
@@ -7,6 +7,7 @@
     'DEADLINE_HEADER',
     'EVACUATION_PREFIX',
     'EXPECTED_INSTANCE_HEADER',
+    'LEAVING_HEADER',
     'LIMIT_HEADER',
     'LOAD_HEADER',
     'MEMBER_PREFIX',
@@ -31,6 +32,8 @@
 LOAD_HEADER = 'Sesameroute-Server-Load'
 # Requests per second that the backend server takes from all nodes together.
 LIMIT_HEADER = 'Server-Limit'
+# `1` if the backend server takes no new requests until its end.
+LEAVING_HEADER = 'Server-Leaving'
 # Guarantees that the backend server has not run the request.
 NOT_RUN_HEADER = 'Sesameroute-Not-Run'
 
--- a/sesameroute/platform/tests/test_documents.py
+++ b/sesameroute/platform/tests/test_documents.py
@@ -270,6 +270,17 @@
                 request_limit=7.1,
             ),
         ),
+        (
+            503,
+            (('Sesameroute-Not-Run', '1'), ('server-leaving', ' 1 ')),
+            AnswerMetadata(
+                '',
+                is_not_run=True,
+                is_misdirected=False,
+                is_sealed=False,
+                is_leaving=True,
+            ),
+        ),
     ],
 )
 def test_answer_metadata_is_read(status, headers, answer_metadata):
@@ -280,6 +291,16 @@
     )
 
 
+@pytest.mark.parametrize(
+    'text', ['', '0', '01', '-1', '1.0', '1, 1', 'true', 'yes', '1;', '²', '１']
+)
+def test_unreadable_word_of_leaving_does_not_count(text):
+    """Only `1` says that a backend server leaves."""
+    answer = Answer(200, (('Server-Leaving', text),))
+    metadata = PlatformHeaderCodec().read_answer_metadata(answer)
+    assert not metadata.is_leaving
+
+
 def test_headers_to_a_backend_server():
     """They state the remaining time and the backend server's name."""
     header_codec = PlatformHeaderCodec()
--- a/sesameroute/registry/__init__.py
+++ b/sesameroute/registry/__init__.py
@@ -2,7 +2,11 @@
 
 from sesameroute.registry._announcements import Announcement, Announcements
 from sesameroute.registry._backend import Backend, BackendState
-from sesameroute.registry._registry import Registry, RegistryEntry
+from sesameroute.registry._registry import (
+    Registry,
+    RegistryEntry,
+    list_leaving,
+)
 
 __all__ = [
     'Announcement',
@@ -11,4 +15,5 @@
     'BackendState',
     'RegistryEntry',
     'Registry',
+    'list_leaving',
 ]
--- a/sesameroute/registry/_announcements.py
+++ b/sesameroute/registry/_announcements.py
@@ -27,6 +27,8 @@
         names no limit.
     source : str
         Address of the node that told of it; empty for this node.
+    is_leaving : bool
+        Whether it takes no new requests until its end.
 
     """
 
@@ -35,18 +37,23 @@
     said_at: float
     limit: float | None = None
     source: str = ''
+    is_leaving: bool = False
 
 
 class Announcements:
     """The newest announcement of each backend server.
 
     A later incarnation replaces an earlier one; for the same incarnation, the
-    later answer counts, whoever read it.
+    later answer counts, whoever read it. The first that says that the server
+    leaves is the last that counts: answers that were under way don't
+    withdraw it.
 
     Attributes
     ----------
     change_count_ : int
         Counter that increases when a limit is named, changed or withdrawn.
+    leaving_count_ : int
+        Counter that increases when a backend server says that it leaves.
     listener_ : callable
         Called with each announcement that changed something.
 
@@ -55,24 +62,24 @@
     def __init__(self) -> None:
         """Start without announcements."""
         self.change_count_ = 0
+        self.leaving_count_ = 0
         self.listener_: Callable[[Announcement], None] = _ignore_change
         self._lock = threading.Lock()
         self._newest: dict[str, Announcement] = {}
 
     def record(self, announcement: Announcement) -> bool:
-        """Record an announcement; return whether the limit has changed."""
+        """Record an announcement; return whether it changes something."""
         with self._lock:
             known = self._newest.get(announcement.backend)
             if not _is_news(known, announcement):
                 return False
-            self._newest.pop(announcement.backend, None)
-            self._newest[announcement.backend] = announcement
-            if len(self._newest) > _MAX_ANNOUNCEMENTS:
-                self._newest.pop(next(iter(self._newest)))
-            has_changed = _find_limit(known, announcement.incarnation) != (
+            self._store(announcement)
+            has_new_limit = _find_limit(known, announcement.incarnation) != (
                 announcement.limit
             )
-            self.change_count_ += has_changed
+            self.change_count_ += has_new_limit
+            self.leaving_count_ += announcement.is_leaving
+        has_changed = has_new_limit or announcement.is_leaving
         if has_changed:
             self.listener_(announcement)
         return has_changed
@@ -81,9 +88,18 @@
         """Return the limit in requests per second; None if there is none."""
         return _find_limit(self._newest.get(backend), incarnation)
 
+    def is_leaving(self, backend: str, incarnation: int) -> bool:
+        """Whether this incarnation has said that it leaves."""
+        known = self._newest.get(backend)
+        return (
+            known is not None
+            and known.is_leaving
+            and known.incarnation == incarnation
+        )
+
     @property
     def has_any(self) -> bool:
-        """Whether any backend server has named a limit."""
+        """Whether any backend server has said something of itself."""
         return bool(self._newest)
 
     def list_newest(self) -> list[Announcement]:
@@ -95,17 +111,36 @@
                 reverse=True,
             )
 
+    def _store(self, announcement: Announcement) -> None:
+        """Replace the announcement of a server; forget the oldest if needed.
+
+        That a server leaves is forgotten last: it doesn't say it again, since
+        it gets no requests.
+        """
+        self._newest.pop(announcement.backend, None)
+        self._newest[announcement.backend] = announcement
+        if len(self._newest) > _MAX_ANNOUNCEMENTS:
+            others = (
+                name
+                for name, each in self._newest.items()
+                if not each.is_leaving
+            )
+            oldest = next(iter(self._newest))
+            self._newest.pop(next(others, oldest))
+
 
 def _is_news(known: Announcement | None, announcement: Announcement) -> bool:
     """Whether to record an announcement.
 
-    Most answers name no limit; they say something only of a server that had
-    named one.
+    Most answers say nothing; without a limit, they are news only of a server
+    that had named one.
     """
     if known is None or known.incarnation < announcement.incarnation:
-        return announcement.limit is not None
-    if known.incarnation > announcement.incarnation:
+        return announcement.limit is not None or announcement.is_leaving
+    if known.incarnation > announcement.incarnation or known.is_leaving:
         return False
+    if announcement.is_leaving:
+        return True
     is_silent = known.limit is None and announcement.limit is None
     return announcement.said_at > known.said_at and not is_silent
 
--- a/sesameroute/registry/_registry.py
+++ b/sesameroute/registry/_registry.py
@@ -4,10 +4,10 @@
 import threading
 from dataclasses import dataclass
 
-from sesameroute.registry._announcements import Announcements
+from sesameroute.registry._announcements import Announcement, Announcements
 from sesameroute.registry._backend import Backend, BackendState
 
-__all__ = ['RegistryEntry', 'Registry']
+__all__ = ['RegistryEntry', 'Registry', 'list_leaving']
 
 
 @dataclass(slots=True)
@@ -48,10 +48,10 @@
 
     Attributes
     ----------
-    change_count_ : int
-        Counter that increases with each change.
     announcements : Announcements
         What the backend servers say in their answers.
+    evacuated : frozenset of str
+        Zones whose backend servers get no requests.
 
     """
 
@@ -60,8 +60,8 @@
         self.grace_seconds = grace_seconds
         self._lock = threading.Lock()
         self._entries: dict[str, RegistryEntry] = {}
-        self._evacuated: frozenset[str] = frozenset()
-        self.change_count_ = 0
+        self._change_count = 0
+        self.evacuated: frozenset[str] = frozenset()
         self.announcements = Announcements()
 
     def put(self, backend: Backend, now: float) -> bool:
@@ -80,9 +80,9 @@
             )
             cold_until = now + backend.cold_seconds
             if previous is None or previous.backend != backend:
-                self.change_count_ += 1
+                self._change_count += 1
             if previous is not None and not previous.is_listed():
-                self.change_count_ += 1
+                self._change_count += 1
             self._entries[backend.name] = RegistryEntry(backend, cold_until)
             return is_new
 
@@ -92,7 +92,7 @@
             entry = self._entries.get(name)
             if entry is not None and entry.is_listed():
                 entry.missing_since = now
-                self.change_count_ += 1
+                self._change_count += 1
 
     def expire(self, now: float) -> list[str]:
         """Remove backend servers whose grace period has ended.
@@ -111,18 +111,18 @@
             ]
             for name in expired:
                 self._entries.pop(name)
-                self.change_count_ += 1
+                self._change_count += 1
         return expired
 
     def replace_evacuated(self, zones: frozenset[str]) -> None:
         """Replace the set of evacuated zones."""
-        self._evacuated = zones
-        self.change_count_ += 1
+        self.evacuated = zones
+        self._change_count += 1
 
     @property
-    def evacuated(self) -> frozenset[str]:
-        """Zones whose backend servers get no requests."""
-        return self._evacuated
+    def change_count_(self) -> int:
+        """Counter that increases with each change of usable servers."""
+        return self._change_count + self.announcements.leaving_count_
 
     def find(self, name: str) -> RegistryEntry | None:
         """Return the entry of a backend server, or None if it is unknown."""
@@ -132,18 +132,20 @@
         """Whether requests may be sent to this incarnation now.
 
         As far as this node knows, it must be the latest incarnation, be
-        ready and be outside the evacuated zones.
+        ready, not have said that it leaves, and be outside the evacuated
+        zones.
         """
         entry = self._entries.get(name)
+        if entry is None or entry.backend.incarnation != incarnation:
+            return False
         return (
-            entry is not None
-            and entry.backend.incarnation == incarnation
-            and entry.backend.state is BackendState.READY
-            and entry.backend.zone not in self._evacuated
+            entry.backend.state is BackendState.READY
+            and entry.backend.zone not in self.evacuated
+            and not self.announcements.is_leaving(name, incarnation)
         )
 
     def list_service(self, service: str) -> list[RegistryEntry]:
-        """Return a service's ready backend servers outside evacuated zones."""
+        """Return the backend servers of a service that may get requests."""
         return [
             entry
             for entry in self.list_ready()
@@ -151,15 +153,27 @@
         ]
 
     def list_ready(self) -> list[RegistryEntry]:
-        """Return all ready backend servers outside evacuated zones."""
+        """Return all backend servers that may get requests."""
         with self._lock:
             return [
                 entry
                 for entry in self._entries.values()
-                if entry.backend.state is BackendState.READY
-                and entry.backend.zone not in self._evacuated
+                if self.may_receive_requests(
+                    entry.backend.name, entry.backend.incarnation
+                )
             ]
 
     def __len__(self) -> int:
         """Return the number of known backend servers."""
         return len(self._entries)
+
+
+def list_leaving(registry: Registry) -> list[Announcement]:
+    """Return what known backend servers said that leave, the latest first."""
+    return [
+        each
+        for each in registry.announcements.list_newest()
+        if each.is_leaving
+        and (entry := registry.find(each.backend)) is not None
+        and entry.backend.incarnation == each.incarnation
+    ]
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -107,6 +107,11 @@
         'sesame_backend_limit',
         'Requests per second that a backend server takes; -1 without a limit.',
     )
+    BACKEND_LEAVING = _MetricSpecification(
+        Gauge,
+        'sesame_backend_leaving_seconds',
+        'Seconds since a backend server said that it leaves; -1 after its end.',
+    )
     BACKEND_GRANTS = _MetricSpecification(
         Gauge,
         'sesame_backend_grants',
