Settle requests at once that wait for a server which takes no more

A request that waited for a slot of a server which then drained, left or lost its entry got one of its slots as soon as a running request ended there. The node gave it back and asked again, at the end of the queue; a node that did not know of the server's state yet would have used it. If nothing ran there, the request waited until the last moment at which it could start in time, though no server had its object cached any more.

Cause: the pool keeps the state of a dropped server in the grants that still run there, and granted their slots again when they ended.

A pool grants slots of the servers only that it lists. When it drops one, it decides on the requests whose objects no listed server has cached as if they had just come: their next home, or a refusal. Requests whose objects another server has go on to wait.

--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -77,9 +77,7 @@
 
     def decide(self, waiter: Waiter, now: float) -> Grant | Refusal | None:
         """Decide on a request that has just arrived; None if it waits."""
-        candidates = self.states.list_candidates(
-            waiter.slot_request, waiter.region, now
-        )
+        candidates = self._list_candidates(waiter, now)
         ahead = self.waiting.count_ahead(waiter.region, waiter.sort_key)
         decision = self.admission.decide(candidates, waiter, ahead)
         if decision.verdict is Verdict.WAIT:
@@ -91,21 +89,19 @@
     def settle_expired(self, now: float) -> None:
         """Settle the requests whose wait has ended without a slot."""
         for waiter in self.waiting:
-            if waiter.wait_until > now:
-                continue
-            candidates = self.states.list_candidates(
-                waiter.slot_request, waiter.region, now
-            )
-            warm_states = candidates.list_warm()
-            decision = self.admission.decide_without_wait(
-                candidates, waiter, warm_states
-            )
-            self.waiting.remove(waiter)
-            waiter.settle(self._apply(candidates, waiter, decision))
+            if waiter.wait_until <= now:
+                self._settle(waiter, self._list_candidates(waiter, now))
+
+    def settle_stranded(self, now: float) -> None:
+        """Settle the requests whose objects no server has cached any more."""
+        for waiter in self.waiting:
+            candidates = self._list_candidates(waiter, now)
+            if not any(map(candidates.is_warm, candidates.states)):
+                self._settle(waiter, candidates)
 
     def grant_waiting(self, state: UpstreamState, now: float) -> None:
         """Grant a backend server's free slots to waiting requests."""
-        if not len(self.waiting):
+        if not len(self.waiting) or state not in self.states:
             return
         free = state.count_free(now)
         for waiter in self.waiting:
@@ -122,6 +118,19 @@
                 waiter.settle(self._grant(candidates, state, waiter))
                 free -= 1
 
+    def _list_candidates(self, waiter: Waiter, now: float) -> Candidates:
+        return self.states.list_candidates(
+            waiter.slot_request, waiter.region, now
+        )
+
+    def _settle(self, waiter: Waiter, candidates: Candidates) -> None:
+        """Grant a slot to a waiting request now, or refuse it."""
+        decision = self.admission.decide_without_wait(
+            candidates, waiter, candidates.list_warm()
+        )
+        self.waiting.remove(waiter)
+        waiter.settle(self._apply(candidates, waiter, decision))
+
     def _apply(
         self,
         candidates: Candidates,
--- a/sesameroute/placement/_pool.py
+++ b/sesameroute/placement/_pool.py
@@ -106,9 +106,11 @@
 
         """
         with self._lock:
-            self.states.update_backends(entries, regions, now)
+            has_dropped = self.states.update_backends(entries, regions, now)
             self.plan.initialize(self.states.count_slots_by_region(), now)
             self._update_plan(now)
+            if has_dropped:
+                self._granter.settle_stranded(now)
 
     def limit_cold_starts(self, rate: float, share: float) -> None:
         """Limit the requests to cold backend servers.
--- a/sesameroute/placement/_states.py
+++ b/sesameroute/placement/_states.py
@@ -78,8 +78,15 @@
         entries: Iterable[RegistryEntry],
         regions: Mapping[str, str],
         now: float,
-    ) -> None:
-        """Update from the registry; drop servers without an entry."""
+    ) -> bool:
+        """Update from the registry; drop servers without an entry.
+
+        Returns
+        -------
+        bool
+            Whether a server was dropped.
+
+        """
         previous = self._states
         self._states = {}
         for entry in entries:
@@ -91,6 +98,7 @@
             state.update_entry(entry)
             self._states[backend.name] = state
         self._applied_limits = None
+        return bool(previous.keys() - self._states.keys())
 
     def list_candidates(
         self,
@@ -169,6 +177,10 @@
         """Return the slots on listed servers of its region that aren't cold."""
         return sum(state.slots for state in self._list_available(now))
 
+    def __contains__(self, state: UpstreamState) -> bool:
+        """Whether requests may go to this server, not to a successor."""
+        return self._states.get(state.name) is state
+
     def __iter__(self) -> Iterable[UpstreamState]:
         """Iterate over a copy."""
         return iter(tuple(self._states.values()))
