--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -5,9 +5,9 @@
 import uuid
 
 from sesameroute.adapters import MIN_KEY_BYTES, FrontServer, PeerNetwork
+from sesameroute.node._announcement_exchange import AnnouncementExchange
 from sesameroute.node._dispatch import MessageDispatch
 from sesameroute.node._fleet import Fleet, NodeState
-from sesameroute.node._limit_exchange import LimitExchange
 from sesameroute.node._metrics import MetricsServer, NodeMeter
 from sesameroute.node._pools import PoolTable
 from sesameroute.node._receiver import NodeReceiver
@@ -102,23 +102,25 @@
         self._servers = list(self._node_servers.servers)
         if settings.listen.metrics:
             self._add_metrics_server(settings.listen.metrics)
-        self._limit_exchange = LimitExchange(
+        self._announcement_exchange = AnnouncementExchange(
             node_settings.address,
             self.peers,
-            self.registry.announcements,
+            self.registry,
             self.clock,
         )
-        self.registry.announcements.listener_ = self._limit_exchange.publish
+        self.registry.announcements.listener_ = (
+            self._announcement_exchange.publish
+        )
         self._dispatch = MessageDispatch(
             self.fleet,
             self._store,
             self.allocator,
             self._node_servers.loss_exchange,
-            self._limit_exchange,
+            self._announcement_exchange,
         )
         self._gossips = (
             self._node_servers.loss_exchange,
-            self._limit_exchange,
+            self._announcement_exchange,
             self._store.sync,
         )
         self._is_stopped = threading.Event()
--- a/sesameroute/platform/tests/test_documents.py
+++ b/sesameroute/platform/tests/test_documents.py
@@ -120,6 +120,13 @@
         decode_configuration(content)
 
 
+@pytest.mark.parametrize('born', [0, 1772216211000, 2**63 - 1])
+def test_start_times_that_messages_carry_are_valid(born):
+    """Messages between nodes have integers of 64 bits."""
+    content = json.dumps(ENTRY | {'born': born}).encode()
+    assert decode_backend('i-1', content).incarnation == born
+
+
 def test_backend_entry_is_decoded_completely():
     """The start time identifies the incarnation."""
     assert decode_backend('i-1', json.dumps(ENTRY).encode()) == Backend(
@@ -277,6 +284,17 @@
                 request_limit=7.1,
             ),
         ),
+        (
+            503,
+            (('Sesameroute-Not-Run', '1'), ('server-leaving', ' 1 ')),
+            AnswerMetadata(
+                '',
+                is_not_run=True,
+                is_misdirected=False,
+                is_sealed=False,
+                is_leaving=True,
+            ),
+        ),
     ],
 )
 def test_answer_metadata_is_read(status, headers, answer_metadata):
@@ -297,6 +315,16 @@
     assert answer_metadata.queue_length == -1
 
 
+@pytest.mark.parametrize(
+    'text', ['', '0', '01', '-1', '1.0', '1, 1', 'true', 'yes', '1;', '²', '１']
+)
+def test_unreadable_word_of_leaving_does_not_count(text):
+    """Only `1` says that a backend server leaves."""
+    answer = Answer(200, (('Server-Leaving', text),))
+    metadata = PlatformHeaderCodec().read_answer_metadata(answer)
+    assert not metadata.is_leaving
+
+
 def test_headers_to_a_backend_server():
     """They state the remaining time and the backend server's name."""
     header_codec = PlatformHeaderCodec()
--- a/sesameroute/platform/tests/test_odd_entries.py
+++ b/sesameroute/platform/tests/test_odd_entries.py
@@ -12,7 +12,10 @@
     unpack_frame,
 )
 from sesameroute.mirror import Mirror, MirrorItem, MirrorUpdate
-from sesameroute.node._limit_exchange import LimitReport, NamedLimit
+from sesameroute.node._announcement_exchange import (
+    AnnouncementReport,
+    ToldAnnouncement,
+)
 from sesameroute.placement import Grant
 from sesameroute.platform import IgnoredItems, StoreItemDispatcher
 from sesameroute.platform._calls import Page, decode_answer
@@ -200,7 +203,7 @@
             Grant(1, name, number),
             LossReport('f', name, number),
             EndReport(name, number),
-            LimitReport((NamedLimit(name, number, 7.1, 0.5),)),
+            AnnouncementReport((ToldAnnouncement(name, number, 7.1, 0.5),)),
         ):
             assert send_to_peer(message) == message
         meter.set(Metric.BACKEND_GRANTS, 1, backend=name)
