--- a/sesameroute/node/tests/test_leaving_servers.py
+++ b/sesameroute/node/tests/test_leaving_servers.py
@@ -51,6 +51,20 @@
         each.stop()
 
 
+@pytest.fixture
+def callers_of():
+    """Return a function that starts callers; they stop with the test."""
+    started = []
+
+    def start(numbers):
+        started.append(Callers(numbers))
+        return started[-1]
+
+    yield start
+    for each in started:
+        each.stop()
+
+
 def leave(server, word='success'):
     """Let a server say that it leaves; return since when."""
     server.status, server.headers = _WORDS[word]
@@ -104,14 +118,21 @@
     ],
 )
 def test_leaving_server_gets_no_request(
-    cluster, servers, word, kind, work_seconds, numbers, is_store_away
+    cluster,
+    servers,
+    callers_of,
+    word,
+    kind,
+    work_seconds,
+    numbers,
+    is_store_away,
 ):
     """Nodes sent on as if the server had said nothing."""
     for each in servers:
         each.work_seconds = work_seconds
     cluster.configure(kind=kind)
     cluster.start_nodes(*numbers)
-    callers = Callers(numbers)
+    callers = callers_of(numbers)
     time.sleep(1)
     if is_store_away:
         cluster.store.go_away()
@@ -124,11 +145,13 @@
         assert compute_served(callers, said_at) >= _MIN_SERVED
 
 
-def test_leaving_server_gets_no_request_while_leaders_change(cluster, servers):
+def test_leaving_server_gets_no_request_while_leaders_change(
+    cluster, servers, callers_of
+):
     """New leaders and nodes that start later know it from their peers."""
     numbers = (1, 2, 3, 4)
     cluster.start_nodes(*numbers)
-    callers = Callers(numbers)
+    callers = callers_of(numbers)
     time.sleep(1)
     cluster.store.go_away()
     said_at = leave(servers[0])
@@ -149,7 +172,7 @@
 
 @pytest.mark.parametrize('is_store_away', [False, True])
 def test_relayed_answer_says_that_the_server_leaves(
-    cluster, servers, is_store_away
+    cluster, servers, callers_of, is_store_away
 ):
     """A node sent to the server itself as soon as it could again."""
     cluster.start_nodes(1, 2)
@@ -158,7 +181,7 @@
     assert wait_for(lambda: send(1)[0] and reachability.is_cut_off_)
     if is_store_away:
         cluster.store.go_away()
-    callers = Callers((1,))
+    callers = callers_of((1,))
     time.sleep(0.5)
     said_at = leave(servers[0])
     assert wait_for(lambda: servers[0].answer_times[-1] >= said_at)
@@ -172,10 +195,10 @@
     assert senders == {find_address(cluster, 1)}
 
 
-def test_server_that_starts_again_is_not_leaving(cluster, servers):
+def test_server_that_starts_again_is_not_leaving(cluster, servers, callers_of):
     """The word was for one incarnation, not for the name or the address."""
     cluster.start_nodes(1, 2, 3)
-    callers = Callers((1, 2, 3))
+    callers = callers_of((1, 2, 3))
     time.sleep(0.5)
     leave(servers[0])
     assert wait_for(lambda: all(map(is_known, cluster.nodes.values())))
@@ -183,20 +206,23 @@
     servers[0].arrivals.clear()
     servers[0].headers = ''
     cluster.register(_NAME, servers[0], incarnation=_INCARNATION + 1)
-    assert wait_for(
-        lambda: len({each.node for each in servers[0].arrivals}) > 2
-    )
+    assert wait_for(lambda: servers[0].arrivals)
+    for node in cluster.nodes.values():
+        usable = partial(node.registry.may_receive_requests, _NAME)
+        assert wait_for(partial(usable, _INCARNATION + 1))
     said_at = leave(servers[0])
     time.sleep(_DRAIN_SECONDS + _OBSERVED_SECONDS)
     callers.stop()
     assert not list_late(servers[0], said_at)
 
 
-def test_entry_that_lapses_does_not_withdraw_the_word(cluster, servers):
+def test_entry_that_lapses_does_not_withdraw_the_word(
+    cluster, servers, callers_of
+):
     """The entry of a server that leaves may be written again as it was."""
     node = cluster.add_node(1)
     assert wait_for(lambda: is_ready(1) and len(node.registry) == 3)
-    callers = Callers((1,))
+    callers = callers_of((1,))
     said_at = leave(servers[0])
     assert wait_for(partial(is_known, node))
     cluster.store.remove(f'servers/{_NAME}')
@@ -247,11 +273,11 @@
 
 
 def test_without_any_other_server_requests_are_refused_at_once(
-    cluster, servers
+    cluster, servers, callers_of
 ):
     """Requests that nothing can run do not wait until their deadline."""
     cluster.start_nodes(1, 2)
-    callers = Callers((1, 2))
+    callers = callers_of((1, 2))
     time.sleep(0.5)
     for each in servers:
         leave(each)
