Give two test modules addresses of their own run

Two runs of the tests side by side failed: test_entry_http.py listened on 127.31.0.1:18400 and test_wire.py on 127.31.0.1:18499 in each run, and the second one ended with errors in all tests of the first module ("address already in use"). Both now use the network that other tests of the adapters derive from the process ID.

--- a/sesameroute/adapters/tests/test_entry_http.py
+++ b/sesameroute/adapters/tests/test_entry_http.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sesameroute.adapters import EntryApplication, HttpServer, ServerLimits
+from sesameroute.adapters.tests.network import NETWORK
 from sesameroute.exceptions import RequestError
 from sesameroute.ports import Answer, SystemClock
 from sesameroute.statement import (
@@ -17,7 +18,7 @@
 )
 from sesameroute.verdict import Verdict
 
-_ADDRESS = ('127.31.0.1', 18_400)
+_ADDRESS = (f'{NETWORK}.7', 18_400)
 _KIND = Kind('order', 'desk', idempotent=False, deadline_ms=500)
 _LONG_KEY = 'k' * 300
 _LONG_HEADER = 'y' * 9000
--- a/sesameroute/fakes/tests/test_wire.py
+++ b/sesameroute/fakes/tests/test_wire.py
@@ -10,13 +10,14 @@
 
 import pytest
 
+from sesameroute.adapters.tests.network import NETWORK
 from sesameroute.fakes import FakeVmList, FakeWire, Geography, Site
 from sesameroute.ports import ListedVm
 from sesameroute.statement import Places
 
-_NEAR = '127.31.0.1'
-_FAR = '127.31.0.2'
-_CALLER = '127.31.0.3'
+_NEAR = f'{NETWORK}.11'
+_FAR = f'{NETWORK}.12'
+_CALLER = f'{NETWORK}.13'
 _PLACES = Places(
     {'r1': ('a',), 'r2': ('b',)},
     'r1',
