--- a/sesameroute/node/tests/callers.py
+++ b/sesameroute/node/tests/callers.py
@@ -40,7 +40,8 @@
         count = caller
         while not self._is_stopped.is_set():
             count += _CALLERS
-            number = self.numbers[count % len(self.numbers)]
+            numbers = self.numbers  # may be replaced meanwhile
+            number = numbers[count % len(numbers)]
             started_at = time.monotonic()
             try:
                 status = send(number, key=str(count % 24))[0]
--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -127,8 +127,17 @@
 
     def add_node(self, number, zone='north-a', seeds=()):
         """Start a node; `number` is the last part of its IP address."""
+        text = self.build_settings(number, zone, seeds)
+        self.wires.setdefault(number, PartitionableWire())
+        node = FleetNode(parse_node_settings(text), self.wires[number])
+        node.start()
+        self.nodes[number] = node
+        return node
+
+    def build_settings(self, number, zone='north-a', seeds=()):
+        """Return the text of a node's settings."""
         address = f'{NETWORK_PREFIX}.{number}'
-        text = SETTINGS.format(
+        return SETTINGS.format(
             name=f'node-{number}',
             address=address,
             zone=zone,
@@ -140,11 +149,6 @@
             seeds=','.join(f'{NETWORK_PREFIX}.{seed}:1' for seed in seeds),
             store='{0}:{1}'.format(*self.store.address),
         )
-        self.wires.setdefault(number, PartitionableWire())
-        node = FleetNode(parse_node_settings(text), self.wires[number])
-        node.start()
-        self.nodes[number] = node
-        return node
 
     def start_nodes(self, *numbers):
         """Start nodes in one zone and wait until they know each other."""
