Read the store on while no node before this one does

What callers saw: while the first nodes by rank had no path to the store but were still connected to their peers, a change or a draining server counted up to 2.3 s later on all nodes, also on those in touch (2.0 s is the bound).

Cause: a node that takes over the watch took its own update as a sign that somebody watches, and paused until its copy was older than 1.3 s and 0.4 s more for each node before it. Class: a sign of life that a node gives to itself.

Change: a node that reads the store goes on until it gets a current update from a node before it in its region; one that doesn't read stops for an update of anybody, as before. Of two that read exactly one stops.

--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -191,18 +191,26 @@
             default=self.own_state.address,
         )
 
-    def find_rank(self, topic: str) -> int:
-        """Return this node's rank among the possible leaders, from 0.
+    def find_rank(self, topic: str, address: str = '') -> int:
+        """Return a node's rank among the possible leaders, from 0.
+
+        The leader has rank 0; a node that can't lead in this region comes
+        last.
+
+        Parameters
+        ----------
+        topic : str
+            What the leader is for.
+        address : str, optional
+            IP address of the node; by default this node's.
 
-        The leader has rank 0; a node that can't lead comes last.
         """
         ranked = sorted(
             self._list_possible_leaders(self.own_state.region),
             key=_build_rank_key(topic),
         )
-        if self.own_state.address not in ranked:
-            return len(ranked)
-        return ranked.index(self.own_state.address)
+        found = address or self.own_state.address
+        return ranked.index(found) if found in ranked else len(ranked)
 
     def list_front_addresses(self, region: str) -> list[str]:
         """Return the addresses for callers of a region.
--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -18,10 +18,14 @@
 __all__ = ['MirrorSync']
 
 _LEADER_TOPIC = 'store-watch'
-# A node that is not the leader watches the store once its copy is older than
-# this, plus a step per rank, so that only a few nodes begin at once.
+# A node that is not the leader watches the store once the last update of a
+# peer is older than this, plus a step per rank, so that only a few nodes begin
+# at once.
 _STALE_SECONDS = 1.3
 _STALE_STEP_SECONDS = 0.4
+# A node counts as reading the store for this time after it has read it; longer
+# than the interval between two updates without a change.
+_READING_SECONDS = 2.0
 _REQUEST_INTERVAL_SECONDS = 1.0  # between requests for a copy
 _QUERY_TIMEOUT_SECONDS = 1.0  # time-out for a peer's copy
 
@@ -32,7 +36,8 @@
     """Decides which node watches the store and sends updates to peers.
 
     One node per region watches the store and sends the updates to the others.
-    If no updates arrive, the others begin to watch in the order of their rank.
+    If no updates arrive, the others begin to watch in the order of their rank,
+    and go on until a node before them reads the store.
 
     After the store was restored from a copy, the gossip is about what nodes
     hold: one that has started since learns of it in this way only.
@@ -63,17 +68,22 @@
         self.fleet = fleet
         self.clock = clock
         self._requested_at = -math.inf
+        self._heard_at = -math.inf
+        self._read_at = -math.inf
 
     def should_watch(self) -> bool:
         """Return whether this node should watch the store now."""
         rank = self.fleet.find_rank(_LEADER_TOPIC)
         if rank == 0:
             return True
-        age = self.clock.read_monotonic() - self.mirror.verified_at_
+        # What this node reads itself is no reason to stop: each pause would
+        # delay changes. Of two nodes that read, the later one stops.
+        age = self.clock.read_monotonic() - self._heard_at
         return age > _STALE_SECONDS + rank * _STALE_STEP_SECONDS
 
     def broadcast(self, update: MirrorUpdate) -> None:
-        """Send an update to all connected nodes."""
+        """Send an update that this node has read to all connected nodes."""
+        self._read_at = self.clock.read_monotonic()
         for peer in self.peers.list_connected():
             self.peers.send_one_way(peer, update)
         if update.base == 0:
@@ -81,8 +91,13 @@
 
     def receive(self, sender: str, update: MirrorUpdate) -> None:
         """Apply a peer's update; query its full copy if updates are missing."""
-        if not self.mirror.apply(update, self.clock.read_monotonic()):
+        now = self.clock.read_monotonic()
+        if not self.mirror.apply(update, now):
             self._request_copy(sender)
+            return
+        is_current = update.revision >= self.mirror.revision_
+        if is_current and self._yields_to(sender, now):
+            self._heard_at = max(self._heard_at, now - update.age)
 
     def receive_held(self, sender: str, message: HeldItems) -> None:
         """Hold what a peer holds; tell it what it does not know yet."""
@@ -138,6 +153,12 @@
                 self.mirror.apply(copy, self.clock.read_monotonic())
                 return
 
+    def _yields_to(self, peer: str, now: float) -> bool:
+        if now - self._read_at >= _READING_SECONDS:
+            return True
+        own_rank = self.fleet.find_rank(_LEADER_TOPIC)
+        return self.fleet.find_rank(_LEADER_TOPIC, peer) < own_rank
+
     def _request_copy(self, peer: str) -> None:
         now = self.clock.read_monotonic()
         if now - self._requested_at >= _REQUEST_INTERVAL_SECONDS:
--- a/sesameroute/node/tests/test_stale_copy.py
+++ b/sesameroute/node/tests/test_stale_copy.py
@@ -1,5 +1,8 @@
 """Tests of nodes whose copy of the store is older than that of others."""
 
+import time
+from functools import partial
+
 import pytest
 
 from sesameroute.node.tests.backends import BackendStandIn
@@ -10,6 +13,11 @@
     wait_for,
 )
 
+_TOPIC = 'store-watch'
+# The bounds as they are stated, in seconds.
+_CONTACT_SECONDS = 3.0
+_APPLY_SECONDS = 2.0
+
 
 @pytest.fixture
 def servers(cluster):
@@ -57,3 +65,30 @@
     cluster.configure(prefix='/b/')
     assert wait_for(lambda: send(2, '/b/x')[0] == 200)
     assert wait_for(lambda: len(rejected.registry) == 1)
+
+
+def is_verified_since(mirror, since):
+    """Return whether a copy was found to be up to date after a time."""
+    return mirror.verified_at_ > since
+
+
+def test_changes_arrive_in_time_without_the_first_watchers(cluster, servers):
+    """The only node with a path to the store paused between two watches."""
+    numbers = (1, 2, 3, 4)
+    cluster.start_nodes(*numbers)
+    reading = max(
+        cluster.nodes.values(), key=lambda node: node.fleet.find_rank(_TOPIC)
+    )
+    address = reading.settings.node.address
+    cluster.store.rejected_clients.update(
+        f'{NETWORK_PREFIX}.{one}' for one in numbers
+    )
+    cluster.store.rejected_clients.remove(address)
+    time.sleep(_CONTACT_SECONDS)
+    mirror = reading._store.mirror
+    for prefix in ('/b/', '/c/', '/d/'):
+        assert wait_for(partial(is_verified_since, mirror, time.monotonic()))
+        cluster.configure(prefix=prefix)
+        time.sleep(_APPLY_SECONDS)
+        statuses = [send(one, f'{prefix}x')[0] for one in numbers]
+        assert statuses == [200] * len(numbers)
