Check that a restore undoes nothing on nodes of two builds; list what it does

The scenario with a restored store now loses a configuration and a server's draining with the copy, and checks until contact that both stay.

--- a/sesameroute/node/tests/test_two_builds.py
+++ b/sesameroute/node/tests/test_two_builds.py
@@ -283,13 +283,18 @@
     start_callers()
 
     def write():
+        cluster.configure(prefix='/c/')
+        cluster.register('server-2', servers[2], state='draining')
         cluster.register('lost', servers[-1])
         assert wait_for(
             lambda: all(count_backends(one) == _SERVERS + 1 for one in _NUMBERS)
         )
 
-    lose_writes(cluster, 60, write)
-    time.sleep(_CONTACT_SECONDS)
-    change_entries(cluster, servers, added)
     checked = olds if is_earlier_checked else news
+    since = lose_writes(cluster, 60, write)
+    while time.monotonic() < since + _CONTACT_SECONDS:
+        key = str(time.monotonic())
+        assert {send(number, '/c/x', key)[0] for number in checked} == {200}
+    assert count_since(servers[2], since) == 0
+    change_entries(cluster, servers, added)
     check_entries(checked, servers, added)
