--- a/sesameroute/adapters/tests/test_peers.py
+++ b/sesameroute/adapters/tests/test_peers.py
@@ -1,147 +1,44 @@
 """Tests of peer streams: authentication, failures, invalid input."""
 
-import os
 import random
 import socket
 import threading
 import time
 import zlib
 from contextlib import suppress
-from dataclasses import dataclass
 
 import pytest
 
-from sesameroute.adapters import PeerNetwork
 from sesameroute.adapters._peer_frames import FrameReader, FrameSigner
+from sesameroute.adapters.tests.peer_networks import (
+    KEY,
+    NETWORK,
+    Text,
+    find_target,
+    wait_for,
+)
 from sesameroute.exceptions import InputError, PeerError
 from sesameroute.ports import (
-    PeerIdentity,
     PeerRole,
-    SystemClock,
-    TcpWire,
-    register_message,
 )
 
-# Test runs at the same time on one machine use different addresses.
-_NETWORK = f'127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}'
-_KEY = b'key of this test 0123456789'
-_PORT = 18600
-
-
-@register_message('test-peers-text')
-@dataclass(frozen=True, slots=True)
-class Text:
-    """A message with a text of any length."""
-
-    text: str
-
-
-def _wait_for(predicate, seconds=6):
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        if predicate():
-            return True
-        time.sleep(0.01)
-    return False
-
-
-def _echo(sender, message):
-    if message.text == 'fail':
-        raise ValueError('asked to')
-    return Text(f'{sender}:{message.text}')
-
-
-class Fleet:
-    """The peer networks that one test starts."""
-
-    def __init__(self):
-        """Start empty."""
-        self.networks = []
-
-    def add(self, name, number, key=_KEY, role=PeerRole.ENTRY, **options):
-        """Start a network on the address that ends with `number`."""
-        port = _PORT if role is PeerRole.ENTRY else 0
-        network = PeerNetwork(
-            PeerIdentity(name, f'i{random.random()}', role),
-            key,
-            options.get('wire', TcpWire()),
-            SystemClock(),
-            (f'{_NETWORK}.{number}', port),
-        )
-        network.start(options.get('handler', _echo))
-        self.networks.append(network)
-        return network
-
-
-@pytest.fixture
-def fleet():
-    """Yield a fleet and stop its networks afterwards."""
-    running = Fleet()
-    yield running
-    for network in running.networks:
-        network.stop()
-
-
-def _target(number):
-    return (f'{_NETWORK}.{number}', _PORT)
-
 
 def test_calls_in_both_directions(fleet):
     """Both ends of a stream see each other as connected and can call."""
     one, two = fleet.add('a', 1), fleet.add('b', 2)
-    one.set_targets({'b': _target(2)})
-    assert _wait_for(lambda: two.list_connected() == ('a',))
-    assert _wait_for(lambda: one.list_connected() == ('b',))
+    one.set_targets({'b': find_target(2)})
+    assert wait_for(lambda: two.list_connected() == ('a',))
+    assert wait_for(lambda: one.list_connected() == ('b',))
     assert one.call('b', Text('x'), 2) == Text('a:x')
     assert two.call('a', Text('y'), 2) == Text('b:y')
 
 
-@register_message('test-peers-number')
-@dataclass(frozen=True, slots=True)
-class Number:
-    """A message with a number of any size."""
-
-    number: int
-
-
-def _answer_number(sender, message):
-    return Number(message.number + 1)
-
-
-def test_numbers_that_do_not_fit_end_no_stream(fleet):
-    """One ended the thread of the stream, for a request and for a reply."""
-    one = fleet.add('a', 1)
-    two = fleet.add('b', 2, handler=_answer_number)
-    one.set_targets({'b': _target(2)})
-    assert _wait_for(one.list_connected)
-    streams = one.streams.list_streams()
-    for number in (2**64, 2**64 - 1):
-        with pytest.raises(PeerError):
-            one.call('b', Number(number), 2)
-        assert not one.send_one_way('b', Number(2**64))
-    assert one.call('b', Number(5), 2) == Number(6)
-    assert _wait_for(two.list_connected)
-    assert one.streams.list_streams() == streams
-
-
-def test_host_that_cannot_be_encoded_ends_no_dialer(fleet, caplog):
-    """A label of more than 63 characters is no OSError."""
-    one = fleet.add('a', 1)
-    one.set_targets({'odd': ('x' * 64, _PORT)})
-    assert _wait_for(
-        lambda: (
-            sum(each.msg == 'unexpected error' for each in caplog.records) >= 2
-        )
-    )
-    assert 'peer-odd' in {each.name for each in threading.enumerate()}
-
-
 def test_large_messages(fleet):
     """A message of 1 MB arrives; one above the frame limit is not sent."""
     one = fleet.add('a', 1)
     fleet.add('b', 2)
-    one.set_targets({'b': _target(2)})
-    assert _wait_for(one.list_connected)
+    one.set_targets({'b': find_target(2)})
+    assert wait_for(one.list_connected)
     assert one.call('b', Text('z' * 1_000_000), 5).text[-1] == 'z'
     assert not one.send_one_way('b', Text('z' * 3_000_000))
 
@@ -160,8 +57,8 @@
     """
     one = fleet.add('a', 1)
     fleet.add('b', 2)
-    one.set_targets({'b': _target(2)})
-    assert _wait_for(one.list_connected)
+    one.set_targets({'b': find_target(2)})
+    assert wait_for(one.list_connected)
     assert one.send_one_way('b', Text('fail'))
     with pytest.raises(PeerError) as caught:
         one.call(vm, Text(text), 2)
@@ -171,9 +68,9 @@
 def test_one_stream_is_left_when_both_dial(fleet):
     """When both ends dial, one stream is left, and it stays open."""
     one, two = fleet.add('a', 1), fleet.add('b', 2)
-    one.set_targets({'b': _target(2)})
-    two.set_targets({'a': _target(1)})
-    assert _wait_for(lambda: one.list_connected() and two.list_connected())
+    one.set_targets({'b': find_target(2)})
+    two.set_targets({'a': find_target(1)})
+    assert wait_for(lambda: one.list_connected() and two.list_connected())
     time.sleep(0.6)
     kept = one.streams.list_streams()
     assert len(kept) == 1
@@ -185,37 +82,37 @@
     """A look-up process is listed as an observer, not as an entry VM."""
     one = fleet.add('a', 1)
     lookup = fleet.add('a', 2, role=PeerRole.LOOKUP)
-    lookup.set_targets({'a': _target(1)})
-    assert _wait_for(lambda: one.list_observers() == ('lookup/a',))
+    lookup.set_targets({'a': find_target(1)})
+    assert wait_for(lambda: one.list_observers() == ('lookup/a',))
     assert not one.list_connected()
     # The two ends do not see the connection at the same moment.
-    assert _wait_for(lambda: lookup.list_connected() == ('a',))
+    assert wait_for(lambda: lookup.list_connected() == ('a',))
 
 
 def test_restarted_peer_is_dialed_again(fleet):
     """A peer is dialed again after a restart with a new incarnation."""
     one, two = fleet.add('a', 1), fleet.add('b', 2)
-    one.set_targets({'b': _target(2)})
-    assert _wait_for(one.list_connected)
+    one.set_targets({'b': find_target(2)})
+    assert wait_for(one.list_connected)
     two.stop()
-    assert _wait_for(lambda: not one.list_connected())
+    assert wait_for(lambda: not one.list_connected())
     fleet.add('b', 2)
-    assert _wait_for(one.list_connected)
+    assert wait_for(one.list_connected)
 
 
 def test_stopped_network_dials_no_peer(fleet):
     """A heartbeat at the moment of a stop started dialers that stayed."""
     one, two = fleet.add('a', 1), fleet.add('b', 2)
     one.stop()
-    one.set_targets({'b': _target(2)})
-    assert not _wait_for(two.list_connected, 0.5)
+    one.set_targets({'b': find_target(2)})
+    assert not wait_for(two.list_connected, 0.5)
 
 
 def test_peer_with_unexpected_name_is_rejected(fleet):
     """A stream to a peer with another name than expected is closed."""
     one = fleet.add('a', 1)
     fleet.add('b', 2)
-    one.set_targets({'c': _target(2)})
+    one.set_targets({'c': find_target(2)})
     time.sleep(0.5)
     assert not one.list_connected()
 
@@ -224,7 +121,7 @@
     """A peer with another key can't connect; a short key is an error."""
     one = fleet.add('a', 1)
     other = fleet.add('b', 2, key=b'another key 0123456789')
-    other.set_targets({'a': _target(1)})
+    other.set_targets({'a': find_target(1)})
     time.sleep(0.5)
     assert not one.list_connected()
     assert not other.list_connected()
@@ -247,14 +144,14 @@
 def test_garbage_instead_of_a_handshake(fleet, garbage):
     """Invalid bytes instead of a handshake close only that connection."""
     one, two = fleet.add('a', 1), fleet.add('b', 2)
-    with socket.create_connection(_target(1)) as intruder:
+    with socket.create_connection(find_target(1)) as intruder:
         intruder.settimeout(4)
         with suppress(OSError):  # the accepter may have closed it
             intruder.sendall(garbage)
             intruder.shutdown(socket.SHUT_WR)
         assert _read_until_closed(intruder) < 200
-    two.set_targets({'a': _target(1)})
-    assert _wait_for(one.list_connected)
+    two.set_targets({'a': find_target(1)})
+    assert wait_for(one.list_connected)
 
 
 def _read_until_closed(connection):
@@ -273,7 +170,7 @@
     def __init__(self, target):
         """Listen on a free port."""
         self.target = target
-        self.server = socket.create_server((f'{_NETWORK}.99', 0))
+        self.server = socket.create_server((f'{NETWORK}.99', 0))
         self.address = self.server.getsockname()
         self.recorded = []
         self.is_silent = {'up': False, 'down': False}
@@ -315,14 +212,14 @@
 def test_replayed_handshake_is_rejected(fleet):
     """A recorded handshake and stream is not accepted a second time."""
     one, two = fleet.add('a', 1), fleet.add('b', 2)
-    interceptor = Interceptor(_target(1))
+    interceptor = Interceptor(find_target(1))
     two.set_targets({'a': interceptor.address})
-    assert _wait_for(lambda: one.list_connected() and two.list_connected())
+    assert wait_for(lambda: one.list_connected() and two.list_connected())
     assert two.call('a', Text('x'), 2)
     two.set_targets({})
-    assert _wait_for(lambda: not one.list_connected())
+    assert wait_for(lambda: not one.list_connected())
     recorded = list(interceptor.recorded)
-    with socket.create_connection(_target(1)) as intruder:
+    with socket.create_connection(find_target(1)) as intruder:
         with suppress(OSError):  # the accepter may have closed it
             intruder.sendall(b''.join(recorded))
         time.sleep(0.3)
@@ -333,28 +230,28 @@
     """A changed byte in a frame ends the stream."""
     two = fleet.add('b', 2)
     fleet.add('a', 1)
-    interceptor = Interceptor(_target(1))
+    interceptor = Interceptor(find_target(1))
     two.set_targets({'a': interceptor.address})
-    assert _wait_for(two.list_connected)
+    assert wait_for(two.list_connected)
     first = two.streams.find('a')
     interceptor.tamper = lambda received: bytes([*received[:-1], 0])
     with pytest.raises(PeerError):
         two.call('a', Text('x'), 2)
-    assert _wait_for(lambda: first.is_closed)
+    assert wait_for(lambda: first.is_closed)
 
 
 @pytest.mark.parametrize('directions', [('up',), ('down',), ('up', 'down')])
 def test_silent_stream_is_replaced(fleet, directions):
     """A stream that is silent in one or both directions is replaced."""
     one, two = fleet.add('a', 1), fleet.add('b', 2)
-    interceptor = Interceptor(_target(1))
+    interceptor = Interceptor(find_target(1))
     two.set_targets({'a': interceptor.address})
-    assert _wait_for(two.list_connected)
+    assert wait_for(two.list_connected)
     first = two.streams.find('a')
     interceptor.is_silent.update(dict.fromkeys(directions, True))
-    assert _wait_for(lambda: first.is_closed, 5)
+    assert wait_for(lambda: first.is_closed, 5)
     interceptor.is_silent.update(dict.fromkeys(directions, False))
-    assert _wait_for(lambda: two.list_connected() and one.list_connected(), 5)
+    assert wait_for(lambda: two.list_connected() and one.list_connected(), 5)
     assert two.call('a', Text('x'), 2) == Text('b:x')
 
 
@@ -363,8 +260,8 @@
     may_return = threading.Event()
     two = fleet.add('b', 2)
     one = fleet.add('a', 1, handler=lambda *_parts: may_return.wait(20))
-    two.set_targets({'a': _target(1)})
-    assert _wait_for(two.list_connected)
+    two.set_targets({'a': find_target(1)})
+    assert wait_for(two.list_connected)
     stream = two.streams.find('a')
     noise = random.Random(1).randbytes(450_000).hex()
     longest = 0
@@ -372,7 +269,7 @@
         started = time.monotonic()
         two.send_one_way('a', Text(noise))
         longest = max(longest, time.monotonic() - started)
-    assert _wait_for(lambda: stream.is_closed, 5)
+    assert wait_for(lambda: stream.is_closed, 5)
     assert longest < 1
     may_return.set()
     assert one.identity.name == 'a'
@@ -396,17 +293,17 @@
 
     One is a compression bomb of 50 MB in 50 kB.
     """
-    signed = FrameSigner(_KEY).sign(packed)
+    signed = FrameSigner(KEY).sign(packed)
     with pytest.raises(PeerError):
-        FrameReader(_KEY).feed(signed)
+        FrameReader(KEY).feed(signed)
 
 
 def test_call_ends_when_its_stream_breaks(fleet):
     """A pending call fails at once when its stream closes."""
     may_return = threading.Event()
     one, two = fleet.add('a', 1), fleet.add('b', 2)
-    one.set_targets({'b': _target(2)})
-    assert _wait_for(one.list_connected)
+    one.set_targets({'b': find_target(2)})
+    assert wait_for(one.list_connected)
     two._dispatcher.handler = lambda *_parts: may_return.wait(20)
     threading.Timer(0.2, two.stop).start()
     started = time.monotonic()
@@ -423,9 +320,9 @@
     """
     fleet.add('a', 1)
     two = fleet.add('b', 2)
-    interceptor = Interceptor(_target(1))
+    interceptor = Interceptor(find_target(1))
     two.set_targets({'a': interceptor.address})
-    assert _wait_for(two.list_connected)
+    assert wait_for(two.list_connected)
     first = two.streams.find('a')
     interceptor.is_silent.update(up=True, down=True)
     closed = []
