Read the revision of a position in one place; share two pieces of the drill's tests

Five places unpacked a position for its revision alone; they call find_revision now. Two test modules had the same fixture and the same count of requests; they stand in conftest.py and backends.py. No behaviour and no assertion is changed.

--- a/sesameroute/mirror/__init__.py
+++ b/sesameroute/mirror/__init__.py
@@ -13,6 +13,7 @@
     MAX_REVISION,
     Position,
     find_era,
+    find_revision,
 )
 from sesameroute.mirror._retention import DocumentOrder
 from sesameroute.mirror._watcher import (
@@ -36,4 +37,5 @@
     'StoreReader',
     'StoreWatcher',
     'find_era',
+    'find_revision',
 ]
--- a/sesameroute/mirror/_items_in_force.py
+++ b/sesameroute/mirror/_items_in_force.py
@@ -5,7 +5,7 @@
 from sesameroute.mirror._held_merge import HeldMerge
 from sesameroute.mirror._item_table import ItemTable
 from sesameroute.mirror._messages import HeldItem, HeldItems, MirrorItem
-from sesameroute.mirror._position import Position
+from sesameroute.mirror._position import find_revision
 from sesameroute.mirror._reporter import Reporter
 from sesameroute.mirror._retention import (
     DocumentOrder,
@@ -176,7 +176,4 @@
 
     If the restored copy has the held item, the change came after it.
     """
-    revisions = (
-        Position.unpack(item.revision).revision for item in (held_item, change)
-    )
-    return next(revisions) < next(revisions)
+    return find_revision(change.revision) > find_revision(held_item.revision)
--- a/sesameroute/mirror/_position.py
+++ b/sesameroute/mirror/_position.py
@@ -8,7 +8,13 @@
 
 from typing import NamedTuple
 
-__all__ = ['MAX_ERA', 'MAX_REVISION', 'Position', 'find_era']
+__all__ = [
+    'MAX_ERA',
+    'MAX_REVISION',
+    'Position',
+    'find_era',
+    'find_revision',
+]
 
 # Positions stay within signed integers of 64 bits.
 _REVISION_BITS = 40
@@ -41,7 +47,7 @@
     @classmethod
     def unpack(cls, packed: int) -> 'Position':
         """Return the position from the number."""
-        return cls(packed >> _REVISION_BITS, packed & MAX_REVISION)
+        return cls(find_era(packed), find_revision(packed))
 
 
 def find_era(packed: int) -> int:
@@ -54,3 +60,15 @@
 
     """
     return packed >> _REVISION_BITS
+
+
+def find_revision(packed: int) -> int:
+    """Return the revision of a packed position in its era.
+
+    Examples
+    --------
+    >>> find_revision(Position(3, 9).pack())
+    9
+
+    """
+    return packed & MAX_REVISION
--- a/sesameroute/mirror/_retention.py
+++ b/sesameroute/mirror/_retention.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from sesameroute.mirror._messages import HeldItem, MirrorItem
-from sesameroute.mirror._position import Position
+from sesameroute.mirror._position import find_revision
 
 __all__ = [
     'DocumentOrder',
@@ -112,9 +112,9 @@
     if None in stamps:
         return False
     # Equal stamps: the copy has the lower revision.
-    return (stamps[0], _read_revision(offered)) < (
+    return (stamps[0], find_revision(offered.revision)) < (
         stamps[1],
-        _read_revision(known),
+        find_revision(known.revision),
     )
 
 
@@ -124,9 +124,7 @@
     """Whether the restored item is one of those before the removal."""
     stamps = order.read_stamp(offered), order.read_stamp(past[-1])
     if None in stamps:
-        return _read_revision(offered) in map(_read_revision, past)
+        return find_revision(offered.revision) in {
+            find_revision(item.revision) for item in past
+        }
     return stamps[0] <= stamps[1]
-
-
-def _read_revision(item: MirrorItem) -> int:
-    return Position.unpack(item.revision).revision
--- a/sesameroute/mirror/_watcher.py
+++ b/sesameroute/mirror/_watcher.py
@@ -9,7 +9,7 @@
 from sesameroute.exceptions import SesameError
 from sesameroute.mirror._messages import MirrorItem, MirrorUpdate
 from sesameroute.mirror._mirror import Mirror
-from sesameroute.mirror._position import Position
+from sesameroute.mirror._position import Position, find_revision
 from sesameroute.ports import Clock
 from sesameroute.telemetry import survive
 
@@ -172,7 +172,7 @@
         missing = self.mirror.list_missing()
         if missing <= self._checked_missing:
             return
-        first = min(Position.unpack(item.revision).revision for item in missing)
+        first = min(find_revision(item.revision) for item in missing)
         since = Position(self.mirror.era_, first).pack()
         try:
             self.mirror.merge_history(self.store.watch(since, 0))
--- a/sesameroute/node/_era_translation.py
+++ b/sesameroute/node/_era_translation.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from sesameroute.mirror import MirrorUpdate, Position, find_era
+from sesameroute.mirror import MirrorUpdate, Position, find_era, find_revision
 
 __all__ = ['EraTranslation']
 
@@ -72,7 +72,7 @@
     def encode_revision(self, peer: str, revision: int) -> int:
         """Return a packed position as a peer understands it."""
         if self.is_plain(peer, revision):
-            return Position.unpack(revision).revision
+            return find_revision(revision)
         return revision
 
     def decode_revision(self, peer: str, told: int, revision: int) -> int:
--- a/sesameroute/node/tests/backends.py
+++ b/sesameroute/node/tests/backends.py
@@ -158,5 +158,10 @@
         self._server.close()
 
 
+def count_since(server, since):
+    """Return how many requests a server has got since a time."""
+    return sum(arrival.time >= since for arrival in server.arrivals)
+
+
 def _ignore_restart():
     """Do nothing; the default observer."""
--- a/sesameroute/node/tests/conftest.py
+++ b/sesameroute/node/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sesameroute.node.tests.backends import BackendStandIn
 from sesameroute.node.tests.cluster import Cluster
 
 
@@ -11,3 +12,11 @@
     running = Cluster()
     yield running
     running.stop()
+
+
+@pytest.fixture
+def added():
+    """Return a backend server that is not registered."""
+    running = BackendStandIn()
+    yield running
+    running.stop()
--- a/sesameroute/node/tests/test_store_drill.py
+++ b/sesameroute/node/tests/test_store_drill.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesameroute.node.tests.backends import BackendStandIn
+from sesameroute.node.tests.backends import BackendStandIn, count_since
 from sesameroute.node.tests.callers import Callers
 from sesameroute.node.tests.cluster import NETWORK_PREFIX, send, wait_for
 from sesameroute.node.tests.drills import count_reads, lose_writes
@@ -30,19 +30,6 @@
         each.stop()
 
 
-@pytest.fixture
-def added():
-    """Return a backend server that is not registered."""
-    running = BackendStandIn()
-    yield running
-    running.stop()
-
-
-def count_since(server, since):
-    """Return how many requests a server has got since a time."""
-    return sum(arrival.time >= since for arrival in server.arrivals)
-
-
 @pytest.mark.parametrize(
     ('nodes', 'lost', 'drills'),
     [(1, 60, 1), (3, 1, 1), (3, 60, 1), (3, 500, 2), (7, 60, 1)],
--- a/sesameroute/node/tests/test_two_builds.py
+++ b/sesameroute/node/tests/test_two_builds.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from sesameroute.node.tests.backends import BackendStandIn
+from sesameroute.node.tests.backends import BackendStandIn, count_since
 from sesameroute.node.tests.builds import (
     PREVIOUS_LANDING,
     BuildMissingError,
@@ -86,19 +86,6 @@
         each.stop()
 
 
-@pytest.fixture
-def added():
-    """Return a backend server that is not registered."""
-    running = BackendStandIn()
-    yield running
-    running.stop()
-
-
-def count_since(server, since):
-    """Return how many requests a server has got since a time."""
-    return sum(arrival.time >= since for arrival in server.arrivals)
-
-
 def list_senders(servers, path):
     """Return the number of each node that sent a request to a server."""
     return [
