Log and count the requests that a node refuses itself, with its configuration

A 404 of a node left no line and no count, so that one by an outdated configuration could not be told from one for a route that never was. Each refusal of 4xx, also those that the HTTP library decides, now has one line (request-refused, limited by the filter of events): status, reason, version, position in the store, source and age of the configuration that decided, and the counter sesame_refusals_total by status and reason. The line of a new configuration names its position and its source, and sesame_configuration_age_seconds its age. The 503 before the first configuration is counted the same way.

No decision is changed.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -22,6 +22,11 @@
     HTTPServer,
 )
 
+from sesameroute.adapters._refusal_reasons import (
+    RefusalObserver,
+    ignore_refusal,
+    report_refusal,
+)
 from sesameroute.adapters._running import RunningRequests
 from sesameroute.exceptions import SesameError
 from sesameroute.ports import Answer, SystemClock
@@ -67,8 +72,8 @@
         """Answer 431 where cheroot answers 413 for headers and body alike."""
         if status.startswith(_TOO_LARGE_STATUS) and _HEADER_LIMIT_TEXT in msg:
             self.close_connection = True
-            super().simple_response('431 Request Header Fields Too Large')
-            return
+            status, msg = '431 Request Header Fields Too Large', ''
+        report_refusal(status, self.server.front.on_refusal)
         super().simple_response(status, msg)
 
 
@@ -91,6 +96,7 @@
     handler: FrontHandler
     is_leaving: Callable[[], bool]
     running: RunningRequests
+    on_refusal: RefusalObserver
 
 
 class _Gateway(Gateway):
@@ -181,6 +187,9 @@
     threads : int
         Number of worker threads at the start; more are added when few are
         idle.
+    on_refusal : callable, optional
+        Called with the status and the reason of each refusal that the handler
+        never sees.
 
     Attributes
     ----------
@@ -195,11 +204,12 @@
         handler: FrontHandler,
         is_leaving: Callable[[], bool] = bool,
         threads: int = _INITIAL_THREADS,
+        on_refusal: RefusalObserver = ignore_refusal,
     ) -> None:
         """Store the parameters."""
         self.address = address
         self.running_ = RunningRequests(SystemClock())
-        front = _FrontContext(handler, is_leaving, self.running_)
+        front = _FrontContext(handler, is_leaving, self.running_, on_refusal)
         self._server = _CallerServer(address, front, threads)
         self._is_stopped = threading.Event()
         self._growth_thread = threading.Thread(
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -9,11 +9,11 @@
 from sesameroute.forward._guards import Guards
 from sesameroute.forward._local_answers import (
     CallerClosedError,
-    build_answer,
     build_failure_answer,
     build_refusal_answer,
 )
 from sesameroute.forward._message import CallerRequest, TryError
+from sesameroute.forward._refusals import Refusals
 from sesameroute.forward._relay import NoRelay, Relay
 from sesameroute.forward._request_log import (
     Observer,
@@ -37,9 +37,6 @@
 
 __all__ = ['Forwarder']
 
-# Retry-After while no configuration is known; one likely arrives within it.
-_CONFIGURATION_RETRY_SECONDS = 0.3
-
 
 class Forwarder:
     """Forwards requests to backend servers and returns their answers.
@@ -48,7 +45,8 @@
     known backend servers. `allocator` grants slots on them, `sender` sends
     requests to them, `guards` limit or stop tries, `clock` is the source of
     time. `observer_` is called with the record of each answered request,
-    `relay_` passes requests on while this node reaches no backend server.
+    `relay_` passes requests on while this node reaches no backend server,
+    `refusals_` records the requests that have no route.
     """
 
     def __init__(
@@ -69,6 +67,9 @@
         self.clock = clock
         self.observer_: Observer = _discard_record
         self.relay_: Relay | NoRelay = NoRelay()
+        self.refusals_ = Refusals(
+            active_configuration, sender.header_codec, clock
+        )
         self._caller_retries = CallerRetryDetector()
 
     def forward(self, request: CallerRequest) -> Answer:
@@ -83,15 +84,9 @@
 
         """
         table = self.active_configuration.table_
-        if table is None:
-            return build_answer(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'no-configuration',
-                _CONFIGURATION_RETRY_SECONDS,
-            )
-        route = table.find(request.host, request.path)
+        route = table and table.find(request.host, request.path)
         if route is None:
-            return build_answer(HTTPStatus.NOT_FOUND, 'no-route')
+            return self.refusals_.answer_unrouted(request, table)
         state = self._make_state(request, route)
         state.body = read_body(request)
         state.fingerprint = compute_fingerprint(state)
--- a/sesameroute/mirror/_mirror.py
+++ b/sesameroute/mirror/_mirror.py
@@ -16,6 +16,7 @@
 )
 from sesameroute.mirror._position import find_era
 from sesameroute.mirror._retention import DocumentOrder, UnorderedDocuments
+from sesameroute.mirror._source import MessageSource
 
 __all__ = ['Mirror']
 
@@ -47,6 +48,8 @@
     verified_at_ : float
         Latest monotonic time in seconds at which the replica was known to be
         up to date; minus infinity before the first update.
+    source_ : MessageSource
+        Peer whose message is being applied.
 
     """
 
@@ -64,6 +67,7 @@
         )
         self._early: list[HeldItems] = []
         self._lock = threading.RLock()
+        self.source_ = MessageSource(self._lock)
 
     def apply(self, update: MirrorUpdate, now: float) -> bool:
         """Apply an update.
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -1,6 +1,5 @@
 """HTTP handlers of a node: forwarding, readiness check and directory."""
 
-import logging
 from http import HTTPStatus
 from typing import Any
 
@@ -23,8 +22,6 @@
 _TTL_SECONDS = 1.0
 _JSON_HEADERS = (('Content-Type', 'application/json'),)
 
-_logger = logging.getLogger(__name__)
-
 
 class ForwardHandler:
     """Converts cheroot requests to caller requests and forwards them.
@@ -49,7 +46,9 @@
             return self.respond(self._read(request))
         except InputError as error:
             request.close_connection = True
-            _logger.info('request not valid', extra={'why': error.message})
+            self.forwarder.refusals_.record(
+                HTTPStatus.BAD_REQUEST, 'malformed', detail=error.message
+            )
             return Answer(HTTPStatus.BAD_REQUEST, (), iter(()), 0)
         except SesameError:
             return None  # the forwarder has logged the reason
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -98,18 +98,14 @@
         """Count a try at a backend server that has ended."""
         self.meter_.add(Metric.TRIES, service=service, outcome=outcome.value)
 
-    def observe_loss(self, result: str) -> None:
-        """Count the loss of a backend server that ran a request."""
-        self.meter_.add(Metric.LOSSES, result=result)
+    def count(self, metric: Metric, **labels: str) -> None:
+        """Add one to a counter."""
+        self.meter_.add(metric, **labels)
 
     def observe_call(self, name: str, result: str) -> None:
         """Count a call to the platform's store."""
         self.meter_.add(Metric.STORE_CALLS, call=name, result=result)
 
-    def observe_ignored(self, kind: str) -> None:
-        """Count an item of the store that is ignored as not valid."""
-        self.meter_.add(Metric.IGNORED_ITEMS, kind=kind)
-
     def _update_gauges(self) -> None:
         for metric, amount in self._list_gauges():
             self.meter_.set(metric, amount)
@@ -151,9 +147,7 @@
                 yield Metric.BACKEND_GRANTS, state.name, state.total_grants
 
     def _list_gauges(self) -> Iterator[tuple[Metric, float]]:
-        current_configuration = self.active_configuration.configuration
-        version = current_configuration.version if current_configuration else 0
-        yield Metric.CONFIGURATION_VERSION, version
+        yield from self._list_configuration_gauges()
         yield Metric.PEERS, len(self.allocator.peers.list_connected())
         yield Metric.BACKENDS, len(self.registry)
         yield Metric.STORE_ERA, self.mirror.era_
@@ -165,6 +159,16 @@
         peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         yield Metric.MEMORY_BYTES, peak * _BYTES_PER_KIBIBYTE
 
+    def _list_configuration_gauges(self) -> Iterator[tuple[Metric, float]]:
+        current_configuration = self.active_configuration.configuration
+        version, age = 0, -1
+        if current_configuration is not None:
+            version = current_configuration.version
+            now = self.allocator.clock.read_monotonic()
+            age = now - current_configuration.origin.received_at
+        yield Metric.CONFIGURATION_VERSION, version
+        yield Metric.CONFIGURATION_AGE, age
+
 
 class MetricsServer(FrontServer):
     """Serves the metrics; a failure to listen does not stop the node.
--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -98,7 +98,9 @@
         """Apply a peer's update; query its full copy if updates are missing."""
         now = self.clock.read_monotonic()
         decoded = self.eras.decode(sender, update, self.mirror.revision_)
-        if not self.mirror.apply(decoded, now):
+        with self.mirror.source_.told_by(sender):
+            is_applied = self.mirror.apply(decoded, now)
+        if not is_applied:
             self._request_copy(sender)
             return
         is_current = decoded.revision >= self.mirror.revision_
@@ -107,7 +109,8 @@
 
     def receive_held(self, sender: str, message: HeldItems) -> None:
         """Hold what a peer holds; tell it what it does not know yet."""
-        later = self.mirror.merge_held(message)
+        with self.mirror.source_.told_by(sender):
+            later = self.mirror.merge_held(message)
         if later is not None:
             self.peers.send_one_way(sender, later)
 
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -18,7 +18,7 @@
 from sesameroute.ports import PeerIdentity, SystemClock, TcpWire, Wire
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
-from sesameroute.telemetry import survive
+from sesameroute.telemetry import Metric, survive
 
 __all__ = ['FleetNode']
 
@@ -190,10 +190,19 @@
             self._node_servers.quarantine,
         )
         self._node_servers.forwarder.observer_ = meter.observe
+        self._node_servers.forwarder.refusals_.observer_ = (
+            lambda status, reason: meter.count(
+                Metric.REFUSALS, status=str(status), reason=reason
+            )
+        )
         self.allocator.observer_ = meter.observe_try
-        self._node_servers.quarantine.evidence.observer_ = meter.observe_loss
+        self._node_servers.quarantine.evidence.observer_ = lambda result: (
+            meter.count(Metric.LOSSES, result=result)
+        )
         self._store.observe_calls(meter.observe_call)
-        self._store.ignored_items.observer_ = meter.observe_ignored
+        self._store.ignored_items.observer_ = lambda kind: meter.count(
+            Metric.IGNORED_ITEMS, kind=kind
+        )
         self._servers.append(MetricsServer(address, meter))
 
     def _run_pool_loop(self) -> None:
--- a/sesameroute/node/_receiver.py
+++ b/sesameroute/node/_receiver.py
@@ -1,7 +1,10 @@
 """Applies changes of the platform's store on a node."""
 
 import logging
+from collections.abc import Callable
+from dataclasses import replace
 
+from sesameroute.mirror import Position
 from sesameroute.node._fleet import Fleet
 from sesameroute.ports import Clock
 from sesameroute.registry import Backend, Registry
@@ -26,6 +29,12 @@
     clock : Clock
         Source of time.
 
+    Attributes
+    ----------
+    read_source : callable
+        Returns the address of the node that told of the present change; empty
+        if this node has read it from the store.
+
     """
 
     def __init__(
@@ -40,15 +49,26 @@
         self.registry = registry
         self.fleet = fleet
         self.clock = clock
+        self.read_source: Callable[[], str] = str
 
     def put_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration unless a newer one is in force."""
-        if self.active_configuration.apply_if_newer(configuration):
+        origin = replace(
+            configuration.origin,
+            source=self.read_source(),
+            received_at=self.clock.read_monotonic(),
+        )
+        received = replace(configuration, origin=origin)
+        if self.active_configuration.apply_if_newer(received):
+            position = Position.unpack(origin.position)
             _logger.info(
                 'configuration in force',
                 extra={
                     'version': configuration.version,
                     'routes': len(configuration.routes),
+                    'era': position.era,
+                    'revision': position.revision,
+                    'source': origin.source or '-',
                 },
             )
 
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -133,6 +133,7 @@
             parse_address(settings.listen.front),
             ForwardHandler(self.forwarder, self.clock),
             self.shutdown.has_begun,
+            on_refusal=self.forwarder.refusals_.record,
         )
         ready = FrontServer(
             parse_address(settings.listen.ready),
@@ -222,6 +223,7 @@
             ),
             self.shutdown.has_begun,
             threads=_AUXILIARY_THREADS,
+            on_refusal=self.forwarder.refusals_.record,
         )
         self._taking[relay_server] = _RELAY_HEADER_BYTES
         self.servers = (*self.servers, relay_server)
--- a/sesameroute/node/_store_connection.py
+++ b/sesameroute/node/_store_connection.py
@@ -68,6 +68,7 @@
             dispatcher.dispatch_loss,
             PlatformDocumentOrder(),
         )
+        receiver.read_source = lambda: self.mirror.source_.peer_
         self.eras = EraTranslation(lambda: self._store.first_era_)
         self.sync = MirrorSync(self.mirror, fleet, peers, clock, self.eras)
         self._watcher = StoreWatcher(
--- a/sesameroute/platform/_item_dispatcher.py
+++ b/sesameroute/platform/_item_dispatcher.py
@@ -1,5 +1,6 @@
 """Decodes changed items of the store and passes them to a receiver."""
 
+from dataclasses import replace
 from typing import Protocol
 
 import msgspec
@@ -21,7 +22,7 @@
     REGISTRY_PREFIX,
 )
 from sesameroute.registry import Backend
-from sesameroute.routes import Configuration
+from sesameroute.routes import Configuration, ConfigurationOrigin
 from sesameroute.telemetry import survive
 
 __all__ = ['StoreItemDispatcher', 'Receiver']
@@ -110,7 +111,8 @@
     def _handle_configuration(self, item: MirrorItem) -> None:
         if item.content is not None:
             decoded = decode_configuration(item.content)
-            self.receiver.put_configuration(decoded)
+            origin = ConfigurationOrigin(item.revision)
+            self.receiver.put_configuration(replace(decoded, origin=origin))
 
     def _handle_member(self, item: MirrorItem) -> None:
         if item.content is not None:
--- a/sesameroute/programs/explain.py
+++ b/sesameroute/programs/explain.py
@@ -21,6 +21,10 @@
 
 _EVENT_SENTENCES = {  # noqa: WPS407
     'request-turned-away': 'was turned away',
+    'request-refused': (
+        'was refused with {status} by configuration {version}, known for'
+        ' {age_ms} ms from {source}'
+    ),
     'request-sent-again': 'failed at {backend} and was sent again',
     'request-failed': 'failed for good at {backend}',
     'connection-replaced': 'lost a kept connection to {target}',
@@ -37,6 +41,8 @@
     ),
 }
 _REASON_TEXTS = {  # noqa: WPS407
+    'no-route': 'no route has its host and path: it has not run',
+    'no-configuration': 'this node has only just started: it has not run',
     'no-room': 'no slot could be had in time: it has not run',
     'no-backend': 'no backend server was known: it has not run',
     'stopping': 'this node stops and could not end it: sent nowhere',
--- a/sesameroute/routes/__init__.py
+++ b/sesameroute/routes/__init__.py
@@ -4,6 +4,7 @@
 from sesameroute.routes._model import (
     CallerLimits,
     Configuration,
+    ConfigurationOrigin,
     RequestKind,
     Route,
     ServiceDefinition,
@@ -15,6 +16,7 @@
 __all__ = [
     'CallerLimits',
     'Configuration',
+    'ConfigurationOrigin',
     'ActiveConfiguration',
     'RequestKind',
     'Route',
--- a/sesameroute/routes/_model.py
+++ b/sesameroute/routes/_model.py
@@ -6,6 +6,7 @@
 __all__ = [
     'CallerLimits',
     'Configuration',
+    'ConfigurationOrigin',
     'RequestKind',
     'Route',
     'ServiceDefinition',
@@ -131,6 +132,27 @@
     idle_seconds: float = 15.0
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationOrigin:
+    """Where a node has its configuration from.
+
+    Attributes
+    ----------
+    position : int
+        Packed position of the document in the store, see `mirror.Position`.
+    source : str
+        Address of the node that told of it; empty if this node has read it
+        from the store.
+    received_at : float
+        Monotonic time in seconds.
+
+    """
+
+    position: int = 0
+    source: str = ''
+    received_at: float = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """One version of all routes, services and limits.
@@ -148,3 +170,4 @@
     routes: tuple[Route, ...]
     services: dict[str, ServiceDefinition] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
+    origin: ConfigurationOrigin = ConfigurationOrigin()
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -74,6 +74,16 @@
         'sesame_configuration_version',
         'Version of the statement in force.',
     )
+    CONFIGURATION_AGE = _MetricSpecification(
+        Gauge,
+        'sesame_configuration_age_seconds',
+        'Seconds since this node got its configuration; -1 without one.',
+    )
+    REFUSALS = _MetricSpecification(
+        Counter,
+        'sesame_refusals_total',
+        'Requests that the node itself has refused, by status and reason.',
+    )
     PEERS = _MetricSpecification(
         Gauge,
         'sesame_peers_connected',
