Play nodes that start while others know more than a restored store (red)

Real nodes in one, two and three regions; the store is away for a second and comes back 1 to 500 revisions older, once or twice; one node, a region, or all nodes but one start before, at or after its return, with callers from the first moment they listen.

The test nodes may have other zones and limits, and drills a step while the store is away.

--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -35,9 +35,7 @@
 [store]
 address = {store}
 [zones]
-north-a = north
-north-b = north
-south-a = south
+{zones}
 [bounds]
 grace = 3
 """
@@ -54,7 +52,16 @@
 
 
 class Cluster:
-    """A store, nodes and the entries of operators and backend servers."""
+    """A store, nodes and the entries of operators and backend servers.
+
+    Attributes
+    ----------
+    zones : tuple of str
+        Zones that the nodes know, each ``REGION-LETTER``.
+    limits : dict of str to int
+        Limits on callers in the configurations.
+
+    """
 
     def __init__(self):
         """Start the store with an initial configuration."""
@@ -62,6 +69,13 @@
         self.nodes = {}
         self.wires = {}
         self.version = 1
+        self.zones = ('north-a', 'north-b', 'south-a')
+        self.limits = {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 1048576,
+            'header_timeout_ms': 1000,
+            'idle_timeout_ms': 5000,
+        }
         self._sequences = itertools.count(1)
         self.configure(prefix='/a/')
 
@@ -96,12 +110,7 @@
                             'cold_per_s': 7.0,
                         },
                     ],
-                    'limits': {
-                        'max_header_bytes': 16384,
-                        'max_body_bytes': 1048576,
-                        'header_timeout_ms': 1000,
-                        'idle_timeout_ms': 5000,
-                    },
+                    'limits': self.limits,
                     'virtual_hosts': [{'host': 'h', 'paths': [fields]}],
                 },
             ).encode(),
@@ -148,6 +157,9 @@
             peers=PEERS_PORT,
             seeds=','.join(f'{NETWORK_PREFIX}.{seed}:1' for seed in seeds),
             store='{0}:{1}'.format(*self.store.address),
+            zones='\n'.join(
+                f'{each} = {each.partition("-")[0]}' for each in self.zones
+            ),
         )
 
     def start_nodes(self, *numbers):
--- a/sesameroute/node/tests/drills.py
+++ b/sesameroute/node/tests/drills.py
@@ -8,7 +8,7 @@
 _MARKER = 'servers/marker'
 
 
-def lose_writes(cluster, count, write=bool, away_seconds=1.0):
+def lose_writes(cluster, count, write=bool, away_seconds=1.0, while_away=bool):
     """Let the store lose its last writes; return when it is back.
 
     Parameters
@@ -21,6 +21,8 @@
         Writes more that is lost.
     away_seconds : float, optional
         How long the store answers nothing before it is back.
+    while_away : callable, optional
+        Called while the store is away.
 
     """
     store = cluster.store
@@ -30,7 +32,9 @@
         store.put(_MARKER, build_marker(number))
     assert wait_for(lambda: all(map(has_marker, cluster.nodes.values())))
     store.go_away()
-    time.sleep(away_seconds)
+    ends = time.monotonic() + away_seconds
+    while_away()
+    time.sleep(max(ends - time.monotonic(), 0))
     store.restore(copy)
     return time.monotonic()
 
--- /dev/null
+++ b/sesameroute/node/tests/test_started_nodes.py
@@ -0,0 +1,248 @@
+"""Tests of nodes that start while others know more than the store."""
+
+import contextlib
+import threading
+import time
+from collections import Counter, namedtuple
+
+import pytest
+
+from sesameroute.node.tests.backends import BackendStandIn, count_since
+from sesameroute.node.tests.cluster import is_ready, send, wait_for
+from sesameroute.node.tests.drills import lose_writes
+
+# The bounds as they are stated, in seconds.
+_APPLY_SECONDS = 2.0
+_READY_SECONDS = 3.0
+# The operator writes again what the store has lost after this time.
+_REWRITE_SECONDS = 2.5
+_PAUSE_SECONDS = 0.5
+_MAX_SEEDS = 3
+_CALLERS = 4  # for each node that starts
+
+_ZONES = {
+    1: ('north-a', 'north-b'),
+    2: ('north-a', 'north-b', 'south-a', 'south-b'),
+    3: ('north-a', 'north-b', 'south-a', 'south-b', 'east-a', 'east-b'),
+}
+
+
+class EagerCallers:
+    """Send requests to nodes without a pause, from before they listen.
+
+    Attributes
+    ----------
+    statuses : Counter of int
+        Number of answers by status.
+
+    """
+
+    def __init__(self, numbers, path):
+        """Start to send."""
+        self.path = path
+        self.statuses = Counter()
+        self._is_stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number, caller))
+            for number in numbers
+            for caller in range(_CALLERS)
+        ]
+        for each in self._threads:
+            each.start()
+
+    def stop(self):
+        """Stop sending."""
+        self._is_stopped.set()
+        for each in self._threads:
+            each.join()
+
+    def _run(self, number, caller):
+        count = caller
+        while not self._is_stopped.wait(0.01):
+            count += _CALLERS
+            try:
+                status = send(number, self.path, key=str(count % 24))[0]
+            except OSError:
+                continue  # the node does not listen yet
+            self.statuses[status] += 1
+
+
+class Drill:
+    """Nodes in all zones, a server in each, and a store that loses writes.
+
+    Attributes
+    ----------
+    nodes : dict of int to str
+        Zones of the nodes by their numbers.
+    servers : dict of str to BackendStandIn
+        Backend servers by zone.
+
+    """
+
+    def __init__(self, cluster, nodes, regions):
+        """Start the servers and the nodes."""
+        self.cluster = cluster
+        zones = _ZONES[regions]
+        cluster.zones = zones
+        self.nodes = {
+            number + 1: zones[number % len(zones)] for number in range(nodes)
+        }
+        self.servers = {zone: BackendStandIn() for zone in zones}
+        for zone, server in self.servers.items():
+            cluster.register(f'in-{zone}', server, zone)
+        for number in self.nodes:
+            self.start(number)
+        assert wait_for(lambda: all(map(is_ready, self.nodes)))
+        assert wait_for(
+            lambda: all(
+                len(node.peers.list_connected()) == nodes - 1
+                for node in cluster.nodes.values()
+            )
+        )
+
+    def start(self, number):
+        """Start a node."""
+        seeds = tuple(self.nodes)[:_MAX_SEEDS]
+        self.cluster.add_node(number, self.nodes[number], seeds)
+
+    def restart(self, numbers, path):
+        """Let nodes crash and start them again; return their callers."""
+        for number in numbers:
+            self.cluster.nodes[number].kill()
+        callers = EagerCallers(numbers, path)
+        for number in numbers:
+            self.start(number)
+        return callers
+
+    def select(self, restarted):
+        """Return the numbers of the nodes to restart."""
+        last = max(self.nodes)
+        return {
+            'one': [last],
+            'zone': [
+                number
+                for number, zone in self.nodes.items()
+                if zone == self.nodes[last]
+            ],
+            'region': [
+                number
+                for number, zone in self.nodes.items()
+                if zone[:-1] == self.nodes[last][:-1]
+            ],
+            'all but one': list(self.nodes)[1:],
+        }[restarted]
+
+    def stop(self):
+        """Stop the servers; the cluster stops the nodes."""
+        for each in self.servers.values():
+            each.stop()
+
+
+@pytest.fixture
+def start_drill(cluster):
+    """Return a function that starts a drill, stopped after the test."""
+    running = []
+
+    def start(nodes, regions):
+        running.append(Drill(cluster, nodes, regions))
+        return running[-1]
+
+    yield start
+    for each in running:
+        each.stop()
+
+
+def play(drill, write, case, path):
+    """Lose what `write` writes while nodes restart; return their statuses.
+
+    The operator writes it again some seconds later.
+    """
+    numbers = drill.select(case.restarted)
+    is_early = case.when == 'before the return'
+    with contextlib.ExitStack() as cleanup:
+        running = []
+
+        def restart():
+            running.append(drill.restart(numbers, path))
+            cleanup.callback(running[0].stop)
+
+        lose_writes(
+            drill.cluster,
+            case.lost,
+            write,
+            while_away=restart if is_early else bool,
+        )
+        since = time.monotonic()
+        restore_again(drill.cluster.store, case.restores - 1)
+        if case.when == 'after the return':
+            time.sleep(_PAUSE_SECONDS)
+        if not is_early:
+            restart()
+        assert wait_for(lambda: all(map(is_ready, numbers)), _READY_SECONDS)
+        time.sleep(max(since + _REWRITE_SECONDS - time.monotonic(), 0))
+        write()
+        time.sleep(_APPLY_SECONDS)
+    return running[0].statuses
+
+
+def restore_again(store, times):
+    """Let the store begin further eras, with nothing lost."""
+    for _ in range(times):
+        time.sleep(_PAUSE_SECONDS)
+        store.restore(store.copy_state())
+
+
+Case = namedtuple(
+    'Case', ('nodes', 'regions', 'restarted', 'when', 'lost', 'restores')
+)
+_IN_ONE_REGION = (Case(4, 1, 'one', 'after the return', 60, 1),)
+_IN_REGIONS = (
+    Case(4, 2, 'one', 'after the return', 1, 1),
+    Case(4, 2, 'one', 'after the return', 60, 2),
+    Case(4, 2, 'region', 'at the return', 60, 1),
+    Case(4, 2, 'all but one', 'after the return', 60, 1),
+    Case(4, 2, 'all but one', 'before the return', 60, 1),
+    Case(7, 3, 'zone', 'after the return', 500, 1),
+    Case(7, 3, 'all but one', 'at the return', 60, 1),
+)
+
+
+@pytest.mark.parametrize('case', [*_IN_ONE_REGION, *_IN_REGIONS], ids=str)
+def test_started_node_refuses_no_route_that_others_know(
+    cluster, start_drill, case
+):
+    """A node that started took the restored store's routes for current."""
+    drill = start_drill(case.nodes, case.regions)
+    statuses = play(
+        drill, lambda: cluster.configure(prefix='/b/'), case, '/b/x'
+    )
+    assert set(statuses) <= {200, 503}, statuses
+    assert statuses[200] > statuses[503]
+
+
+@pytest.mark.parametrize('case', _IN_REGIONS, ids=str)
+def test_started_node_sends_nothing_outside_the_homes_that_others_know(
+    cluster, start_drill, case
+):
+    """A node that started took the restored store's homes for current."""
+    drill = start_drill(case.nodes, case.regions)
+    former, home = drill.nodes[max(drill.nodes)].partition('-')[0], 'north'
+    if former == home:
+        former = 'south'
+    cluster.configure(allowed_regions=[former])
+    changed = []
+
+    def write():
+        cluster.configure(allowed_regions=[home])
+        time.sleep(_APPLY_SECONDS)
+        changed.append(time.monotonic())
+
+    statuses = play(drill, write, case, '/a/x')
+    outside = {
+        zone: count_since(server, changed[0])
+        for zone, server in drill.servers.items()
+        if not zone.startswith(home)
+    }
+    assert not any(outside.values()), outside
+    assert set(statuses) <= {200, 503}, statuses
+    assert statuses[200]
