--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -35,12 +35,22 @@
 [store]
 address = {store}
 [zones]
-{zones}
+north-a = north
+north-b = north
+south-a = south
 [bounds]
 grace = 3
 """
 
 
+_ZONES = ('north-a', 'north-b', 'south-a')
+
+
+def list_zones(zones):
+    """Return the lines of the settings that name zones."""
+    return '\n'.join(f'{each} = {each.partition("-")[0]}' for each in zones)
+
+
 def wait_for(predicate, seconds=8):
     """Return whether a predicate becomes true in time."""
     ends = time.monotonic() + seconds
@@ -69,7 +79,7 @@
         self.nodes = {}
         self.wires = {}
         self.version = 1
-        self.zones = ('north-a', 'north-b', 'south-a')
+        self.zones = _ZONES
         self.limits = {
             'max_header_bytes': 16384,
             'max_body_bytes': 1048576,
@@ -157,10 +167,7 @@
             peers=PEERS_PORT,
             seeds=','.join(f'{NETWORK_PREFIX}.{seed}:1' for seed in seeds),
             store='{0}:{1}'.format(*self.store.address),
-            zones='\n'.join(
-                f'{each} = {each.partition("-")[0]}' for each in self.zones
-            ),
-        )
+        ).replace(list_zones(_ZONES), list_zones(self.zones))
 
     def start_nodes(self, *numbers):
         """Start nodes in one zone and wait until they know each other."""
