Compare a node that starts with its peers before it serves

What callers saw: proper requests got 404, and requests ran outside the homes of their route, at nodes that had just started after the store came back older.

Cause: a starting node was ready, and routed, by the first configuration that it read. All other nodes held a newer one, of which it heard with the next message of a peer; where it had told a peer of the new era itself, it heard nothing before the operator wrote again, since only a node that reads the store shared what it holds then. Class: first knowledge is taken for current knowledge.

Now a node that starts asks each peer for what it holds and then for its state. A node that follows a peer into a new era shares what it holds with all. A node that is not ready leads no pool. A copy asked for by a node without any was sent as a reply to nobody; it comes now.

--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -1,6 +1,7 @@
 """Routes messages from other nodes to their handlers."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from sesameroute.mirror import HeldItems, MirrorCopyRequest, MirrorUpdate
@@ -53,6 +54,8 @@
         self.allocator = allocator
         self.fleet = fleet
         self.sync = store.sync
+        self._catch_up = store.catch_up
+        self.gossips = (loss_exchange, announcement_exchange, store.sync)
         quarantine = loss_exchange.quarantine
         self._handlers: dict[type, Callable[[str, Any], Any]] = {
             NodeState: self._handle_state,
@@ -83,3 +86,12 @@
     def _handle_state(self, sender: str, state: NodeState) -> None:
         self.fleet.receive_state(state)
         self.sync.compare(sender, state)
+        self._catch_up.receive(state)
+        if state.wants_answer:
+            for gossip in self.gossips:
+                gossip.share_with(sender)
+            # Last: it says that the other node has been told all.
+            answer = self.fleet.build_state(self.sync.mirror.revision_)
+            self.fleet.peers.send_one_way(
+                sender, replace(answer, is_answer=True)
+            )
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -45,6 +45,11 @@
     first_era : int or None
         First era of the store that it knows of, -1 if it knows none yet; None
         for builds that know no eras.
+    wants_answer : bool
+        Whether the node has just started and asks for what the peer knows and
+        then for its state.
+    is_answer : bool or None
+        Whether this is such an answer; None for builds that give none.
 
     """
 
@@ -59,6 +64,8 @@
     relay: str = ''
     revision: int = 0
     first_era: int | None = None
+    wants_answer: bool = False
+    is_answer: bool | None = None
 
 
 @dataclass(slots=True)
@@ -187,10 +194,16 @@
     def find_leader(self, topic: str, region: str) -> str:
         """Return the IP address of the leader for a topic in a region.
 
-        This node itself leads if the region has no live node.
+        This node itself leads if the region has no ready node. One that has
+        just started decides nothing for others: it may not know all yet.
         """
+        ready = (
+            state.address
+            for state in self.list_live()
+            if state.region == region and state.is_ready
+        )
         return min(
-            self._list_possible_leaders(region),
+            ready,
             key=_build_rank_key(topic),
             default=self.own_state.address,
         )
@@ -209,10 +222,12 @@
             IP address of the node; by default this node's.
 
         """
-        ranked = sorted(
-            self._list_possible_leaders(self.own_state.region),
-            key=_build_rank_key(topic),
+        possible = (
+            state.address
+            for state in self.list_live()
+            if state.region == self.own_state.region and not state.is_leaving
         )
+        ranked = sorted(possible, key=_build_rank_key(topic))
         found = address or self.own_state.address
         return ranked.index(found) if found in ranked else len(ranked)
 
@@ -230,13 +245,6 @@
         """Return the number of nodes, live or not yet forgotten."""
         return max(len(self._addresses) + 1, 1)
 
-    def _list_possible_leaders(self, region: str) -> list[str]:
-        return [
-            state.address
-            for state in self.list_live()
-            if state.region == region and not state.is_leaving
-        ]
-
 
 def _build_rank_key(topic: str) -> Callable[[str], int]:
     """Return a sort key: the address with the lowest hash comes first."""
--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -56,6 +56,11 @@
     eras : EraTranslation
         Translates for peers of builds that know no eras.
 
+    Attributes
+    ----------
+    has_read_ : bool
+        Whether this node has read the store itself since it started.
+
     """
 
     def __init__(
@@ -72,6 +77,7 @@
         self.fleet = fleet
         self.clock = clock
         self.eras = eras
+        self.has_read_ = False
         self._requested_at = -math.inf
         self._heard_at = -math.inf
         self._read_at = -math.inf
@@ -89,6 +95,7 @@
     def broadcast(self, update: MirrorUpdate) -> None:
         """Send an update that this node has read to all connected nodes."""
         self._read_at = self.clock.read_monotonic()
+        self.has_read_ = True
         for peer in self.peers.list_connected():
             self.peers.send_one_way(peer, self.eras.encode(peer, update))
         if update.base == 0:
@@ -98,11 +105,16 @@
         """Apply a peer's update; query its full copy if updates are missing."""
         now = self.clock.read_monotonic()
         decoded = self.eras.decode(sender, update, self.mirror.revision_)
+        era = self.mirror.era_
         with self.mirror.source_.told_by(sender):
             is_applied = self.mirror.apply(decoded, now)
         if not is_applied:
             self._request_copy(sender)
             return
+        if self.mirror.era_ != era:
+            # The sender may have started after the restore and know nothing
+            # of what this node holds now.
+            broadcast(self.peers, self.vm, self.mirror.list_held())
         is_current = decoded.revision >= self.mirror.revision_
         if is_current and self._yields_to(sender, now):
             self._heard_at = max(self._heard_at, now - update.age)
@@ -132,7 +144,8 @@
         age = self.clock.read_monotonic() - self.mirror.verified_at_
         is_behind = revision > self.mirror.revision_
         is_era_over = find_era(revision) > self.mirror.era_
-        if is_era_over or (is_behind and age > _STALE_SECONDS):
+        is_stale = age > _STALE_SECONDS or not self.has_read_
+        if is_era_over or (is_behind and is_stale):
             self._request_copy(sender)
 
     def answer(
@@ -143,7 +156,7 @@
         What this node holds comes before, so that nothing older is in force
         at the peer meanwhile.
         """
-        self.share_with(sender)
+        self.peers.send_one_way(sender, self.mirror.list_held())
         copy = self.mirror.build_full_copy(self.clock.read_monotonic())
         known = self.eras.decode_revision(
             sender, request.revision, copy.revision
@@ -184,5 +197,7 @@
         now = self.clock.read_monotonic()
         if now - self._requested_at >= _REQUEST_INTERVAL_SECONDS:
             self._requested_at = now
-            revision = self.eras.encode_revision(peer, self.mirror.revision_)
+            # Without a revision, the copy would come as a reply to a call.
+            known = max(self.mirror.revision_, 1)
+            revision = self.eras.encode_revision(peer, known)
             self.peers.send_one_way(peer, MirrorCopyRequest(revision))
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -66,9 +66,10 @@
             settings.listen.front,
             relay=settings.relay_address,
             first_era=-1,
+            is_answer=False,
         )
         self.fleet = Fleet(own_state, self.peers, self.clock)
-        self.active_configuration = ActiveConfiguration()
+        self.active_configuration = ActiveConfiguration(is_held_back=True)
         self.registry = Registry()
         self._store = StoreConnection(
             settings,
@@ -118,11 +119,6 @@
             self._node_servers.loss_exchange,
             self._announcement_exchange,
         )
-        self._gossips = (
-            self._node_servers.loss_exchange,
-            self._announcement_exchange,
-            self._store.sync,
-        )
         self._is_stopped = threading.Event()
         self._broadcast_lock = threading.Lock()
         self._connected: frozenset[str] = frozenset()
@@ -131,11 +127,15 @@
         """Start the servers and the threads."""
         self.peers.start(self._dispatch.handle)
         _add_seeds(self.fleet, self.settings)
-        _dial(self.fleet, self.peers, self.settings)
         self._store.start()
         for server in self._servers:
             server.start()
         self._node_servers.start_checks()
+        self._store.catch_up.start(
+            self._is_stopped,
+            lambda: _dial(self.fleet, self.peers, self.settings),
+            self._update_own_state,
+        )
         for name, loop in (
             ('tick', self._run_pool_loop),
             ('beat', self._run_heartbeat_loop),
@@ -231,12 +231,15 @@
             self.allocator.release_node(lost)
         for found in connected - self._connected:
             self.peers.send_one_way(found, self.fleet.build_state())
-            for gossip in self._gossips:
+            for gossip in self._dispatch.gossips:
                 gossip.share_with(found)
         self._connected = connected
         self.allocator.refresh()
         self._node_servers.apply_limits()
-        is_ready = self.active_configuration.table_ is not None
+        self._update_own_state()
+
+    def _update_own_state(self) -> None:
+        is_ready = self._store.catch_up.is_complete_
         is_leaving = self._node_servers.shutdown.has_begun()
         if self.fleet.update_own_state(
             is_ready=is_ready and not is_leaving,
@@ -248,14 +251,11 @@
     def _run_heartbeat_loop(self) -> None:
         while not self._is_stopped.wait(_HEARTBEAT_INTERVAL_SECONDS):
             with survive('heartbeat'):
-                self._send_heartbeat()
-
-    def _send_heartbeat(self) -> None:
-        self._broadcast_state()
-        for gossip in self._gossips:
-            gossip.share_with_next()
-        _dial(self.fleet, self.peers, self.settings)
-        self._store.sync.fetch_if_empty()
+                self._broadcast_state()
+                for gossip in self._dispatch.gossips:
+                    gossip.share_with_next()
+                _dial(self.fleet, self.peers, self.settings)
+                self._store.sync.fetch_if_empty()
 
     def _broadcast_state(self) -> None:
         """Send this node's state to its peers; later states are sent later."""
--- a/sesameroute/node/_store_connection.py
+++ b/sesameroute/node/_store_connection.py
@@ -4,6 +4,7 @@
 
 from sesameroute.mirror import Mirror, StoreWatcher
 from sesameroute.node._address import parse_address
+from sesameroute.node._catch_up import CatchUp
 from sesameroute.node._era_translation import EraTranslation
 from sesameroute.node._fleet import Fleet
 from sesameroute.node._lease import NodeLease
@@ -41,6 +42,8 @@
     ----------
     ignored_items : IgnoredItems
         Records the items that are not valid.
+    catch_up : CatchUp
+        Compares the node with its peers after its start.
 
     """
 
@@ -71,6 +74,9 @@
         receiver.read_source = lambda: self.mirror.source_.peer_
         self.eras = EraTranslation(lambda: self._store.first_era_)
         self.sync = MirrorSync(self.mirror, fleet, peers, clock, self.eras)
+        self.catch_up = CatchUp(
+            fleet, self.sync, receiver.active_configuration, clock
+        )
         self._watcher = StoreWatcher(
             self.mirror,
             self._store,
--- a/sesameroute/node/tests/test_started_nodes.py
+++ b/sesameroute/node/tests/test_started_nodes.py
@@ -8,7 +8,11 @@
 import pytest
 
 from sesameroute.node.tests.backends import BackendStandIn, count_since
-from sesameroute.node.tests.cluster import is_ready, send, wait_for
+from sesameroute.node.tests.cluster import (
+    is_ready,
+    send,
+    wait_for,
+)
 from sesameroute.node.tests.drills import lose_writes
 
 # The bounds as they are stated, in seconds.
