Name no other region to callers while nodes are replaced one after the other

Cause: a node that has just started knows the peers that it has met first; one that ends closes its streams one by one and goes on answering; one that leaves may not have heard of the node that was replaced before it. Each of them took what it knew for all nodes.

The directory answers 503 until the node has heard all nodes in reach, and once its streams are being closed; a leaving node names its callers' region or nothing. Callers ask the next directory then.

--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -235,11 +235,14 @@
         """Return the addresses for callers of a region.
 
         These are the ready nodes of the region, or all ready nodes if it has
-        none.
+        none. A node that is leaving may miss the ones that have replaced
+        others meanwhile, so that it names no other region.
         """
         ready = [state for state in self.list_live() if state.is_ready]
         near = [state for state in ready if state.region == region]
-        return [state.front for state in near or ready]
+        if near or self.own_state.is_leaving:
+            return [state.front for state in near]
+        return [state.front for state in ready]
 
     def count_known(self) -> int:
         """Return the number of nodes, live or not yet forgotten."""
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -1,5 +1,6 @@
 """HTTP handlers of a node: forwarding, readiness check and directory."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -108,12 +109,18 @@
     max_ttl_seconds : float
         Longest time that a caller may cache an answer.
 
+    Attributes
+    ----------
+    is_open_ : callable
+        Returns whether this node knows enough others to name any.
+
     """
 
     def __init__(self, fleet: Fleet, max_ttl_seconds: float) -> None:
         """Store the parameters."""
         self.fleet = fleet
         self.max_ttl_seconds = max_ttl_seconds
+        self.is_open_: Callable[[], bool] = bool
 
     def __call__(self, request: Any) -> Answer:
         """Return the node addresses for the caller's region."""
@@ -122,7 +129,8 @@
         region, _zone = parse_directory_query(
             request.qs.decode(_HEADER_ENCODING)
         )
-        fronts = self.fleet.list_front_addresses(region)
+        is_open = self.is_open_()
+        fronts = is_open and self.fleet.list_front_addresses(region)
         if not fronts:
             return Answer(HTTPStatus.SERVICE_UNAVAILABLE, (), iter(()), 0)
         seconds = min(_TTL_SECONDS, self.max_ttl_seconds)
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -100,6 +100,9 @@
             self.allocator,
             server_wire or TcpWire(),
         )
+        self._node_servers.directory.is_open_ = lambda: (
+            self._store.catch_up.is_complete_
+        )
         self._servers = list(self._node_servers.servers)
         if settings.listen.metrics:
             self._add_metrics_server(settings.listen.metrics)
@@ -176,6 +179,8 @@
 
     def _stop_components(self) -> None:
         self._is_stopped.set()
+        # Without its peers it would name the nodes that it loses last.
+        self._node_servers.directory.is_open_ = bool
         self._node_servers.stop_checks()
         self._store.stop()
         self.peers.stop()
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -69,6 +69,8 @@
     ----------
     shutdown : Shutdown
         The planned stop, once it has begun.
+    directory : DirectoryHandler
+        Names the ready nodes to callers.
 
     """
 
@@ -128,7 +130,7 @@
             ),
             self.clock,
         )
-        self._directory = DirectoryHandler(fleet, settings.bounds.longest_ttl)
+        self.directory = DirectoryHandler(fleet, settings.bounds.longest_ttl)
         self._front = FrontServer(
             parse_address(settings.listen.front),
             ForwardHandler(self.forwarder, self.clock),
@@ -142,7 +144,7 @@
         )
         directory = FrontServer(
             parse_address(settings.listen.directory),
-            self._directory,
+            self.directory,
             threads=_AUXILIARY_THREADS,
         )
         self.servers = (self._front, ready, directory)
@@ -164,7 +166,7 @@
     def apply_settings(self, settings: NodeSettings) -> None:
         """Apply changed retry and TTL bounds."""
         self._retries.fleet_budget = _read_retry_budget(settings)
-        self._directory.max_ttl_seconds = settings.bounds.longest_ttl
+        self.directory.max_ttl_seconds = settings.bounds.longest_ttl
 
     def apply_limits(self) -> None:
         """Apply the limits on callers of the current configuration."""
--- a/sesameroute/node/tests/test_started_nodes.py
+++ b/sesameroute/node/tests/test_started_nodes.py
@@ -4,12 +4,16 @@
 import threading
 import time
 from collections import Counter, namedtuple
+from functools import partial
 
 import pytest
 
 from sesameroute.node.tests.backends import BackendStandIn, count_since
 from sesameroute.node.tests.cluster import (
+    FRONT_PORT,
+    NETWORK_PREFIX,
     is_ready,
+    resolve,
     send,
     wait_for,
 )
@@ -250,3 +254,72 @@
     assert not any(outside.values()), outside
     assert set(statuses) <= {200, 503}, statuses
     assert statuses[200]
+
+
+class DirectoryReaders:
+    """Ask the directories of nodes for all regions without a pause.
+
+    Attributes
+    ----------
+    foreign : list of tuple
+        Asked node, region and answer, of the answers that name nodes of other
+        regions.
+    count : int
+        Number of answers.
+
+    """
+
+    def __init__(self, drill):
+        """Start to ask."""
+        self.zones = {
+            f'{NETWORK_PREFIX}.{number}:{FRONT_PORT}': zone
+            for number, zone in drill.nodes.items()
+        }
+        self.foreign = []
+        self.count = 0
+        self._is_stopped = threading.Event()
+        regions = {zone.partition('-')[0] for zone in drill.nodes.values()}
+        self._threads = [
+            threading.Thread(target=self._run, args=(number, region))
+            for number in drill.nodes
+            for region in regions
+        ]
+        for each in self._threads:
+            each.start()
+
+    def stop(self):
+        """Stop asking."""
+        self._is_stopped.set()
+        for each in self._threads:
+            each.join()
+
+    def _run(self, number, region):
+        while not self._is_stopped.wait(0.005):
+            try:
+                listed = resolve(number, region)
+            except OSError:
+                continue  # the node is being restarted
+            self.count += bool(listed)
+            if not all(self.zones[one].startswith(region) for one in listed):
+                self.foreign.append((number, region, listed))
+
+
+@pytest.mark.parametrize('is_planned', [True, False])
+def test_directory_names_no_other_region_while_nodes_are_replaced(
+    cluster, start_drill, is_planned
+):
+    """A node that had just started did not know the ones near the caller."""
+    drill = start_drill(4, 2)
+    assert wait_for(lambda: all(len(resolve(one)) == 2 for one in drill.nodes))
+    readers = DirectoryReaders(drill)
+    for number in drill.nodes:
+        node = cluster.nodes[number]
+        if is_planned:
+            node.stop()
+        else:
+            node.kill()
+        drill.start(number)
+        assert wait_for(partial(is_ready, number))
+    readers.stop()
+    assert readers.count > 0
+    assert not readers.foreign
