Send each request by the newest configuration known where it is sent

The route is looked up again before each try and again before the request is sent; a slot that was granted by other homes or for another service goes back. A request that was accepted outlives its route; one that was ever unsafe remains so. A relayed request goes through the same loop for each peer.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -29,6 +29,7 @@
     is_consumed,
     read_body,
 )
+from sesameroute.forward._rerouting import follow_configuration, is_of_route
 from sesameroute.forward._sender import ReceivedAnswer, Sender
 from sesameroute.placement import Grant, Outcome, Reason, Refusal, SlotRequest
 from sesameroute.ports import Answer, Clock
@@ -88,6 +89,7 @@
         if route is None:
             return self.refusals_.answer_unrouted(request, table)
         state = self._make_state(request, route)
+        state.table = table
         state.body = read_body(request)
         state.fingerprint = compute_fingerprint(state)
         if not self.relay_.is_needed(state):
@@ -95,6 +97,7 @@
             self.guards.retries.observe(state.service)
         answer = None
         while answer is None:
+            follow_configuration(state, self.active_configuration)
             answer = self.guards.check(state)
             answer = answer or self._try_once(state)
         _release_reserved(self.allocator, state)
@@ -128,9 +131,7 @@
         """Get a slot and send; return the final answer, or None to retry."""
         if self.relay_.is_needed(state):
             _release_reserved(self.allocator, state)
-            answer = self.relay_.forward(state)
-            if answer is not None:
-                return answer
+            return self.relay_.forward(state)
         slot_request, decision = self._get_slot(state)
         if isinstance(decision, Refusal):
             return self._answer_refusal(state, decision)
@@ -143,7 +144,7 @@
                 'caller closed its connection before the request was sent'
             )
         entry = self.registry.find(decision.backend)
-        if not self._may_use(state, decision):
+        if not self._may_use(state, slot_request, decision):
             self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
             return None
         if self.clock.read_monotonic() >= state.deadline:
@@ -152,8 +153,13 @@
             return self._answer_refusal(state, Refusal(Reason.TOO_LATE, 0))
         return self._send_once(state, slot_request, decision, entry.backend)
 
-    def _may_use(self, state: RequestState, grant: Grant) -> bool:
+    def _may_use(
+        self, state: RequestState, slot_request: SlotRequest, grant: Grant
+    ) -> bool:
         """Whether nothing has changed while the request waited for its slot."""
+        follow_configuration(state, self.active_configuration)
+        if not is_of_route(slot_request, state):
+            return False
         if not self.registry.may_receive_requests(
             grant.backend, grant.incarnation
         ):
--- a/sesameroute/forward/_relay.py
+++ b/sesameroute/forward/_relay.py
@@ -118,7 +118,7 @@
         )
 
     def forward(self, state: RequestState) -> Answer | None:
-        """Return the answer of another node, or None to send from here.
+        """Return the answer of another node, or None to decide anew.
 
         Raises
         ------
@@ -126,17 +126,14 @@
             The caller has closed its connection.
 
         """
-        answer = None
-        while answer is None and self.is_needed(state):
-            peer = self._choose_peer(state)
-            if peer is None:
-                break  # it has been lost meanwhile
-            state.relayed_to = (*state.relayed_to, peer.name)
-            try:
-                answer = self._send(state, peer)
-            except TryError as error:
-                answer = self._handle_failure(state, error, peer)
-        return answer
+        peer = self._choose_peer(state)
+        if peer is None:
+            return None  # it has been lost meanwhile
+        state.relayed_to = (*state.relayed_to, peer.name)
+        try:
+            return self._send(state, peer)
+        except TryError as error:
+            return self._handle_failure(state, error, peer)
 
     def _choose_peer(self, state: RequestState) -> RelayPeer | None:
         return self.peers.choose(state.route.homes, state.relayed_to)
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -19,7 +19,7 @@
 from sesameroute.ports import Headers
 from sesameroute.quarantine import SentTry
 from sesameroute.registry import Backend
-from sesameroute.routes import Route
+from sesameroute.routes import Route, RouteTable
 
 __all__ = [
     'HOP_BY_HOP_HEADERS',
@@ -67,6 +67,8 @@
 
     Attributes
     ----------
+    table : RouteTable or None
+        Routes that have the route.
     deadline : float
         Monotonic time in seconds by which the final answer is given.
     earlier_seconds : float
@@ -107,6 +109,7 @@
     request_metadata: RequestMetadata
     deadline: float
     earlier_seconds: float
+    table: RouteTable | None = None
     body: object = None
     tries: int = 0
     excluded: tuple[str, ...] = ()
--- /dev/null
+++ b/sesameroute/forward/_rerouting.py
@@ -0,0 +1,37 @@
+"""Lets requests that have not been sent yet follow the configuration."""
+
+from dataclasses import replace
+
+from sesameroute.forward._request_state import RequestState
+from sesameroute.placement import SlotRequest
+from sesameroute.routes import ActiveConfiguration, RequestKind
+
+__all__ = ['follow_configuration', 'is_of_route']
+
+
+def follow_configuration(
+    state: RequestState, active_configuration: ActiveConfiguration
+) -> None:
+    """Give a request the route of the newest configuration.
+
+    A request that was accepted outlives its route, and one that was ever of
+    kind `UNSAFE` remains so.
+    """
+    table = active_configuration.table_
+    if table is None or table is state.table:
+        return
+    state.table = table
+    route = table.find(state.request.host, state.request.path)
+    if route is None:
+        return
+    if not state.route.kind.is_idempotent:
+        route = replace(route, kind=RequestKind.UNSAFE)
+    state.route = route
+    if state.service not in {part.service for part in route.parts}:
+        state.service = active_configuration.choose_service(route)
+
+
+def is_of_route(slot_request: SlotRequest, state: RequestState) -> bool:
+    """Return whether a slot was requested by the request's present route."""
+    homes = tuple(sorted(state.route.homes))
+    return (slot_request.service, slot_request.homes) == (state.service, homes)
