Run the tests in five processes, the tests of one module in the same one

Each process has addresses of its own. Two test ids contained such an address, so that the processes did not agree on the list of tests; they have names now.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
+# Processes that run tests; the tests of one module run in the same one.
+TEST_PROCESSES ?= 5
 
 .PHONY: run test check bench faults
 
@@ -16,7 +18,7 @@
 	  --fault upstream-crash@4 --fault entry-crash@7 --fault drain-vm@10
 
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/sesameroute/fakes/tests/test_wire.py
+++ b/sesameroute/fakes/tests/test_wire.py
@@ -78,6 +78,7 @@
 @pytest.mark.parametrize(
     ('source', 'one_way'),
     [(_NEAR, 0.04), (_CALLER, 0.05)],
+    ids=['near', 'caller'],
 )
 def test_bytes_are_delayed(wire, echo, source, one_way):
     start = time.monotonic()
