Let nodes that start learn from peers of builds without eras

Cause: such peers keep a copy of an earlier era and number it with plain revisions, which a node of a later era can't order and does not use.

A node that starts asks such a peer for its copy. With an up-to-date replica it does not guess the era: documents with a later stamp than the store's (a configuration's version, the start and count of a server's entry) are held as after any restore, all others are the store's. Such a peer has answered once a copy came that is as late as its state says: what it reads from the store is sent in full copies, too. The first state of earlier builds has no revision; it is no answer of a node that serves.

--- a/sesameroute/mirror/__init__.py
+++ b/sesameroute/mirror/__init__.py
@@ -1,5 +1,6 @@
 """Replica of the platform's metadata store, kept on every node."""
 
+from sesameroute.mirror._later_documents import find_later_documents
 from sesameroute.mirror._messages import (
     HeldItem,
     HeldItems,
@@ -37,5 +38,6 @@
     'StoreReader',
     'StoreWatcher',
     'find_era',
+    'find_later_documents',
     'find_revision',
 ]
--- a/sesameroute/mirror/_mirror.py
+++ b/sesameroute/mirror/_mirror.py
@@ -62,9 +62,8 @@
         """Start without items."""
         self.revision_ = 0
         self.verified_at_ = float('-inf')
-        self._items = ItemsInForce(
-            on_change, on_loss, order or UnorderedDocuments()
-        )
+        self.order = order or UnorderedDocuments()
+        self._items = ItemsInForce(on_change, on_loss, self.order)
         self._early: list[HeldItems] = []
         self._lock = threading.RLock()
         self.source_ = MessageSource(self._lock)
--- a/sesameroute/node/_catch_up.py
+++ b/sesameroute/node/_catch_up.py
@@ -194,10 +194,14 @@
 
     def _ask_for_held(self, peer: str) -> None:
         """Ask a peer for what it holds, and for its copy of a later era."""
-        if self.sync.mirror.revision_:
-            end = Position(self.sync.mirror.era_, MAX_REVISION).pack()
-            known = self.sync.eras.encode_revision(peer, end)
-            self.fleet.peers.send_one_way(peer, MirrorCopyRequest(known))
+        if not self.sync.mirror.revision_:
+            return
+        # A peer without eras holds nothing, but its copy may be of an earlier
+        # era.
+        known = 1
+        if self.sync.eras.has_eras(peer):
+            known = Position(self.sync.mirror.era_, MAX_REVISION).pack()
+        self.fleet.peers.send_one_way(peer, MirrorCopyRequest(known))
 
     def _is_level(self, state: NodeState) -> bool:
         """Return whether a peer has told all that it knows of the store.
@@ -207,8 +211,13 @@
         """
         mirror = self.sync.mirror
         revision = self._read_revision(state)
-        if state.first_era is None or not revision:
-            return True
+        if not revision:
+            # The first state of earlier builds leaves the revision out.
+            return not state.is_ready
+        if state.first_era is None:
+            # What it has read from the store comes in full copies, too.
+            copied = self.sync.copied_.get(state.address, 0)
+            return copied >= state.revision
         is_same_era = find_era(revision) == mirror.era_
         return is_same_era and (
             self.sync.has_read_ or revision <= mirror.revision_
--- a/sesameroute/node/_era_translation.py
+++ b/sesameroute/node/_era_translation.py
@@ -44,6 +44,10 @@
         else:
             self._first_eras[peer] = first_era
 
+    def has_eras(self, peer: str) -> bool:
+        """Whether a peer is of a build that knows eras."""
+        return peer in self._first_eras
+
     def encode(self, peer: str, update: MirrorUpdate) -> MirrorUpdate:
         """Return an update as a peer understands it."""
         if self.is_plain(peer, update.revision):
@@ -84,7 +88,7 @@
     def is_plain(self, peer: str, revision: int) -> bool:
         """Whether a peer's plain revisions belong to the era of a position."""
         is_first = find_era(revision) == self.first_era_
-        return is_first and peer not in self._first_eras
+        return is_first and not self.has_eras(peer)
 
 
 def _compute_shift(revision: int) -> int:
--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -11,6 +11,7 @@
     MirrorCopyRequest,
     MirrorUpdate,
     find_era,
+    find_later_documents,
 )
 from sesameroute.node._era_translation import EraTranslation
 from sesameroute.node._fleet import Fleet, NodeState
@@ -60,6 +61,9 @@
     ----------
     has_read_ : bool
         Whether this node has read the store itself since it started.
+    copied_ : dict of str to int
+        Highest revision of the full copies that peers have sent, as they
+        number them.
 
     """
 
@@ -78,6 +82,7 @@
         self.clock = clock
         self.eras = eras
         self.has_read_ = False
+        self.copied_: dict[str, int] = {}
         self._requested_at = -math.inf
         self._heard_at = -math.inf
         self._read_at = -math.inf
@@ -104,6 +109,13 @@
     def receive(self, sender: str, update: MirrorUpdate) -> None:
         """Apply a peer's update; query its full copy if updates are missing."""
         now = self.clock.read_monotonic()
+        if update.base == 0:
+            copied = self.copied_.get(sender, 0)
+            self.copied_[sender] = max(copied, update.revision)
+            if self._has_unknown_era(sender, now):
+                later = find_later_documents(self.mirror, update)
+                self.receive_held(sender, later)
+                return
         decoded = self.eras.decode(sender, update, self.mirror.revision_)
         era = self.mirror.era_
         with self.mirror.source_.told_by(sender):
@@ -187,6 +199,15 @@
                 self.receive(peer, copy)
                 return
 
+    def _has_unknown_era(self, peer: str, now: float) -> bool:
+        """Whether a peer's copy can't be ordered by its revisions.
+
+        A build without eras keeps the copy of an earlier one for a while. With
+        an up-to-date replica there is no need to guess.
+        """
+        is_current = now - self.mirror.verified_at_ < _READING_SECONDS
+        return is_current and not self.eras.has_eras(peer)
+
     def _yields_to(self, peer: str, now: float) -> bool:
         if now - self._read_at >= _READING_SECONDS:
             return True
--- a/sesameroute/node/tests/callers.py
+++ b/sesameroute/node/tests/callers.py
@@ -2,12 +2,13 @@
 
 import threading
 import time
-from collections import namedtuple
+from collections import Counter, namedtuple
 from concurrent.futures import ThreadPoolExecutor
 
 from sesameroute.node.tests.cluster import send
 
 _CALLERS = 8
+_EAGER_CALLERS = 4  # for each node
 
 CallerAnswer = namedtuple('CallerAnswer', ('time', 'status', 'seconds'))
 
@@ -50,3 +51,43 @@
             now = time.monotonic()
             self.answers.append(CallerAnswer(now, status, now - started_at))
             self._is_stopped.wait(0.01)
+
+
+class EagerCallers:
+    """Send requests to nodes without a pause, from before they listen.
+
+    Attributes
+    ----------
+    statuses : Counter of int
+        Number of answers by status.
+
+    """
+
+    def __init__(self, numbers, path):
+        """Start to send."""
+        self.path = path
+        self.statuses = Counter()
+        self._is_stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number, caller))
+            for number in numbers
+            for caller in range(_EAGER_CALLERS)
+        ]
+        for each in self._threads:
+            each.start()
+
+    def stop(self):
+        """Stop sending."""
+        self._is_stopped.set()
+        for each in self._threads:
+            each.join()
+
+    def _run(self, number, caller):
+        count = caller
+        while not self._is_stopped.wait(0.01):
+            count += _EAGER_CALLERS
+            try:
+                status = send(number, self.path, key=str(count % 24))[0]
+            except OSError:
+                continue  # the node does not listen yet
+            self.statuses[status] += 1
--- a/sesameroute/node/tests/test_two_builds.py
+++ b/sesameroute/node/tests/test_two_builds.py
@@ -22,7 +22,7 @@
     start_builds,
     try_resolve,
 )
-from sesameroute.node.tests.callers import Callers
+from sesameroute.node.tests.callers import Callers, EagerCallers
 from sesameroute.node.tests.cluster import (
     NETWORK_PREFIX,
     is_ready,
@@ -285,3 +285,44 @@
     assert count_since(servers[2], since) == 0
     change_entries(cluster, servers, added)
     check_entries(checked, servers, added)
+
+
+@pytest.mark.parametrize('prefix', ['/a/', '/b/'])
+@pytest.mark.parametrize('is_earlier_leading', [True, False])
+def test_started_nodes_learn_from_those_of_the_earlier_build(
+    cluster, earlier, is_earlier_leading, prefix
+):
+    """Only nodes of the previous landing knew what the store had lost."""
+    home, outside = BackendStandIn(), BackendStandIn()
+    cluster.register('home', home, 'north-a')
+    cluster.register('outside', outside, 'south-a')
+    cluster.configure(allowed_regions=['south'])
+    olds, news = split_by_leader(_NUMBERS, is_earlier_leading)
+    start_builds(cluster, earlier, olds, news)
+    path = f'{prefix}x'
+
+    def write():
+        cluster.configure(prefix=prefix, allowed_regions=['north'])
+        time.sleep(_APPLY_SECONDS)
+        assert {send(one, path)[0] for one in _NUMBERS} == {200}
+
+    lose_writes(
+        cluster,
+        60,
+        write,
+        while_away=lambda: [cluster.nodes[one].kill() for one in news],
+    )
+    since = time.monotonic()
+    callers = EagerCallers(news, path)
+    for number in news:
+        cluster.add_node(number, seeds=_NUMBERS)
+    assert wait_for(lambda: all(map(is_ready, news)), _CONTACT_SECONDS)
+    time.sleep(_CONTACT_SECONDS)
+    cluster.configure(prefix=prefix, allowed_regions=['north'])
+    time.sleep(_APPLY_SECONDS)
+    callers.stop()
+    home.stop()
+    outside.stop()
+    assert set(callers.statuses) <= {200, 503}, callers.statuses
+    assert callers.statuses[200] > callers.statuses[503]
+    assert count_since(outside, since) == 0
