Explain refusals with the configuration and its era; a node that starts turns away

sesame-explain tells by which configuration, of which era of the store, a node refused a request. Before a node has one, it turns requests away (503): callers come again, so its line is request-turned-away like that of all others.

--- a/sesameroute/forward/_refusals.py
+++ b/sesameroute/forward/_refusals.py
@@ -96,8 +96,11 @@
             Further fields of the log line.
 
         """
+        event = 'request refused'
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            event = 'request turned away'  # callers come again after a 503
         _logger.info(
-            'request refused',
+            event,
             extra={
                 'status': int(status),
                 'why': reason,
--- a/sesameroute/programs/explain.py
+++ b/sesameroute/programs/explain.py
@@ -22,8 +22,8 @@
 _EVENT_SENTENCES = {  # noqa: WPS407
     'request-turned-away': 'was turned away',
     'request-refused': (
-        'was refused with {status} by configuration {version}, known for'
-        ' {age_ms} ms from {source}'
+        'was refused with {status} by configuration {version} of era {era},'
+        ' known for {age_ms} ms from {source}'
     ),
     'request-sent-again': 'failed at {backend} and was sent again',
     'request-failed': 'failed for good at {backend}',
--- a/sesameroute/programs/tests/test_explain.py
+++ b/sesameroute/programs/tests/test_explain.py
@@ -45,3 +45,32 @@
     assert 'i-1' in sentences[0]
     assert 'may have run' in sentences[0]
     assert 'it has not run' in sentences[1]
+
+
+@pytest.mark.parametrize(
+    ('event', 'fields', 'texts'),
+    [
+        (
+            'request-refused',
+            {
+                'why': 'no-route',
+                'status': '404',
+                'version': '7',
+                'era': '1',
+                'age_ms': '180',
+                'source': '-',
+            },
+            ('404', 'configuration 7 of era 1', '180 ms', 'no route'),
+        ),
+        (
+            'request-turned-away',
+            {'why': 'no-configuration', 'status': '503', 'version': '-'},
+            ('turned away', 'just started'),
+        ),
+    ],
+)
+def test_refusals_name_the_configuration(event, fields, texts):
+    """A 404 by an older configuration was told by nothing."""
+    sentence = next(explain('a', [write_line(event, request='a', **fields)]))
+    assert all(text in sentence for text in texts), sentence
+    assert '?' not in sentence
