Send no request again as unsafe that may have run as safe

What callers could see: a safe request whose answer was lost was sent again after the configuration had made its route unsafe meanwhile.

Cause: whether to repeat was decided by the old kind, and the route looked up again afterwards. It is checked before each try now, and before a granted slot is used.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -29,7 +29,11 @@
     is_consumed,
     read_body,
 )
-from sesameroute.forward._rerouting import follow_configuration, is_of_route
+from sesameroute.forward._rerouting import (
+    follow_configuration,
+    is_of_route,
+    may_run_again,
+)
 from sesameroute.forward._sender import ReceivedAnswer, Sender
 from sesameroute.placement import Grant, Outcome, Reason, Refusal, SlotRequest
 from sesameroute.ports import Answer, Clock
@@ -158,7 +162,7 @@
     ) -> bool:
         """Whether nothing has changed while the request waited for its slot."""
         follow_configuration(state, self.active_configuration)
-        if not is_of_route(slot_request, state):
+        if not (is_of_route(slot_request, state) and may_run_again(state)):
             return False
         if not self.registry.may_receive_requests(
             grant.backend, grant.incarnation
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -11,6 +11,7 @@
 from sesameroute.forward._message import AnswerMetadata, TryError
 from sesameroute.forward._request_log import log_event
 from sesameroute.forward._request_state import RequestState, is_consumed
+from sesameroute.forward._rerouting import may_run_again
 from sesameroute.forward._retries import RetryBudgets
 from sesameroute.limits import Shutdown
 from sesameroute.placement import Outcome
@@ -66,6 +67,8 @@
         A suspected request waits for the result of a trial, but not for long:
         suspicion delays a request, and only quarantine refuses it.
         """
+        if not may_run_again(state):
+            return build_failure_answer(state.last_error, 0, may_have_run=True)
         if not self.may_start(state):
             return _build_stop_answer(state)
         state.deadline = self.shutdown.limit_deadline(state.deadline)
--- a/sesameroute/forward/_rerouting.py
+++ b/sesameroute/forward/_rerouting.py
@@ -6,7 +6,7 @@
 from sesameroute.placement import SlotRequest
 from sesameroute.routes import ActiveConfiguration, RequestKind
 
-__all__ = ['follow_configuration', 'is_of_route']
+__all__ = ['follow_configuration', 'is_of_route', 'may_run_again']
 
 
 def follow_configuration(
@@ -35,3 +35,11 @@
     """Return whether a slot was requested by the request's present route."""
     homes = tuple(sorted(state.route.homes))
     return (slot_request.service, slot_request.homes) == (state.service, homes)
+
+
+def may_run_again(state: RequestState) -> bool:
+    """Return whether a try may start, whatever has become of the last one.
+
+    A request that may have run must not run again once its kind is `UNSAFE`.
+    """
+    return state.route.kind.is_idempotent or not state.may_have_run
--- a/sesameroute/forward/tests/test_changed_routes.py
+++ b/sesameroute/forward/tests/test_changed_routes.py
@@ -108,3 +108,17 @@
     )
     assert harness.forward(body=b'x')[0] == 502
     assert sum(len(each.heads) for each in servers) == 1
+
+
+def test_request_that_may_have_run_is_not_sent_again_as_unsafe():
+    """The kind changed after a safe first try that may have run."""
+    servers = ScriptedServer('no answer'), ScriptedServer('whole')
+    harness = ForwarderHarness(*servers, kind=RequestKind.SAFE)
+    route = harness.active_configuration.configuration.routes[0]
+    unsafe = replace(route, kind=RequestKind.UNSAFE)
+    connections = harness.forwarder.sender.connections
+    connections.open = _run_before(
+        connections.open, lambda: configure(harness, unsafe)
+    )
+    assert harness.forward()[0] == 502
+    assert sum(len(each.heads) for each in servers) == 1
