Compare also what is known late, with all connected peers, and at less cost

Faults of the comparison at the start, found by a review that had not seen the work, each with a test:

- Its time counted from the start of the process.
- The first ready peer decided alone, though others were connected and not heard.
All connected peers have to answer now.
- A reading of the store in an earlier era counted for the present one.
- A configuration that is held back was logged as being in force; its line is configuration-received now.
- Nodes that can't be reached delay the readiness by 0.5 s instead of 1 s.

--- a/sesameroute/node/_catch_up.py
+++ b/sesameroute/node/_catch_up.py
@@ -8,7 +8,7 @@
 import logging
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import replace
 
 from sesameroute.mirror import (
@@ -25,7 +25,9 @@
 
 __all__ = ['CatchUp']
 
-# A peer in reach answers within this time after the start of the node.
+# Once a node that starts knows a configuration, it waits for connections to the
+# other nodes and for their answers until then.
+_MAX_CONNECT_SECONDS = 0.5
 _MAX_SECONDS = 1.0
 _MILLISECONDS = 1000
 _STEP_INTERVAL_SECONDS = 0.02
@@ -37,9 +39,10 @@
 class CatchUp:
     """Compares a starting node with its peers before it is ready.
 
-    Requests that reach the node are served as soon as a ready peer has told
-    what it knows. The node is ready, and its directory names nodes, once all
-    nodes that it has heard of have answered or are known to be down.
+    Requests that reach the node are served as soon as all connected peers have
+    told what they know, a ready one among them. The node is ready, and its
+    directory names nodes, once all nodes that it has heard of have answered,
+    have refused a connection, or are silent for too long.
 
     Parameters
     ----------
@@ -74,9 +77,11 @@
         self.clock = clock
         self.is_complete_ = False
         self._started_at = clock.read_monotonic()
+        self._known_at = math.inf
         self._asked_at: dict[str, float] = {}
         self._answers: dict[str, NodeState] = {}
         self._heard: dict[str, NodeState] = {}
+        self._is_behind = False
 
     def start(
         self,
@@ -110,95 +115,106 @@
     def receive(self, state: NodeState) -> None:
         """Note the state of a peer that has told what it knows before.
 
-        Earlier builds send no answers; any state of theirs counts.
+        A peer that asks has just started, too, and knows nothing yet. Earlier
+        builds send no answers; any state of theirs counts.
         """
-        if state.is_answer is not False and not self.is_complete_:
+        has_told = state.is_answer is not False or state.wants_answer
+        if has_told and not self.is_complete_:
             self._answers[state.address] = state
 
+    def owes_answer(self, peer: str) -> bool:
+        """Return whether to answer a peer that asks.
+
+        Nodes that start at the same time take each other's question for the
+        answer.
+        """
+        asked_at = self._asked_at.get(peer, -math.inf)
+        age = self.clock.read_monotonic() - asked_at
+        return self.is_complete_ or age >= _ASK_INTERVAL_SECONDS
+
     def step(self, on_complete: Callable[[], None]) -> None:
         """Ask the peers that have not answered yet, and decide."""
         now = self.clock.read_monotonic()
+        connected = frozenset(self.fleet.peers.list_connected())
         # What a peer tells may arrive in several messages, its state first.
         # It counts from the next step on.
         heard = self._heard
-        self._heard = self._list_level()
-        awaited = self._list_awaited(heard)
-        self._ask(awaited, now)
-        is_time_up = now - self._started_at >= _MAX_SECONDS
-        has_all = is_time_up or not awaited
+        self._heard = self._judge_answers(connected)
+        self._ask(connected - self._heard.keys(), now)
+        if not self.active_configuration.is_known:
+            return
+        self._known_at = min(self._known_at, now)
+        awaited = self._list_awaited(connected, now) - heard.keys()
+        self.is_complete_ = not awaited or now - self._known_at >= _MAX_SECONDS
         has_told = any(state.is_ready for state in heard.values())
-        has_told = has_told and not self._is_behind()
-        if self.active_configuration.is_known and (has_all or has_told):
+        is_told = has_told and not self._is_behind
+        if self.is_complete_ or (is_told and connected <= heard.keys()):
             self.active_configuration.release()
-            self.is_complete_ = has_all
         if self.is_complete_:
             self.sync.is_starting_ = False
             on_complete()
-            _logger.info(
-                'node caught up',
-                extra={
-                    'after_ms': round(_MILLISECONDS * (now - self._started_at)),
-                    'peers': len(heard),
-                    'awaited': ','.join(sorted(awaited)) or '-',
-                    'version': self.active_configuration.version,
-                },
-            )
-
-    def _list_level(self) -> dict[str, NodeState]:
-        """Return the answers of the peers that know nothing more."""
-        return {
-            state.address: state
-            for state in self._list_answers()
-            if self._is_level(state)
-        }
+            self._log_end(now, len(heard), awaited)
+
+    def _log_end(self, now: float, heard: int, awaited: Set[str]) -> None:
+        _logger.info(
+            'node caught up',
+            extra={
+                'after_ms': round(_MILLISECONDS * (now - self._started_at)),
+                'peers': heard,
+                'awaited': ','.join(sorted(awaited)) or '-',
+                'version': self.active_configuration.version,
+            },
+        )
 
-    def _list_answers(self) -> list[NodeState]:
-        connected = set(self.fleet.peers.list_connected())
-        return [
+    def _judge_answers(self, connected: Set[str]) -> dict[str, NodeState]:
+        """Return the answers of the peers that know nothing more.
+
+        Notes whether a peer has a later copy that has not come yet.
+        """
+        answers = [
             state
             for state in tuple(self._answers.values())
             if state.address in connected
         ]
-
-    def _is_behind(self) -> bool:
-        """Return whether a peer has a later copy that has not come yet."""
-        return any(
+        level = {
+            state.address: state for state in answers if self._is_level(state)
+        }
+        self._is_behind = any(
             self._read_revision(state) > self.sync.mirror.revision_
-            for state in self._list_answers()
-            if not self._is_level(state)
+            for state in answers
+            if state.address not in level
         )
+        return level
 
-    def _list_awaited(self, heard: dict[str, NodeState]) -> set[str]:
-        """Return the addresses of nodes that may still tell something."""
-        peers = self.fleet.peers
-        addresses = {
-            *self.fleet.list_dial_addresses(),
-            *peers.list_connected(),
-        }
-        down = {
+    def _list_awaited(self, connected: Set[str], now: float) -> Set[str]:
+        """Return the addresses of nodes that may tell something."""
+        if now - self._known_at >= _MAX_CONNECT_SECONDS:
+            return connected
+        refused = {
             address
-            for address, refused_at in peers.list_refused_dials().items()
-            if refused_at >= self._started_at
+            for address, time in self.fleet.peers.list_refused_dials().items()
+            if time >= self._started_at
         }
-        down.difference_update(peers.list_connected())
-        return addresses - heard.keys() - down
+        addresses = self.fleet.list_dial_addresses()
+        return connected.union(set(addresses) - refused)
 
-    def _ask(self, awaited: set[str], now: float) -> None:
+    def _ask(self, silent: Set[str], now: float) -> None:
         peers = self.fleet.peers
         due = {
             peer
-            for peer in awaited.intersection(peers.list_connected())
+            for peer in silent
             if now - self._asked_at.get(peer, -math.inf)
             >= _ASK_INTERVAL_SECONDS
         }
         if not due:
             return
-        revision = self.sync.mirror.revision_
-        state = replace(self.fleet.build_state(revision), wants_answer=True)
         for asked in due:
             self._asked_at[asked] = now
             self._ask_for_held(asked)
-            peers.send_one_way(asked, state)
+        revision = self.sync.mirror.revision_
+        state = replace(self.fleet.build_state(revision), wants_answer=True)
+        for told in due:
+            peers.send_one_way(told, state)
 
     def _ask_for_held(self, peer: str) -> None:
         """Ask a peer for what it holds, and for its copy of a later era."""
@@ -228,7 +244,7 @@
             return copied >= state.revision
         is_same_era = find_era(revision) == mirror.era_
         return is_same_era and (
-            self.sync.has_read_ or revision <= mirror.revision_
+            self.sync.read_era_ == mirror.era_ or revision <= mirror.revision_
         )
 
     def _read_revision(self, state: NodeState) -> int:
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -87,7 +87,7 @@
         self.fleet.receive_state(state)
         self.sync.compare(sender, state)
         self._catch_up.receive(state)
-        if state.wants_answer:
+        if state.wants_answer and self._catch_up.owes_answer(sender):
             for gossip in self.gossips:
                 gossip.share_with(sender)
             # Last: it says that the other node has been told all.
--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -59,8 +59,9 @@
 
     Attributes
     ----------
-    has_read_ : bool
-        Whether this node has read the store itself since it started.
+    read_era_ : int
+        Last era in which this node has read the store itself; -1 if it has
+        not since it started.
     is_starting_ : bool
         Whether this node still compares what it knows with its peers.
     copied_ : dict of str to int
@@ -83,7 +84,7 @@
         self.fleet = fleet
         self.clock = clock
         self.eras = eras
-        self.has_read_ = False
+        self.read_era_ = -1
         self.is_starting_ = True
         self.copied_: dict[str, int] = {}
         self._requested_at = -math.inf
@@ -103,7 +104,7 @@
     def broadcast(self, update: MirrorUpdate) -> None:
         """Send an update that this node has read to all connected nodes."""
         self._read_at = self.clock.read_monotonic()
-        self.has_read_ = True
+        self.read_era_ = self.mirror.era_
         held = self.mirror.list_held()
         for peer in self.peers.list_connected():
             encoded = self.eras.encode(peer, update, held.held)
@@ -161,7 +162,8 @@
         age = self.clock.read_monotonic() - self.mirror.verified_at_
         is_behind = revision > self.mirror.revision_
         is_era_over = find_era(revision) > self.mirror.era_
-        is_first = self.is_starting_ and not self.has_read_
+        has_read = self.read_era_ == self.mirror.era_
+        is_first = self.is_starting_ and not has_read
         is_stale = is_first or age > _STALE_SECONDS
         if is_era_over or (is_behind and is_stale):
             self._request_copy(sender)
@@ -176,15 +178,15 @@
         """
         held = self.mirror.list_held()
         self.peers.send_one_way(sender, held)
+        revision = self.mirror.revision_
+        known = self.eras.decode_revision(sender, request.revision, revision)
+        if known >= revision and known:
+            return None
         copy = self.mirror.build_full_copy(self.clock.read_monotonic())
-        known = self.eras.decode_revision(
-            sender, request.revision, copy.revision
-        )
         encoded = self.eras.encode(sender, copy, held.held)
         if not known:
             return encoded
-        if copy.revision > known:
-            self.peers.send_one_way(sender, encoded)
+        self.peers.send_one_way(sender, encoded)
         return None
 
     def fetch_if_empty(self) -> None:
@@ -209,11 +211,11 @@
     def _has_unknown_era(self, peer: str, now: float) -> bool:
         """Whether a peer's copy can't be ordered by its revisions.
 
-        A build without eras keeps the copy of an earlier one for a while. With
-        an up-to-date replica there is no need to guess.
+        A build without eras keeps the copy of an earlier one for a while. A
+        node that starts and has an up-to-date replica need not guess.
         """
         is_current = now - self.mirror.verified_at_ < _READING_SECONDS
-        return is_current and not self.eras.has_eras(peer)
+        return self.is_starting_ and is_current and not self.eras.has_eras(peer)
 
     def _yields_to(self, peer: str, now: float) -> bool:
         if now - self._read_at >= _READING_SECONDS:
--- a/sesameroute/node/_receiver.py
+++ b/sesameroute/node/_receiver.py
@@ -61,8 +61,11 @@
         received = replace(configuration, origin=origin)
         if self.active_configuration.apply_if_newer(received):
             position = Position.unpack(origin.position)
+            is_in_force = self.active_configuration.table_ is not None
             _logger.info(
-                'configuration in force',
+                'configuration in force'
+                if is_in_force
+                else 'configuration received',
                 extra={
                     'version': configuration.version,
                     'routes': len(configuration.routes),
--- a/sesameroute/node/tests/test_catch_up.py
+++ b/sesameroute/node/tests/test_catch_up.py
@@ -66,7 +66,7 @@
                 revision_=revision, era_=_OWN_ERA if is_configured else 0
             ),
             eras=EraTranslation(int),
-            has_read_=is_configured,
+            read_era_=_OWN_ERA if is_configured else -1,
             copied_={'copied': 40, 'read': 39},
         )
         self.catch_up = CatchUp(self.fleet, self.sync, self.active, self.clock)
@@ -116,10 +116,11 @@
     [
         ({}, _READY, _READY),
         ({'a': 'refused'}, _READY, _READY),
+        ({'a': 'unreachable'}, _READY, _READY),
         ({'a': 'silent'}, _NOTHING, _READY),
         ({'a': {}}, _READY, _READY),
         ({'a': {'revision': 0}, 'b': {'revision': 0}}, _READY, _READY),
-        ({'a': {'is_ready': True}, 'b': 'silent'}, _SERVES, _READY),
+        ({'a': {'is_ready': True}, 'b': 'silent'}, _NOTHING, _READY),
         ({'a': {}, 'b': 'silent'}, _NOTHING, _READY),
         ({'a': {'is_ready': True, 'revision': 0}}, _NOTHING, _READY),
         ({'a': {'is_ready': True, 'era': 2}}, _NOTHING, _READY),
@@ -147,9 +148,11 @@
     for peer, state in peers.items():
         if state == 'refused':
             node.peers.refused[peer] = node.clock.now
-        elif state != 'silent':
+        elif state == 'silent':
+            node.connect(peer)
+        elif state != 'unreachable':
             node.connect(peer, **{'era': _OWN_ERA, **state})
-    assert node.run(_BOUND_SECONDS / 2) == soon
+    assert node.run(0.6 * _BOUND_SECONDS) == soon
     assert node.run(_BOUND_SECONDS) == late
     node.connect('later', is_ready=True)
     assert node.run(_STEP_SECONDS) == late
@@ -167,7 +170,7 @@
 def test_node_without_store_waits_for_the_copy_of_a_peer_that_is_ahead():
     """A peer that was cut off had told first."""
     node = StartedNode(['a', 'b'])
-    node.sync.has_read_ = False
+    node.sync.read_era_ = -1
     node.connect('a', is_ready=True, revision=30)
     node.connect('b', is_ready=True, revision=50)
     node.sync.mirror.revision_ = Position(_OWN_ERA, 30).pack()
@@ -200,4 +203,64 @@
     node.connect('a', era=_OWN_ERA)
     node.run(_STEP_SECONDS)
     node.peers.connected.clear()
+    assert node.run(_BOUND_SECONDS / 4) == _NOTHING
+
+
+def test_nodes_that_start_together_need_no_answers():
+    """A fleet that starts at once sent each question and each answer."""
+    node = StartedNode(['a', 'b'])
+    for peer in ('a', 'b'):
+        node.connect(peer, is_answer=False, wants_answer=True, revision=0)
+    assert node.run(3 * _STEP_SECONDS) == _READY
+    assert not node.peers.sent
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'is_owed'), [(_STEP_SECONDS, False), (_BOUND_SECONDS / 2, True)]
+)
+def test_peer_that_was_asked_lately_is_not_answered(seconds, is_owed):
+    """The question that it got says what an answer would."""
+    node = StartedNode(['a', 'b'])
+    node.connect('a')
+    assert node.catch_up.owes_answer('a')
+    node.run(_STEP_SECONDS)
+    node.clock.now += seconds
+    assert node.catch_up.owes_answer('a') == is_owed
+    assert node.catch_up.owes_answer('b')
+
+
+def test_unreachable_peer_is_awaited_for_half_a_second_only():
+    """Seeds that are gone must not delay a node as long as slow answers."""
+    node = StartedNode(['gone', 'slow'])
+    node.connect('slow')
+    assert node.run(0.6) == _NOTHING
+    node.connect('slow', era=_OWN_ERA)
+    assert node.run(3 * _STEP_SECONDS) == _READY
+
+
+@pytest.mark.parametrize('seconds', [0.2, 3])
+def test_time_limit_counts_from_the_first_configuration(seconds):
+    """A node that got its configuration late did not compare it."""
+    node = StartedNode(['a', 'b'], is_configured=False)
+    node.run(seconds)
+    node.connect('a')
+    node.active.apply_if_newer(Configuration(1, ()))
     assert node.run(_BOUND_SECONDS / 2) == _NOTHING
+    assert node.run(_BOUND_SECONDS) == _READY
+
+
+def test_unconnected_nodes_delay_readiness_but_no_requests():
+    """Callers that reach the node are served by what the peers know."""
+    node = StartedNode(['a', 'b'])
+    node.connect('a', is_ready=True)
+    assert node.run(0.2) == _SERVES
+    assert node.run(_BOUND_SECONDS / 2) == _READY
+
+
+def test_read_of_an_earlier_era_is_no_read_of_this_one():
+    """A second restore came while the node started."""
+    node = StartedNode(['a'])
+    node.sync.mirror.era_ = _OWN_ERA + 1
+    node.sync.mirror.revision_ = Position(_OWN_ERA + 1, 10).pack()
+    node.connect('a', is_ready=True, era=_OWN_ERA + 1, revision=50)
+    assert node.run(3 * _STEP_SECONDS) == _NOTHING
--- a/sesameroute/node/tests/test_started_nodes.py
+++ b/sesameroute/node/tests/test_started_nodes.py
@@ -282,3 +282,27 @@
     readers.stop()
     assert readers.count > 0
     assert not readers.foreign
+
+
+def test_node_that_reads_the_store_late_asks_the_members_it_lists(cluster):
+    """Its time to compare was over before it knew anything."""
+    server = BackendStandIn()
+    cluster.register('server', server)
+    cluster.start_nodes(1, 2)
+    members = {f'sesameroute/members/{NETWORK_PREFIX}.{one}' for one in (1, 2)}
+    assert wait_for(lambda: members <= cluster.store.items.keys())
+    started = 3
+    callers = EagerCallers([started], '/b/x')
+    lose_writes(
+        cluster,
+        60,
+        lambda: cluster.configure(prefix='/b/'),
+        away_seconds=2.0,
+        while_away=lambda: cluster.add_node(started, seeds=(9,)),
+    )
+    assert wait_for(partial(is_ready, started), _READY_SECONDS)
+    time.sleep(_APPLY_SECONDS)
+    callers.stop()
+    server.stop()
+    assert set(callers.statuses) <= {200, 503}, callers.statuses
+    assert callers.statuses[200]
