Play nodes of 2005466 beside present ones, too

The three tests that matter for DENIED, HOME take the earlier landing as a parameter now: rolling replacement, restored store, and nodes that start. The other tests play as before. The fixtures of earlier builds are for all modules, the builders know zones.

--- a/sesameroute/node/tests/builds.py
+++ b/sesameroute/node/tests/builds.py
@@ -8,8 +8,10 @@
 import sys
 import tarfile
 from pathlib import Path
+from types import MappingProxyType
 
 from sesameroute.node.tests.cluster import (
+    FRONT_PORT,
     METRICS_PORT,
     NETWORK_PREFIX,
     call,
@@ -18,7 +20,14 @@
 )
 from sesameroute.placement import hash_key
 
-PREVIOUS_LANDING = 'be4f3ab6d059ab0ab1b7fe2eebf8d5c8936a069e'
+# Full hashes, since an archive is made by them.
+_LANDINGS = MappingProxyType(
+    {
+        'be4f3ab': 'be4f3ab6d059ab0ab1b7fe2eebf8d5c8936a069e',
+        '2005466': '20054669619c946689291bb6548796cb00b53d88',
+    }
+)
+LANDINGS = tuple(_LANDINGS)
 
 _REPOSITORY = Path(__file__).parents[3]
 _RUNNER = Path(__file__).with_name('run_build.py')
@@ -31,8 +40,8 @@
     """The checkout has no such commit."""
 
 
-def extract_build(commit, folder):
-    """Extract the package as it was at a commit; return its environment.
+def extract_build(landing, folder):
+    """Extract the package as it was at a landing; return its environment.
 
     Raises
     ------
@@ -40,6 +49,7 @@
         There is no git, or the commit isn't in the history.
 
     """
+    commit = _LANDINGS[landing]
     command = ('git', '-C', str(_REPOSITORY), 'archive', commit, 'sesameroute')
     try:
         archive = subprocess.run(command, check=True, capture_output=True)
@@ -100,10 +110,11 @@
         self.folder = folder
         self.processes = {}
 
-    def start(self, number, seeds):
+    def start(self, number, seeds, zone='north-a'):
         """Start a node."""
         settings = self.folder / f'{number}.ini'
-        settings.write_text(self.cluster.build_settings(number, seeds=seeds))
+        text = self.cluster.build_settings(number, zone, seeds)
+        settings.write_text(text)
         command = (sys.executable, '-P', str(_RUNNER), f'--config={settings}')
         with (self.folder / f'{number}.log').open('ab') as log:
             self.processes[number] = subprocess.Popen(
@@ -135,23 +146,37 @@
             print(log.name, *lines[-40:], sep='\n')
 
 
-def start_builds(cluster, earlier, earlier_numbers, present_numbers):
-    """Start the nodes of both builds; wait until they know each other."""
+def start_builds(
+    cluster, earlier, earlier_numbers, present_numbers, zones=None
+):
+    """Start the nodes of both builds; wait until they know each other.
+
+    Nodes that `zones` does not name are in the zone ``north-a``.
+    """
     numbers = (*earlier_numbers, *present_numbers)
+    placed = dict.fromkeys(numbers, 'north-a') | (zones or {})
     for number in earlier_numbers:
-        earlier.start(number, numbers)
+        earlier.start(number, numbers, placed[number])
     for number in present_numbers:
-        cluster.add_node(number, seeds=numbers)
+        cluster.add_node(number, placed[number], numbers)
+    expected = {}
+    for number, zone in placed.items():
+        front = f'{NETWORK_PREFIX}.{number}:{FRONT_PORT}'
+        expected.setdefault(zone.partition('-')[0], set()).add(front)
     assert wait_for(
-        lambda: all(len(try_resolve(one)) == len(numbers) for one in numbers),
+        lambda: all(
+            set(try_resolve(one, region)) == fronts
+            for one in numbers
+            for region, fronts in expected.items()
+        ),
         _START_SECONDS,
     )
 
 
-def try_resolve(number):
+def try_resolve(number, region='north'):
     """Return what a node's directory lists; nothing while it is down."""
     try:
-        return resolve(number)
+        return resolve(number, region)
     except OSError:
         return []
 
--- a/sesameroute/node/tests/callers.py
+++ b/sesameroute/node/tests/callers.py
@@ -1,12 +1,16 @@
 """Callers that send requests to nodes, for tests."""
 
+import contextlib
 import threading
 import time
 from collections import Counter, namedtuple
 from concurrent.futures import ThreadPoolExecutor
 
+from sesameroute.node.tests.builds import try_resolve
 from sesameroute.node.tests.cluster import send
 
+DIRECTORY_SECONDS = 1.0  # how long callers keep an answer of the directory
+
 _CALLERS = 8
 _EAGER_CALLERS = 4  # for each node
 
@@ -91,3 +95,25 @@
             except OSError:
                 continue  # the node does not listen yet
             self.statuses[status] += 1
+
+
+@contextlib.contextmanager
+def following_directory(callers, region='north'):
+    """Let callers use what the directory lists, as old as it may be."""
+    is_done = threading.Event()
+
+    def follow():
+        while not is_done.wait(DIRECTORY_SECONDS):
+            answers = (try_resolve(one, region) for one in callers.numbers)
+            callers.numbers = [
+                int(front.partition(':')[0].rpartition('.')[2])
+                for front in next(filter(None, answers))
+            ]
+
+    following = threading.Thread(target=follow)
+    following.start()
+    try:
+        yield
+    finally:
+        is_done.set()
+        following.join()
--- a/sesameroute/node/tests/conftest.py
+++ b/sesameroute/node/tests/conftest.py
@@ -1,8 +1,15 @@
 """Fixtures of the tests with nodes."""
 
+import functools
+
 import pytest
 
 from sesameroute.node.tests.backends import BackendStandIn
+from sesameroute.node.tests.builds import (
+    BuildMissingError,
+    EarlierNodes,
+    extract_build,
+)
 from sesameroute.node.tests.cluster import Cluster
 
 
@@ -20,3 +27,29 @@
     running = BackendStandIn()
     yield running
     running.stop()
+
+
+@pytest.fixture(scope='session')
+def environments(tmp_path_factory):
+    """Return a function that gives the environment of an earlier landing."""
+    return functools.cache(
+        lambda landing: extract_build(landing, tmp_path_factory.mktemp(landing))
+    )
+
+
+@pytest.fixture
+def landing():
+    """Return the landing that earlier nodes run; tests may name another."""
+    return 'be4f3ab'
+
+
+@pytest.fixture
+def earlier(cluster, environments, landing, tmp_path):
+    """Return the nodes of an earlier landing, ended after the test."""
+    try:
+        environment = environments(landing)
+    except BuildMissingError as error:
+        pytest.skip(f'no earlier landing to run: {error}')
+    running = EarlierNodes(cluster, environment, tmp_path)
+    yield running
+    running.kill_all()
--- a/sesameroute/node/tests/test_two_builds.py
+++ b/sesameroute/node/tests/test_two_builds.py
@@ -1,10 +1,8 @@
-"""Tests of nodes of the previous landing beside those of the present build.
+"""Tests of nodes of earlier landings beside those of the present build.
 
 Both run side by side while nodes are replaced one after the other.
 """
 
-import contextlib
-import threading
 import time
 from collections import Counter
 from functools import partial
@@ -13,16 +11,18 @@
 
 from sesameroute.node.tests.backends import BackendStandIn, count_since
 from sesameroute.node.tests.builds import (
-    PREVIOUS_LANDING,
-    BuildMissingError,
-    EarlierNodes,
+    LANDINGS,
     count_backends,
-    extract_build,
     split_by_leader,
     start_builds,
     try_resolve,
 )
-from sesameroute.node.tests.callers import Callers, EagerCallers
+from sesameroute.node.tests.callers import (
+    DIRECTORY_SECONDS,
+    Callers,
+    EagerCallers,
+    following_directory,
+)
 from sesameroute.node.tests.cluster import (
     NETWORK_PREFIX,
     is_ready,
@@ -39,28 +39,10 @@
 _DRAIN_SECONDS = 2.0
 _FORGET_SECONDS = _CONTACT_SECONDS + 3.0
 _START_SECONDS = 10
-_DIRECTORY_SECONDS = 1.0  # how long callers keep an answer of the directory
 _SERVERS = 5
 _KEYS = 24
 
 
-@pytest.fixture(scope='module')
-def environment(tmp_path_factory):
-    """Return the environment of processes of the previous landing."""
-    try:
-        return extract_build(PREVIOUS_LANDING, tmp_path_factory.mktemp('build'))
-    except BuildMissingError as error:
-        pytest.skip(f'no previous landing to run: {error}')
-
-
-@pytest.fixture
-def earlier(cluster, environment, tmp_path):
-    """Return the nodes of the previous landing, ended after the test."""
-    running = EarlierNodes(cluster, environment, tmp_path)
-    yield running
-    running.kill_all()
-
-
 @pytest.fixture
 def servers(cluster):
     """Return registered backend servers."""
@@ -210,11 +192,12 @@
     assert {each[0] for each in senders} <= set(others)
 
 
+@pytest.mark.parametrize('landing', LANDINGS)
 @pytest.mark.parametrize('is_earlier_leading', [True, False])
 def test_rolling_replacement_loses_no_request(
     cluster, earlier, servers, start_callers, is_earlier_leading
 ):
-    """Planned stops of the previous landing, replaced by the present build."""
+    """Planned stops of an earlier landing, replaced by the present build."""
     olds, news = split_by_leader(_NUMBERS, is_earlier_leading)
     start_builds(cluster, earlier, olds, news)
     callers = start_callers()
@@ -223,7 +206,7 @@
             assert earlier.stop(number) == 0
             cluster.add_node(number, seeds=_NUMBERS)
             assert wait_for(partial(is_ready, number), _START_SECONDS)
-            time.sleep(2 * _DIRECTORY_SECONDS)
+            time.sleep(2 * DIRECTORY_SECONDS)
         used = set(callers.numbers)
     callers.stop()
     statuses = Counter(each.status for each in callers.answers)
@@ -231,28 +214,7 @@
     assert statuses.keys() == {200}
 
 
-@contextlib.contextmanager
-def following_directory(callers):
-    """Let callers use what the directory lists, as old as it may be."""
-    is_done = threading.Event()
-
-    def follow():
-        while not is_done.wait(_DIRECTORY_SECONDS):
-            listed = next(filter(None, map(try_resolve, callers.numbers)))
-            callers.numbers = [
-                int(front.partition(':')[0].rpartition('.')[2])
-                for front in listed
-            ]
-
-    following = threading.Thread(target=follow)
-    following.start()
-    try:
-        yield
-    finally:
-        is_done.set()
-        following.join()
-
-
+@pytest.mark.parametrize('landing', LANDINGS)
 @pytest.mark.parametrize('is_earlier_checked', [True, False])
 @pytest.mark.parametrize('is_earlier_leading', [True, False])
 def test_restored_store_is_followed_by_both_builds(
@@ -287,12 +249,13 @@
     check_entries(checked, servers, added)
 
 
+@pytest.mark.parametrize('landing', LANDINGS)
 @pytest.mark.parametrize('prefix', ['/a/', '/b/'])
 @pytest.mark.parametrize('is_earlier_leading', [True, False])
 def test_started_nodes_learn_from_those_of_the_earlier_build(
     cluster, earlier, is_earlier_leading, prefix
 ):
-    """Only nodes of the previous landing knew what the store had lost."""
+    """Only nodes of the earlier landing knew what the store had lost."""
     home, outside = BackendStandIn(), BackendStandIn()
     cluster.register('home', home, 'north-a')
     cluster.register('outside', outside, 'south-a')
