--- a/sesameroute/node/tests/conftest.py
+++ b/sesameroute/node/tests/conftest.py
@@ -11,6 +11,7 @@
     extract_build,
 )
 from sesameroute.node.tests.cluster import Cluster
+from sesameroute.node.tests.drills import Drill
 
 
 @pytest.fixture
@@ -53,3 +54,17 @@
     running = EarlierNodes(cluster, environment, tmp_path)
     yield running
     running.kill_all()
+
+
+@pytest.fixture
+def start_drill(cluster):
+    """Return a function that starts a drill, stopped after the test."""
+    running = []
+
+    def start(nodes, regions):
+        running.append(Drill(cluster, nodes, regions))
+        return running[-1]
+
+    yield start
+    for each in running:
+        each.stop()
--- a/sesameroute/node/tests/drills.py
+++ b/sesameroute/node/tests/drills.py
@@ -1,11 +1,90 @@
-"""A store that goes away and comes back from an older copy, for tests."""
+"""Nodes whose store goes away and comes back from a copy, for tests."""
 
 import json
 import time
 
-from sesameroute.node.tests.cluster import wait_for
+from sesameroute.node.tests.backends import BackendStandIn
+from sesameroute.node.tests.callers import EagerCallers
+from sesameroute.node.tests.cluster import is_ready, wait_for
 
 _MARKER = 'servers/marker'
+_MAX_SEEDS = 3
+_ZONES = {
+    1: ('north-a', 'north-b'),
+    2: ('north-a', 'north-b', 'south-a', 'south-b'),
+    3: ('north-a', 'north-b', 'south-a', 'south-b', 'east-a', 'east-b'),
+}
+
+
+class Drill:
+    """Nodes in all zones, a server in each, and a store that loses writes.
+
+    Attributes
+    ----------
+    nodes : dict of int to str
+        Zones of the nodes by their numbers.
+    servers : dict of str to BackendStandIn
+        Backend servers by zone.
+
+    """
+
+    def __init__(self, cluster, nodes, regions):
+        """Start the servers and the nodes."""
+        self.cluster = cluster
+        zones = _ZONES[regions]
+        cluster.zones = zones
+        self.nodes = {
+            number + 1: zones[number % len(zones)] for number in range(nodes)
+        }
+        self.servers = {zone: BackendStandIn() for zone in zones}
+        for zone, server in self.servers.items():
+            cluster.register(f'in-{zone}', server, zone)
+        for number in self.nodes:
+            self.start(number)
+        assert wait_for(lambda: all(map(is_ready, self.nodes)))
+        assert wait_for(
+            lambda: all(
+                len(node.peers.list_connected()) == nodes - 1
+                for node in cluster.nodes.values()
+            )
+        )
+
+    def start(self, number):
+        """Start a node."""
+        seeds = tuple(self.nodes)[:_MAX_SEEDS]
+        self.cluster.add_node(number, self.nodes[number], seeds)
+
+    def restart(self, numbers, path):
+        """Let nodes crash and start them again; return their callers."""
+        for number in numbers:
+            self.cluster.nodes[number].kill()
+        callers = EagerCallers(numbers, path)
+        for number in numbers:
+            self.start(number)
+        return callers
+
+    def select(self, restarted):
+        """Return the numbers of the nodes to restart."""
+        last = max(self.nodes)
+        return {
+            'one': [last],
+            'zone': [
+                number
+                for number, zone in self.nodes.items()
+                if zone == self.nodes[last]
+            ],
+            'region': [
+                number
+                for number, zone in self.nodes.items()
+                if zone[:-1] == self.nodes[last][:-1]
+            ],
+            'all but one': list(self.nodes)[1:],
+        }[restarted]
+
+    def stop(self):
+        """Stop the servers; the cluster stops the nodes."""
+        for each in self.servers.values():
+            each.stop()
 
 
 def lose_writes(cluster, count, write=bool, away_seconds=1.0, while_away=bool):
--- a/sesameroute/node/tests/test_started_nodes.py
+++ b/sesameroute/node/tests/test_started_nodes.py
@@ -8,8 +8,7 @@
 
 import pytest
 
-from sesameroute.node.tests.backends import BackendStandIn, count_since
-from sesameroute.node.tests.callers import EagerCallers
+from sesameroute.node.tests.backends import count_since
 from sesameroute.node.tests.cluster import (
     FRONT_PORT,
     NETWORK_PREFIX,
@@ -25,98 +24,6 @@
 # The operator writes again what the store has lost after this time.
 _REWRITE_SECONDS = 2.5
 _PAUSE_SECONDS = 0.5
-_MAX_SEEDS = 3
-
-_ZONES = {
-    1: ('north-a', 'north-b'),
-    2: ('north-a', 'north-b', 'south-a', 'south-b'),
-    3: ('north-a', 'north-b', 'south-a', 'south-b', 'east-a', 'east-b'),
-}
-
-
-class Drill:
-    """Nodes in all zones, a server in each, and a store that loses writes.
-
-    Attributes
-    ----------
-    nodes : dict of int to str
-        Zones of the nodes by their numbers.
-    servers : dict of str to BackendStandIn
-        Backend servers by zone.
-
-    """
-
-    def __init__(self, cluster, nodes, regions):
-        """Start the servers and the nodes."""
-        self.cluster = cluster
-        zones = _ZONES[regions]
-        cluster.zones = zones
-        self.nodes = {
-            number + 1: zones[number % len(zones)] for number in range(nodes)
-        }
-        self.servers = {zone: BackendStandIn() for zone in zones}
-        for zone, server in self.servers.items():
-            cluster.register(f'in-{zone}', server, zone)
-        for number in self.nodes:
-            self.start(number)
-        assert wait_for(lambda: all(map(is_ready, self.nodes)))
-        assert wait_for(
-            lambda: all(
-                len(node.peers.list_connected()) == nodes - 1
-                for node in cluster.nodes.values()
-            )
-        )
-
-    def start(self, number):
-        """Start a node."""
-        seeds = tuple(self.nodes)[:_MAX_SEEDS]
-        self.cluster.add_node(number, self.nodes[number], seeds)
-
-    def restart(self, numbers, path):
-        """Let nodes crash and start them again; return their callers."""
-        for number in numbers:
-            self.cluster.nodes[number].kill()
-        callers = EagerCallers(numbers, path)
-        for number in numbers:
-            self.start(number)
-        return callers
-
-    def select(self, restarted):
-        """Return the numbers of the nodes to restart."""
-        last = max(self.nodes)
-        return {
-            'one': [last],
-            'zone': [
-                number
-                for number, zone in self.nodes.items()
-                if zone == self.nodes[last]
-            ],
-            'region': [
-                number
-                for number, zone in self.nodes.items()
-                if zone[:-1] == self.nodes[last][:-1]
-            ],
-            'all but one': list(self.nodes)[1:],
-        }[restarted]
-
-    def stop(self):
-        """Stop the servers; the cluster stops the nodes."""
-        for each in self.servers.values():
-            each.stop()
-
-
-@pytest.fixture
-def start_drill(cluster):
-    """Return a function that starts a drill, stopped after the test."""
-    running = []
-
-    def start(nodes, regions):
-        running.append(Drill(cluster, nodes, regions))
-        return running[-1]
-
-    yield start
-    for each in running:
-        each.stop()
 
 
 def play(drill, write, case, path):
