--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -9,7 +9,10 @@
 from http.client import HTTPConnection
 
 from sesameroute.node import FleetNode, parse_node_settings
-from sesameroute.node.tests.partition import PartitionableWire
+from sesameroute.node.tests.partition import (
+    PartitionableWire,
+    PeerPartition,
+)
 from sesameroute.platform.tests.store_standin import StoreStandIn
 
 # Test runs at the same time on one machine use different addresses.
@@ -70,6 +73,8 @@
         Zones that the nodes know, each ``REGION-LETTER``.
     limits : dict of str to int
         Limits on callers in the configurations.
+    partition : PeerPartition
+        Opens the connections between the nodes.
 
     """
 
@@ -78,6 +83,7 @@
         self.store = StoreStandIn()
         self.nodes = {}
         self.wires = {}
+        self.partition = PeerPartition()
         self.version = 1
         self.zones = _ZONES
         self.limits = {
@@ -149,10 +155,26 @@
         text = self.build_settings(number, zone, seeds)
         self.wires.setdefault(number, PartitionableWire())
         node = FleetNode(parse_node_settings(text), self.wires[number])
+        node.peers.wire = self.partition
         node.start()
         self.nodes[number] = node
         return node
 
+    def isolate(self, *numbers):
+        """Cut nodes off from the store and from all other nodes."""
+        isolated = {f'{NETWORK_PREFIX}.{number}' for number in numbers}
+        self.store.rejected_clients.update(isolated)
+        self.partition.isolated = frozenset(isolated)
+        nodes = self.nodes.values()
+        assert wait_for(
+            lambda: not any(list(map(self.partition.close_separated, nodes)))
+        )
+
+    def rejoin(self):
+        """End the cut."""
+        self.store.rejected_clients.difference_update(self.partition.isolated)
+        self.partition.isolated = frozenset()
+
     def build_settings(self, number, zone='north-a', seeds=()):
         """Return the text of a node's settings."""
         address = f'{NETWORK_PREFIX}.{number}'
--- a/sesameroute/node/tests/drills.py
+++ b/sesameroute/node/tests/drills.py
@@ -90,6 +90,8 @@
 def lose_writes(cluster, count, write=bool, away_seconds=1.0, while_away=bool):
     """Let the store lose its last writes; return when it is back.
 
+    All nodes that are not isolated know the last write before.
+
     Parameters
     ----------
     cluster : Cluster
@@ -109,7 +111,13 @@
     write()
     for number in range(count):
         store.put(_MARKER, build_marker(number))
-    assert wait_for(lambda: all(map(has_marker, cluster.nodes.values())))
+    isolated = cluster.partition.isolated
+    reached = [
+        node
+        for node in cluster.nodes.values()
+        if node.fleet.own_state.address not in isolated
+    ]
+    assert wait_for(lambda: all(map(has_marker, reached)))
     store.go_away()
     ends = time.monotonic() + away_seconds
     while_away()
--- a/sesameroute/node/tests/partition.py
+++ b/sesameroute/node/tests/partition.py
@@ -102,3 +102,40 @@
         except OSError:
             return False
         return True
+
+
+class PeerPartition(TcpWire):
+    """Opens the connections between nodes, unless a test separates them.
+
+    Attributes
+    ----------
+    isolated : frozenset of str
+        IP addresses of the nodes that reach only each other.
+
+    """
+
+    def __init__(self):
+        """Start without a partition."""
+        self.isolated = frozenset()
+
+    def separates(self, one, other):
+        """Return whether two IP addresses can't reach each other."""
+        return (one in self.isolated) != (other in self.isolated)
+
+    def connect(self, source, target, timeout):
+        """Return a connection to a node."""
+        if self.separates(source, target[0]):
+            raise TimeoutError('timed out')
+        return super().connect(source, target, timeout)
+
+    def close_separated(self, node):
+        """Close a node's streams across the partition; return their number."""
+        own = node.fleet.own_state.address
+        separated = [
+            stream
+            for stream in node.peers.streams.list_streams()
+            if self.separates(own, stream.peer.sender)
+        ]
+        for stream in separated:
+            stream.close()
+        return len(separated)
--- a/sesameroute/node/tests/test_store_drill.py
+++ b/sesameroute/node/tests/test_store_drill.py
@@ -194,16 +194,14 @@
     """A node of a zone that is cut off meanwhile has no other truth after."""
     cluster.start_nodes(1, 2, 3)
     cut = cluster.nodes[3]
-    list_connected = cut.peers.list_connected
-    handle = cut._dispatch.handle
 
     def write():
         cluster.store.put('op/evacuate/north-b', b'{}')
         assert wait_for(lambda: cut.registry.evacuated)
-        cluster.store.rejected_clients.add(f'{NETWORK_PREFIX}.3')
-        if not has_peers:
-            cut.peers.list_connected = tuple
-            cut._dispatch.handle = lambda _sender, _message: None
+        if has_peers:
+            cluster.store.rejected_clients.add(f'{NETWORK_PREFIX}.3')
+        else:
+            cluster.isolate(3)
 
     lose_writes(cluster, 1, write)
     cluster.store.put('op/evacuate/north-b', b'{}')
@@ -211,9 +209,9 @@
     time.sleep(1)
     cluster.store.remove('op/evacuate/north-b')
     time.sleep(1)
+    assert (send(3, '/b/x')[0] == 200) is has_peers
     cluster.store.rejected_clients.clear()
-    cut.peers.list_connected = list_connected
-    cut._dispatch.handle = handle
+    cluster.rejoin()
     time.sleep(_CONTACT_SECONDS)
     assert send(3, '/b/x')[0] == 200
     time.sleep(_CONTACT_SECONDS)
