Ask each peer for what it holds once it has followed a restore

Cause: the earlier nodes followed the restore while the present ones started. Their first state of the new era counted as an answer, so that they were not asked again, and they tell by themselves what they hold in turn only.

A node asks each peer once in each era, when the peer's state is first in it, also after its start; a state of a build that gives no answers counts only after the time of a reply.

--- a/sesameroute/node/_catch_up.py
+++ b/sesameroute/node/_catch_up.py
@@ -11,13 +11,9 @@
 from collections.abc import Callable, Set
 from dataclasses import replace
 
-from sesameroute.mirror import (
-    MAX_REVISION,
-    MirrorCopyRequest,
-    Position,
-    find_era,
-)
+from sesameroute.mirror import find_era
 from sesameroute.node._fleet import Fleet, NodeState
+from sesameroute.node._held_requests import HeldRequests
 from sesameroute.node._mirror_sync import MirrorSync
 from sesameroute.ports import Clock
 from sesameroute.routes import ActiveConfiguration
@@ -81,6 +77,7 @@
         self._asked_at: dict[str, float] = {}
         self._answers: dict[str, NodeState] = {}
         self._heard: dict[str, NodeState] = {}
+        self._held_requests = HeldRequests(sync, clock)
         self._is_behind = False
 
     def start(
@@ -118,6 +115,7 @@
         A peer that asks has just started, too, and knows nothing yet. Earlier
         builds send no answers; any state of theirs counts.
         """
+        self._held_requests.follow(state)
         has_told = state.is_answer is not False or state.wants_answer
         if has_told and not self.is_complete_:
             self._answers[state.address] = state
@@ -180,7 +178,8 @@
             state.address: state for state in answers if self._is_level(state)
         }
         self._is_behind = any(
-            self._read_revision(state) > self.sync.mirror.revision_
+            self._held_requests.read_revision(state)
+            > self.sync.mirror.revision_
             for state in answers
             if state.address not in level
         )
@@ -210,23 +209,12 @@
             return
         for asked in due:
             self._asked_at[asked] = now
-            self._ask_for_held(asked)
+            self._held_requests.ask(asked)
         revision = self.sync.mirror.revision_
         state = replace(self.fleet.build_state(revision), wants_answer=True)
         for told in due:
             peers.send_one_way(told, state)
 
-    def _ask_for_held(self, peer: str) -> None:
-        """Ask a peer for what it holds, and for its copy of a later era."""
-        if not self.sync.mirror.revision_:
-            return
-        # A peer without eras holds nothing, but its copy may be of an earlier
-        # era.
-        known = 1
-        if self.sync.eras.has_eras(peer):
-            known = Position(self.sync.mirror.era_, MAX_REVISION).pack()
-        self.fleet.peers.send_one_way(peer, MirrorCopyRequest(known))
-
     def _is_level(self, state: NodeState) -> bool:
         """Return whether a peer has told all that it knows of the store.
 
@@ -234,7 +222,7 @@
         A node that has read the store itself needs no later revisions.
         """
         mirror = self.sync.mirror
-        revision = self._read_revision(state)
+        revision = self._held_requests.read_revision(state)
         if not revision:
             # The first state of earlier builds leaves the revision out.
             return not state.is_ready
@@ -242,12 +230,12 @@
             # What it has read from the store comes in full copies, too.
             copied = self.sync.copied_.get(state.address, 0)
             return copied >= state.revision
-        is_same_era = find_era(revision) == mirror.era_
-        return is_same_era and (
+        if find_era(revision) != mirror.era_:
+            return False
+        if state.is_answer is None and not self._held_requests.has_replied(
+            state.address
+        ):
+            return False
+        return (
             self.sync.read_era_ == mirror.era_ or revision <= mirror.revision_
         )
-
-    def _read_revision(self, state: NodeState) -> int:
-        return self.sync.eras.decode_revision(
-            state.address, state.revision, self.sync.mirror.revision_
-        )
