--- a/sesameroute/node/_catch_up.py
+++ b/sesameroute/node/_catch_up.py
@@ -21,8 +21,8 @@
 
 __all__ = ['CatchUp']
 
-# Once a node that starts knows a configuration, it waits for connections to the
-# other nodes and for their answers until then.
+# How long a node that starts and has a configuration waits for connections to
+# other nodes, and for their answers.
 _MAX_CONNECT_SECONDS = 0.5
 _MAX_SECONDS = 1.0
 _MILLISECONDS = 1000
