--- a/review/tests/standins.py
+++ b/review/tests/standins.py
@@ -486,6 +486,7 @@
             encoding='utf-8',
         )
         self.settings = path
+        self.store = store
         environment = {
             'PATH': os.environ['PATH'],
             'PYTHONPATH': f'{ROOT / "target" / "deps"}:{ROOT}',
