--- a/review/tests/standins.py
+++ b/review/tests/standins.py
@@ -517,6 +517,15 @@
             time.sleep(0.1)
         raise RuntimeError('node is not ready')
 
+    def read_memory_kb(self):
+        """Return the memory that the process uses; 0 once it has ended."""
+        try:
+            text = Path(f'/proc/{self.process.pid}/status').read_text()
+        except OSError:
+            return 0
+        _, _, rest = text.partition('VmRSS:')
+        return int(rest.split()[0]) if rest else 0
+
     def stop(self):
         """End the process."""
         self.process.kill()
@@ -558,13 +567,18 @@
             return read_answer(reader)
 
 
-def start_node(files, servers, routes):
-    """Start a store that lists the servers and routes, and a node; wait."""
+def build_store(servers, routes):
+    """Return a store that lists the servers and routes."""
     store = Store()
     store.put('op/config', build_configuration(3, routes))
     for server in servers:
         store.put(f'servers/{server.name}', server.describe())
-    node = Node(store, files)
+    return store
+
+
+def start_node(files, servers, routes):
+    """Start a store that lists the servers and routes, and a node; wait."""
+    node = Node(build_store(servers, routes), files)
     node.wait_ready()
     return node
 
