--- a/review/tests/standins.py
+++ b/review/tests/standins.py
@@ -318,6 +318,10 @@
         sock.sendall(self.build_head(request, len(body)) + body)
         return True
 
+    def read(self, reader):
+        """Return the next request, or None at the end of the connection."""
+        return read_request(reader)
+
     def note(self, request):
         """Note that a request runs."""
         self.runs.append(request)
@@ -355,7 +359,7 @@
             sock.close()
 
     def _serve_one(self, sock, reader):
-        request = read_request(reader)
+        request = self.read(reader)
         if request is None:
             return False
         expected = request.headers.get(EXPECTED.lower(), self.name)
