--- a/review/tests/standins.py
+++ b/review/tests/standins.py
@@ -6,12 +6,14 @@
 import base64
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
 import tempfile
 import threading
 import time
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -26,14 +28,14 @@
 
 
 def find_ports(count, address=HOST):
-    """Return free TCP ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((address, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return free TCP ports below those that outgoing connections get."""
+    found = []
+    while len(found) < count:
+        port = random.SystemRandom().randrange(12_000, 32_000)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((address, port))
+            found.append(port)
+    return found
 
 
 class Record:
