--- a/review/tests/standins.py
+++ b/review/tests/standins.py
@@ -468,8 +468,12 @@
 
     started = []
 
-    def __init__(self, store, folder, name='node-1', address=HOST):
-        """Start the process with settings like those of a deployment."""
+    def __init__(self, store, folder, name='node-1', address=HOST, ports=()):
+        """Start the process with settings like those of a deployment.
+
+        Nodes that shall find each other have the same `ports`.
+        """
+        self.ports = ports
         self.store = store
         self.folder = Path(folder)
         self.name = name
@@ -481,7 +485,7 @@
 
     def start(self):
         """Start the process on free ports."""
-        ports = find_ports(6, self.address)
+        ports = self.ports or find_ports(6, self.address)
         front, ready, directory, metrics, first, last = ports
         address = self.address
         self.front = (address, front)
