--- a/review/tests/early_hangups.py
+++ b/review/tests/early_hangups.py
@@ -11,6 +11,8 @@
 
 def play(files, record, has_trouble):
     """Play it; return what broke the rule."""
+    # Processes inherit that SIGHUP is ignored, as under `nohup`.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     store = standins.build_store([], [])
     ended = 0
     for number in range(_STARTS):
