Treat an answer without a length as cut if a stop ended it

Cause: a stop shuts the sockets of all exchanges that still run. For an answer with a length or in chunks the end of the connection is an error; for one without either it is the regular end, and `AnswerBody` never asked who had caused it. An unreadable Content-Length counted as framing in one place (the headers) and not in another (http.client), with the same result.

Why this works: the response itself says whether only the end of the connection ends it. If it does and this node has broken off its exchanges, the body is truncated: a buffered answer becomes a 504, a streamed one is broken off.

--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -167,6 +167,16 @@
             and self._last_response.has_trailing_bytes
         )
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the last response."""
+        last_response = self._last_response
+        return (
+            last_response is not None
+            and not last_response.chunked
+            and last_response.length is None
+        )
+
     @property
     def has_header_defects(self) -> bool:
         """Whether the header block of the last response had parse errors."""
--- a/sesameroute/forward/_body.py
+++ b/sesameroute/forward/_body.py
@@ -99,10 +99,20 @@
             except _CONNECTION_ERRORS as error:
                 self.close()
                 raise self._classify_error(error) from error
-            if not chunk:
-                self._release_connection()
-                return
-            yield chunk
+            if chunk:
+                yield chunk
+            else:
+                self._finish()
+
+    def _finish(self) -> None:
+        """Note the end of the body; raise TryError if this node caused it."""
+        line = self.pooled_connection.http_connection
+        if line.ends_with_connection and self.connections.is_aborted:
+            self.close()
+            raise self._classify_error(
+                ConnectionAbortedError('exchanges were broken off')
+            )
+        self._release_connection()
 
     def _classify_error(self, error: Exception) -> TryError:
         # This node, not the server, has broken off an aborted exchange.
@@ -123,17 +133,15 @@
 
     def _release_connection(self) -> None:
         self._is_done = True
+        line = self.pooled_connection.http_connection
         headers = self.response.headers
-        must_close = headers.get('Connection', '').lower() == 'close'
-        is_framed = 'Content-Length' in headers or self.response.chunked
-        has_trailing_bytes = (
-            self.pooled_connection.http_connection.has_trailing_bytes
+        must_close = (
+            headers.get('Connection', '').lower() == 'close'
+            or line.ends_with_connection
+            or line.has_trailing_bytes
         )
-        if must_close or not is_framed or has_trailing_bytes:
-            self.pooled_connection.http_connection.close()
-            return
-        if not is_reusable(self.pooled_connection.http_connection.sock):
-            self.pooled_connection.http_connection.close()
+        if must_close or not is_reusable(line.sock):
+            line.close()
             return
         self.pooled_connection.idle_seconds = _read_idle_seconds(
             headers.get('Keep-Alive', ''),
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -169,6 +169,34 @@
         return False
 
 
+class PausingServer(ScriptedServer):
+    """Sends the start of an answer, then nothing, until the client closes.
+
+    Parameters
+    ----------
+    start : str
+        The start of the answer.
+
+    """
+
+    def __init__(self, start):
+        """Listen on a free port."""
+        self.start = start
+        super().__init__()
+
+    def _answer(self, connection):
+        head = self._read_head(connection)
+        if head is None:
+            return False
+        identifier = find_header(head, 'sesameroute-attempt-id')
+        start = self.start.replace('{0}', identifier)
+        connection.sendall(start.encode('latin-1'))
+        connection.settimeout(5)
+        if not connection.recv(1):
+            self.closed.set()
+        return False
+
+
 def read_request(connection):
     """Return head and body of a request, None and b'' at the end."""
     received = b''
