Reset the connection of an HTTP/1.0 caller whose answer is cut

What callers saw: a streamed answer without a length goes to an HTTP/1.0 caller without chunks, so that its end is the end of the connection; one that was cut looked complete. Found by reading; no play of the users showed it.

Evidence: test_caller_sees_that_an_answer_is_cut[None-1.0] failed before; the three other cases (HTTP/1.1, or with a length) passed.

Why this works: the connection is reset (SO_LINGER of 0 s) if nothing but its end ends the answer. Writing answers moved to a module of its own.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -8,11 +8,12 @@
 import contextlib
 import logging
 import select
+import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from http import HTTPStatus
 from typing import Any, Protocol
 
 from cheroot.server import (
@@ -22,13 +23,13 @@
     HTTPServer,
 )
 
+from sesameroute.adapters._answer_writer import abort_connection, write_answer
 from sesameroute.adapters._refusal_reasons import (
     RefusalObserver,
     ignore_refusal,
     report_refusal,
 )
 from sesameroute.adapters._running import RunningRequests
-from sesameroute.exceptions import SesameError
 from sesameroute.ports import Answer, SystemClock
 
 __all__ = ['FrontHandler', 'FrontServer']
@@ -50,7 +51,7 @@
 _TOO_LARGE_STATUS = '413'
 # Part of cheroot's message when a header block is too long.
 _HEADER_LIMIT_TEXT = 'headers sent'
-_BODILESS_STATUSES = frozenset((204, 304))
+_NO_LINGER = struct.pack('ii', 1, 0)  # SO_LINGER on, for no time: reset
 
 _logger = logging.getLogger(__name__)
 
@@ -81,6 +82,7 @@
     """A caller's connection with separate header and idle time-outs."""
 
     RequestHandlerClass = _Request  # noqa: WPS115 - cheroot's name
+    must_reset = False
 
     def communicate(self) -> bool:
         """Serve one request; return whether the connection stays open."""
@@ -88,6 +90,17 @@
             self.socket.settimeout(self.server.header_seconds)
             return super().communicate()
 
+    def close(self) -> None:
+        """Close the connection; the caller gets an error if it is reset."""
+        if not self.must_reset:
+            super().close()
+            return
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        for resource in (self.rfile, self.wfile, self.socket):
+            # Buffered bytes may be left that can't be sent any more.
+            with contextlib.suppress(OSError):
+                resource.close()
+
 
 @dataclass(frozen=True, slots=True)
 class _FrontContext:
@@ -117,15 +130,9 @@
         request.conn.socket.settimeout(request.server.timeout)
         answer = request.server.front.handler(request)
         if answer is None:
-            _abort_connection(request)
-            return
-        with contextlib.closing(_BodyCloser(answer)):
-            try:
-                _write_answer(request, answer)
-            except SesameError:
-                # The body is incomplete. Closing the connection early lets
-                # the caller see that.
-                _abort_connection(request)
+            abort_connection(request)
+        else:
+            write_answer(request, answer)
 
 
 class _CallerServer(HTTPServer):
@@ -295,53 +302,8 @@
                 pool.grow(_THREAD_STEP + pool.qsize)
 
 
-def _abort_connection(request: Any) -> None:
-    """Close the connection without sending anything more."""
-    request.close_connection = True
-    request.sent_headers = True
-    request.chunked_write = False
-
-
 def _has_ambiguous_length(request: Any) -> bool:
     headers = request.inheaders
     return (
         b'Transfer-Encoding' in headers and b'Content-Length' in headers
     ) or b',' in headers.get(b'Content-Length', b'')
-
-
-def _write_answer(request: Any, answer: Answer) -> None:
-    request.status = _format_status(answer.status)
-    request.outheaders = [
-        (name.encode('latin-1'), text.encode('latin-1'))
-        for name, text in answer.headers
-    ]
-    if answer.length is not None and answer.status not in _BODILESS_STATUSES:
-        length = str(answer.length).encode()
-        request.outheaders.append((b'Content-Length', length))
-    request.ensure_headers_sent()
-    if request.method == b'HEAD':
-        return
-    for chunk in answer.chunks:
-        if chunk:
-            request.write(chunk)
-
-
-def _format_status(status: int) -> bytes:
-    try:
-        phrase = HTTPStatus(status).phrase
-    except ValueError:
-        phrase = 'Unknown'
-    return f'{status} {phrase}'.encode()
-
-
-class _BodyCloser:
-    """Closes the iterator that yields the body of an answer."""
-
-    def __init__(self, answer: Answer) -> None:
-        self.answer = answer
-
-    def close(self) -> None:
-        """Close the iterator if it can be closed, as generators can."""
-        close = getattr(self.answer.chunks, 'close', None)
-        if close is not None:
-            close()
--- a/sesameroute/adapters/tests/test_front_server.py
+++ b/sesameroute/adapters/tests/test_front_server.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 import time
-from http.client import HTTPConnection
+from http.client import HTTPConnection, HTTPResponse, IncompleteRead
 
 import pytest
 
@@ -15,20 +15,22 @@
 
 ADDRESS = (f'{NETWORK}.6', 18_499)
 CHUNK = b'part'
+WHOLE_BYTES = 2 * len(CHUNK)
 TIMEOUT_SECONDS = 5
 
 
 class PausedStreams:
     """A handler whose answers pause halfway until `may_continue` is set."""
 
-    def __init__(self, failure=None):
-        """Store the error that ends the answers, if any."""
+    def __init__(self, failure=None, length=WHOLE_BYTES):
+        """Store the error that ends the answers, if any, and their length."""
         self.failure = failure
+        self.length = length
         self.may_continue = threading.Event()
 
     def __call__(self, request):
         """Return an answer of two chunks."""
-        return Answer(200, (), self.stream(), 2 * len(CHUNK))
+        return Answer(200, (), self.stream(), self.length)
 
     def stream(self):
         """Yield a chunk, wait, then yield another or fail."""
@@ -90,6 +92,23 @@
         assert wait_for(lambda: not server.running_.count)
 
 
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+@pytest.mark.parametrize('length', [None, WHOLE_BYTES])
+def test_caller_sees_that_an_answer_is_cut(version, length):
+    """HTTP/1.0 callers took the end of a cut answer for its regular end."""
+    handler = PausedStreams(SesameError('body ended early'), length)
+    with serve(handler):
+        caller = socket.create_connection(ADDRESS, TIMEOUT_SECONDS)
+        with caller:
+            caller.sendall(f'GET / HTTP/{version}\r\nHost: h\r\n\r\n'.encode())
+            answer = HTTPResponse(caller)
+            answer.begin()
+            assert answer.read(len(CHUNK)) == CHUNK
+            handler.may_continue.set()
+            with pytest.raises((ConnectionResetError, IncompleteRead)):
+                answer.read()
+
+
 @pytest.mark.parametrize('burst', [10, 100, 300])
 def test_planned_stop_answers_accepted_requests(burst):
     """Requests that waited for a thread or to be accepted were cut off."""
