Answer what a stopping node reads on kept connections

Cause: once no request ran, the stop ended the store's connection, the peers and then the servers, with the kept connections open until the last step. What came on them meanwhile was read and passed on; then the HTTP library gave its threads 0.2 s and shut the receiving side of the caller's connection, which the forwarder takes for a caller that has left.

Evidence: test_kept_connection_is_served_or_closed sends a request at the moment the stop is reported. (The cases at 'connections closing' need the new log line.)

Why this works: the kept connections are closed while all else still runs, and the threads end only when each request that was read has been answered, by the monotonic clock; what still runs at the deadline gets its final answer as before. A connection that is closed with nothing read has lost nothing.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -22,6 +22,7 @@
     HTTPRequest,
     HTTPServer,
 )
+from cheroot.workers.threadpool import ThreadPool
 
 from sesameroute.adapters._answer_writer import abort_connection, write_answer
 from sesameroute.adapters._refusal_reasons import (
@@ -41,6 +42,7 @@
 _SPARE_THREADS = 3
 _GROWTH_CHECK_SECONDS = 1.0  # between checks that no request triggered
 _STOP_SECONDS = 0.2
+_ANSWER_POLL_SECONDS = 0.01
 # Longest wait for the connections that have not been accepted when accepting
 # ends.
 _ACCEPT_POLLS = 1000
@@ -135,6 +137,29 @@
             write_answer(request, answer)
 
 
+class _WorkerPool(ThreadPool):
+    """Worker threads that end only once they have answered what was read.
+
+    Attributes
+    ----------
+    answers_until : float
+        Monotonic time in seconds until which they may answer.
+
+    """
+
+    answers_until: float = 0
+
+    def stop(self, timeout: float = _STOP_SECONDS) -> None:
+        """Wait for the answers in progress, then stop the threads.
+
+        cheroot gives its threads one short time-out, by the time of day.
+        """
+        running = self.server.front.running
+        while running.count and time.monotonic() < self.answers_until:
+            time.sleep(_ANSWER_POLL_SECONDS)
+        super().stop(timeout)
+
+
 class _CallerServer(HTTPServer):
     """A cheroot server with the handler and limits of `FrontServer`."""
 
@@ -147,12 +172,8 @@
         front: _FrontContext,
         threads: int,
     ) -> None:
-        super().__init__(
-            address,
-            _Gateway,
-            minthreads=threads,
-            maxthreads=_MAX_THREADS,
-        )
+        super().__init__(address, _Gateway)
+        self.requests = _WorkerPool(self, min=threads, max=_MAX_THREADS)
         self.front = front
         self.needs_threads = threading.Event()
         self.spare_threads = min(_SPARE_THREADS, threads - 1)
@@ -235,8 +256,19 @@
         ).start()
         self._growth_thread.start()
 
-    def stop(self) -> None:
-        """Stop listening and close idle connections."""
+    def stop(self, answers_until: float = 0) -> None:
+        """Stop listening and close idle connections.
+
+        Parameters
+        ----------
+        answers_until : float, optional
+            Monotonic time in seconds until which the requests that have been
+            read may be answered.
+
+        """
+        if self._is_stopped.is_set():
+            return
+        self._server.requests.answers_until = answers_until
         self._is_stopped.set()
         # cheroot never stops a worker that is added while it stops, so the
         # thread that adds workers has to end first.
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -1,6 +1,7 @@
 """The HTTP servers of a node and their graceful shutdown."""
 
 import logging
+import threading
 import time
 
 from sesameroute.adapters import ConnectionPool, FrontServer
@@ -28,6 +29,7 @@
 from sesameroute.ports import SystemClock, TcpWire, Wire
 from sesameroute.quarantine import LossExchange, Quarantine, TrialPolicy
 from sesameroute.reachability import EndDetector, ObservedWire, Prober
+from sesameroute.routes import Configuration
 
 __all__ = ['NodeServers']
 
@@ -201,12 +203,15 @@
         """
         now = self.clock.read_monotonic()
         self._wait_until_idle(
-            deadline - self._find_longest_timeout(deadline - now)
+            deadline
+            - _find_longest_timeout(
+                self.active_configuration.configuration, deadline - now
+            )
         )
         for server in self._taking:
             server.stop_accepting()
         self._wait_for_running(deadline)
-        self._end_running()
+        self._close_connections(deadline)
 
     def _add_relay(
         self,
@@ -245,6 +250,22 @@
         while self.count_running() and self.clock.read_monotonic() < until:
             time.sleep(_POLL_SECONDS)
 
+    def _close_connections(self, deadline: float) -> None:
+        """Close kept connections; what was read from them is answered."""
+        _logger.info('connections closing')
+        answers_until = deadline + _LAST_ANSWERS_SECONDS
+        stopping = [
+            threading.Thread(target=server.stop, args=(answers_until,))
+            for server in self._taking
+        ]
+        for thread in stopping:
+            thread.start()
+        for thread in stopping:
+            thread.join(max(deadline - self.clock.read_monotonic(), 0))
+        self._end_running()
+        for thread in stopping:
+            thread.join()
+
     def _end_running(self) -> None:
         """Give the requests that still run their final answers."""
         running = self.count_running()
@@ -255,9 +276,6 @@
         self.stop_checks()
         for pool in self._connection_pools:
             pool.abort()
-        self._wait_for_running(
-            self.clock.read_monotonic() + _LAST_ANSWERS_SECONDS
-        )
 
     def _wait_until_idle(self, accept_until: float) -> None:
         idle_since = self.clock.read_monotonic()
@@ -272,11 +290,14 @@
             if now - idle_since > _IDLE_SECONDS:
                 return
 
-    def _find_longest_timeout(self, remaining: float) -> float:
-        current_configuration = self.active_configuration.configuration
-        routes = current_configuration.routes if current_configuration else ()
-        longest_timeout = max((route.timeout for route in routes), default=0)
-        return min(longest_timeout, remaining / 2)
+
+def _find_longest_timeout(
+    configuration: Configuration | None, remaining: float
+) -> float:
+    """Return the longest time-out of a route, at most half of what is left."""
+    routes = configuration.routes if configuration else ()
+    longest_timeout = max((route.timeout for route in routes), default=0)
+    return min(longest_timeout, remaining / 2)
 
 
 def _read_retry_budget(settings: NodeSettings) -> FleetRetryBudget:
--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -42,7 +42,7 @@
 north-b = north
 south-a = south
 [bounds]
-grace = 3
+grace = {grace}
 """
 
 
@@ -73,6 +73,8 @@
         Zones that the nodes know, each ``REGION-LETTER``.
     limits : dict of str to int
         Limits on callers in the configurations.
+    grace_seconds : int
+        Grace period of the nodes' stops.
     partition : PeerPartition
         Opens the connections between the nodes.
 
@@ -86,6 +88,7 @@
         self.partition = PeerPartition()
         self.version = 1
         self.zones = _ZONES
+        self.grace_seconds = 3
         self.limits = {
             'max_header_bytes': 16384,
             'max_body_bytes': 1048576,
@@ -187,6 +190,7 @@
             ready=READY_PORT,
             directory=DIRECTORY_PORT,
             peers=PEERS_PORT,
+            grace=self.grace_seconds,
             seeds=','.join(f'{NETWORK_PREFIX}.{seed}:1' for seed in seeds),
             store='{0}:{1}'.format(*self.store.address),
         ).replace(list_zones(_ZONES), list_zones(self.zones))
--- a/sesameroute/node/tests/test_planned_stop.py
+++ b/sesameroute/node/tests/test_planned_stop.py
@@ -1,9 +1,10 @@
 """Tests of what a stopping node does with requests that it can't finish."""
 
 import contextlib
+import logging
 import threading
 import time
-from http.client import HTTPConnection
+from http.client import HTTPConnection, RemoteDisconnected
 
 import pytest
 
@@ -125,6 +126,48 @@
     assert backend.count_arrivals('/a/long') == 1
 
 
+class _EventOnMessage(logging.Handler):
+    """Sets an event when a message is logged."""
+
+    def __init__(self, message):
+        super().__init__()
+        self.message = message
+        self.has_come = threading.Event()
+
+    def emit(self, record):
+        """Compare the message of a record."""
+        if record.getMessage() == self.message:
+            self.has_come.set()
+
+
+@pytest.mark.parametrize('kind', ['safe', 'unsafe', 'download'])
+@pytest.mark.parametrize('message', ['connections closing', 'node stopped'])
+def test_kept_connection_is_served_or_closed(
+    cluster, backend, kind, message, caplog
+):
+    """A stop ended while kept connections still brought requests."""
+    caplog.set_level(logging.INFO, 'sesameroute.node')
+    cluster.grace_seconds = 6
+    cluster.configure(kind=kind, timeout_ms=2500)
+    node = cluster.add_node(1)
+    assert wait_for(lambda: send(1)[0] == 200)
+    observer = _EventOnMessage(message)
+    logger = logging.getLogger('sesameroute.node')
+    logger.addHandler(observer)
+    statuses = []
+    with open_connection(FRONT_PORT) as caller:
+        assert exchange(caller, '/a/early')[0] == 200
+        backend.work_seconds = 1.2
+        with stopping(node):
+            assert observer.has_come.wait(6)
+            # A connection that is closed before a request is read ends
+            # nothing: the request runs nowhere.
+            with contextlib.suppress(ConnectionError, RemoteDisconnected):
+                statuses.append(exchange(caller, '/a/last')[0])
+    logger.removeHandler(observer)
+    assert statuses == [200] * backend.count_arrivals('/a/last')
+
+
 def test_request_that_waits_for_a_slot_is_turned_away(cluster, backend):
     """A request that got its slot late in the stop was sent and then cut."""
     cluster.configure(
