Give each exchange one deadline, whatever its server sends

Cause: the time left was the time-out of the socket, which counts for each read alone: each byte extended the wait. The caller was watched up to the first byte only, and `http.client` skips any number of interim answers, at full speed with all of the processor. Each such exchange held one of the 512 threads for good.

Why this works: all reads of an answer, from the first byte of its head to its last trailer, go through one reader that waits for bytes, the deadline and the caller at once. A body that times out counts as timed out (504), no longer as lost. The product's own path (`_exchange`) uses the same reader; the store's client keeps the time-out of each read.

--- a/sesameroute/adapters/_caller_disconnect.py
+++ b/sesameroute/adapters/_caller_disconnect.py
@@ -3,6 +3,7 @@
 import select
 import socket
 import time
+from io import RawIOBase
 
 from sesameroute.exceptions import RequestError
 from sesameroute.verdict import Verdict
@@ -14,21 +15,22 @@
 
 
 def wait_for_first_byte(
-    server: socket.socket,
-    caller: socket.socket,
+    server: socket.socket | RawIOBase,
+    caller: socket.socket | None,
     seconds: float,
 ) -> None:
     """Wait until the backend server has sent bytes.
 
     Bytes that the caller sends meanwhile are left unread and do not end the
-    wait; afterwards the caller is no longer watched.
+    wait; afterwards the caller is no longer watched. With no time left, bytes
+    that have come already are found.
 
     Parameters
     ----------
-    server : socket
+    server : socket or RawIOBase
         Connection to the backend server.
-    caller : socket
-        Connection to the caller.
+    caller : socket or None
+        Connection to the caller; None if it is not watched.
     seconds : float
         Longest time to wait.
 
@@ -44,7 +46,8 @@
     deadline = time.monotonic() + seconds
     poller = select.poll()
     poller.register(server, _READABLE)
-    poller.register(caller, _READABLE)
+    if caller is not None:
+        poller.register(caller, _READABLE)
     while True:
         remaining = deadline - time.monotonic()
         ready = dict(poller.poll(max(remaining, 0) * _MILLISECONDS))
--- /dev/null
+++ b/sesameroute/adapters/_checked_response.py
@@ -0,0 +1,141 @@
+"""Responses that are complete, bounded in their framing and end in time."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from http.client import (
+    BadStatusLine,
+    HTTPResponse,
+    RemoteDisconnected,
+)
+from io import BufferedReader
+
+from sesameroute.adapters._limited_reader import LimitedReader, ReadLimit
+
+__all__ = ['CheckedResponse']
+
+# Interim responses that may come before the final one.
+_MAX_INTERIM_RESPONSES = 64
+
+
+class _HeadReader:
+    """Reads the lines of a head; raises an error if they end too early.
+
+    `http.client` takes the end of a connection for the end of the head, so
+    a head that lacks its last headers would look complete. It also skips any
+    number of interim responses.
+
+    Parameters
+    ----------
+    reader : BufferedReader
+        Reads the response.
+
+    """
+
+    def __init__(self, reader: BufferedReader) -> None:
+        """Store the reader; no line has been read yet."""
+        self.reader = reader
+        self._has_status = False
+        self._head_count = 0
+
+    def readline(self, limit: int) -> bytes:
+        """Return the next line.
+
+        Raises
+        ------
+        RemoteDisconnected
+            The connection ended after the status line and before the head
+            was complete.
+        BadStatusLine
+            More interim responses came than are read.
+
+        """
+        line = self.reader.readline(limit)
+        if self._has_status and not line:
+            raise RemoteDisconnected('connection closed within the head')
+        self._has_status = True
+        self._head_count += not line.strip()
+        if self._head_count > _MAX_INTERIM_RESPONSES:
+            raise BadStatusLine('too many interim responses')
+        return line
+
+    def close(self) -> None:
+        """Close the reader."""
+        self.reader.close()
+
+
+class CheckedResponse(HTTPResponse):
+    """A response that detects incomplete framing and bytes after its end.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        The connection.
+    limit : ReadLimit or None
+        Ends the reading of the response.
+    options : dict
+        Further arguments of `http.client.HTTPResponse`.
+
+    Attributes
+    ----------
+    has_trailing_bytes : bool
+        Whether more bytes had already arrived when the end of the response
+        was read. They belong to no request.
+
+    """
+
+    def __init__(
+        self, sock: socket.socket, limit: ReadLimit | None, **options: object
+    ) -> None:
+        """Read from the socket within the limit."""
+        super().__init__(sock, **options)
+        self._limited_reader = LimitedReader(self.fp.detach(), limit)
+        self.fp = BufferedReader(self._limited_reader)
+        self.has_trailing_bytes = False
+        self._socket = sock
+
+    def begin(self) -> None:
+        """Read the head.
+
+        Raises
+        ------
+        RemoteDisconnected
+            The connection ended before the head was complete.
+        BadStatusLine
+            More interim responses came than are read.
+
+        """
+        with self._checked_head():
+            super().begin()
+
+    @contextlib.contextmanager
+    def _checked_head(self) -> Iterator[None]:
+        reader = self.fp
+        self.fp = _HeadReader(reader)
+        try:
+            yield
+        finally:
+            if self.fp is not None:  # it is closed otherwise
+                self.fp = reader
+
+    def _close_conn(self) -> None:
+        """Check for further bytes before the read buffer is discarded."""
+        if isinstance(self.fp, BufferedReader) and not self.fp.closed:
+            self._limited_reader.limit = None
+            self.has_trailing_bytes = _has_unread_bytes(self.fp, self._socket)
+        super()._close_conn()
+
+
+def _has_unread_bytes(reader: BufferedReader, sock: socket.socket) -> bool:
+    """Return whether bytes can be read now; never blocks.
+
+    A broken connection counts as one with bytes, since neither may be reused.
+    """
+    timeout = sock.gettimeout()
+    try:
+        sock.settimeout(0)
+        return bool(reader.peek(1))
+    except (OSError, ValueError):
+        return True
+    finally:
+        sock.settimeout(timeout)
--- a/sesameroute/adapters/_exchange.py
+++ b/sesameroute/adapters/_exchange.py
@@ -1,7 +1,7 @@
 """Sends one HTTP request on one connection and reads the answer."""
 
 import secrets
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from http.client import HTTPException
 
@@ -13,6 +13,7 @@
     ConnectionPool,
     PooledConnection,
 )
+from sesameroute.adapters._limited_reader import ReadLimit
 from sesameroute.exceptions import RequestError
 from sesameroute.ports import Answer, Headers, Request
 from sesameroute.verdict import Verdict
@@ -63,8 +64,6 @@
 
     Attributes
     ----------
-    remaining : callable
-        Returns the seconds left until the deadline of the request.
     done : bool
         Whether the body was read to its end or the connection was closed.
 
@@ -73,7 +72,6 @@
     response: HTTPResponse
     connection: PooledConnection
     pool: ConnectionPool
-    remaining: Callable[[], float]
     done: bool = False
 
     def __iter__(self) -> Iterator[bytes]:
@@ -86,14 +84,18 @@
         Raises
         ------
         RequestError
-            The connection failed before the end of the body; code
-            ``cut-answer``.
+            The connection failed before the end of the body, code
+            ``cut-answer``, or the caller closed its connection, code
+            ``cancelled``.
 
         """
         if self.done:
             raise StopIteration
         try:
-            chunk = self._read()
+            chunk = self.response.read(_CHUNK_BYTES)
+        except RequestError:
+            self.close()
+            raise
         except _CONNECTION_ERRORS as error:
             self.close()
             raise RequestError(
@@ -112,11 +114,6 @@
             self.done = True
             self.connection.http_connection.close()
 
-    def _read(self) -> bytes:
-        if self.connection.http_connection.sock is not None:
-            self.connection.http_connection.sock.settimeout(self.remaining())
-        return self.response.read(_CHUNK_BYTES)
-
     def _finish(self) -> None:
         self.done = True
         if self.connection.http_connection.sock is None or _requests_close(
@@ -181,7 +178,7 @@
     return Answer(
         response.status,
         tuple(response.headers.items()),
-        BodyReader(response, connection, pool, remaining),
+        BodyReader(response, connection, pool),
         response.length_remaining,
     )
 
@@ -216,10 +213,10 @@
         preload_content=False,
         decode_content=False,
     )
-    if request.kind.idempotent and request.caller is not None:
-        wait_for_first_byte(
-            connection.http_connection.sock, request.caller, wait_seconds
-        )
+    caller = request.caller if request.kind.idempotent else None
+    read_limit = ReadLimit(remaining, caller)
+    wait_for_first_byte(connection.http_connection.sock, caller, wait_seconds)
+    connection.http_connection.read_limit = read_limit
     response = connection.http_connection.getresponse()
     answered_try = response.headers.get(_TRY_HEADER, headers[_TRY_HEADER])
     if answered_try != headers[_TRY_HEADER]:
--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -2,14 +2,13 @@
 
 import contextlib
 import socket
-from collections.abc import Iterator
-from http.client import HTTPResponse, RemoteDisconnected
-from io import BufferedReader
 
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
 
+from sesameroute.adapters._checked_response import CheckedResponse
+from sesameroute.adapters._limited_reader import ReadLimit
 from sesameroute.ports import Wire
 
 __all__ = ['WireConnection', 'build_pool']
@@ -18,106 +17,6 @@
 _POOL_SIZE = 8
 
 
-class _HeadReader:
-    """Reads the lines of a head; raises an error if they end too early.
-
-    `http.client` takes the end of a connection for the end of the head, so
-    a head that lacks its last headers would look complete.
-
-    Parameters
-    ----------
-    reader : BufferedReader
-        Reads the response.
-
-    """
-
-    def __init__(self, reader: BufferedReader) -> None:
-        """Store the reader; no line has been read yet."""
-        self.reader = reader
-        self._has_status = False
-
-    def readline(self, limit: int) -> bytes:
-        """Return the next line.
-
-        Raises
-        ------
-        RemoteDisconnected
-            The connection ended after the status line and before the head
-            was complete.
-
-        """
-        line = self.reader.readline(limit)
-        if self._has_status and not line:
-            raise RemoteDisconnected('connection closed within the head')
-        self._has_status = True
-        return line
-
-    def close(self) -> None:
-        """Close the reader."""
-        self.reader.close()
-
-
-class CheckedResponse(HTTPResponse):
-    """A response that detects incomplete heads and bytes after its end.
-
-    Attributes
-    ----------
-    has_trailing_bytes : bool
-        Whether more bytes had already arrived when the end of the response
-        was read. They belong to no request.
-
-    """
-
-    def __init__(self, sock: socket.socket, **options: object) -> None:
-        """Store the socket; `options` go to `http.client.HTTPResponse`."""
-        super().__init__(sock, **options)
-        self.has_trailing_bytes = False
-        self._socket = sock
-
-    def begin(self) -> None:
-        """Read the head.
-
-        Raises
-        ------
-        RemoteDisconnected
-            The connection ended before the head was complete.
-
-        """
-        with self._checked_head():
-            super().begin()
-
-    @contextlib.contextmanager
-    def _checked_head(self) -> Iterator[None]:
-        reader = self.fp
-        self.fp = _HeadReader(reader)
-        try:
-            yield
-        finally:
-            if self.fp is not None:  # it is closed otherwise
-                self.fp = reader
-
-    def _close_conn(self) -> None:
-        """Check for further bytes before the read buffer is discarded."""
-        if isinstance(self.fp, BufferedReader) and not self.fp.closed:
-            self.has_trailing_bytes = _has_unread_bytes(self.fp, self._socket)
-        super()._close_conn()
-
-
-def _has_unread_bytes(reader: BufferedReader, sock: socket.socket) -> bool:
-    """Return whether bytes can be read now; never blocks.
-
-    A broken connection counts as one with bytes, since neither may be reused.
-    """
-    timeout = sock.gettimeout()
-    try:
-        sock.settimeout(0)
-        return bool(reader.peek(1))
-    except (OSError, ValueError):
-        return True
-    finally:
-        sock.settimeout(timeout)
-
-
 class WireConnection(HTTPConnection):
     """An HTTP connection opened by `wire` from a given local address.
 
@@ -134,6 +33,12 @@
     options : dict
         Further arguments of `urllib3.connection.HTTPConnection`.
 
+    Attributes
+    ----------
+    read_limit : ReadLimit or None
+        Ends the reading of the next responses, from the first byte to the
+        last; None leaves it to the time-out of each read.
+
     """
 
     def __init__(
@@ -149,6 +54,7 @@
         super().__init__(host, port, **options)
         self.wire = wire
         self.source = source
+        self.read_limit: ReadLimit | None = None
         self.response_class = self._build_response
         self._last_response: CheckedResponse | None = None
         self._opened_socket: socket.socket | None = None
@@ -188,8 +94,8 @@
         self,
         sock: socket.socket,
         **options: object,
-    ) -> 'CheckedResponse':
-        self._last_response = CheckedResponse(sock, **options)
+    ) -> CheckedResponse:
+        self._last_response = CheckedResponse(sock, self.read_limit, **options)
         return self._last_response
 
     def _new_conn(self) -> socket.socket:
--- a/sesameroute/forward/_body.py
+++ b/sesameroute/forward/_body.py
@@ -3,22 +3,28 @@
 from collections.abc import Iterator
 from http.client import HTTPException
 
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.response import HTTPResponse
 
 from sesameroute.adapters import ConnectionPool, PooledConnection, is_reusable
-from sesameroute.exceptions import has_broken_off
+from sesameroute.exceptions import RequestError, has_broken_off
 from sesameroute.forward._message import TryError
 from sesameroute.placement import Outcome
 
 __all__ = ['AnswerBody']
 
 _CHUNK_BYTES = 65_536
-_MIN_WAIT_SECONDS = 0.001
 # The body of another node's refusal is read up to this size so that its
 # connection can be reused.
 _MAX_DRAIN_BYTES = 65_536
-_CONNECTION_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+_READ_ERRORS = (
+    RequestError,
+    HTTPError,
+    HTTPException,
+    OSError,
+    ValueError,
+)
+_TIMEOUT_ERRORS = (ReadTimeoutError, TimeoutError)
 # Idle connections are dropped this long before the server's own time-out.
 _IDLE_MARGIN_SECONDS = 1.0
 
@@ -34,8 +40,6 @@
         The connection that the answer came on.
     connections : ConnectionPool
         Pool that the connection is returned to.
-    deadline : float
-        Monotonic time in seconds at which reading times out.
 
     """
 
@@ -44,13 +48,11 @@
         response: HTTPResponse,
         pooled_connection: PooledConnection,
         connections: ConnectionPool,
-        deadline: float,
     ) -> None:
         """Store the parameters."""
         self.response = response
         self.pooled_connection = pooled_connection
         self.connections = connections
-        self.deadline = deadline
         self._is_done = False
 
     def read_up_to(self, limit: int) -> tuple[bytes, bool]:
@@ -95,8 +97,8 @@
         """Yield the rest of the body; raise TryError if it is truncated."""
         while not self._is_done:
             try:
-                chunk = self._read()
-            except _CONNECTION_ERRORS as error:
+                chunk = self.response.read(_CHUNK_BYTES)
+            except _READ_ERRORS as error:
                 self.close()
                 raise self._classify_error(error) from error
             if chunk:
@@ -115,22 +117,18 @@
         self._release_connection()
 
     def _classify_error(self, error: Exception) -> TryError:
+        if isinstance(error, RequestError):
+            return TryError(error.message, Outcome.CANCELLED, may_have_run=True)
         # This node, not the server, has broken off an aborted exchange.
         is_aborted = self.connections.is_aborted
+        has_timed_out = is_aborted or isinstance(error, _TIMEOUT_ERRORS)
         return TryError(
             f'answer body truncated: {error}',
-            Outcome.TIMED_OUT if is_aborted else Outcome.LOST,
+            Outcome.TIMED_OUT if has_timed_out else Outcome.LOST,
             may_have_run=True,
             has_server_ended=not is_aborted and has_broken_off(error),
         )
 
-    def _read(self) -> bytes:
-        line = self.pooled_connection.http_connection
-        if line.sock is not None:
-            remaining = self.deadline - self.connections.clock.read_monotonic()
-            line.sock.settimeout(max(remaining, _MIN_WAIT_SECONDS))
-        return self.response.read(_CHUNK_BYTES)
-
     def _release_connection(self) -> None:
         self._is_done = True
         line = self.pooled_connection.http_connection
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -10,7 +10,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
-from sesameroute.adapters import ConnectionPool, PooledConnection
+from sesameroute.adapters import ConnectionPool, PooledConnection, ReadLimit
 from sesameroute.adapters import wait_for_first_byte as wait_for_bytes
 from sesameroute.exceptions import (
     RequestError,
@@ -237,9 +237,7 @@
             )
         if not answer_metadata.is_sealed:
             raise _build_error('answer lacks the seal header', Outcome.LOST)
-        body = AnswerBody(
-            response, pooled_connection, self.connections, outgoing.deadline
-        )
+        body = AnswerBody(response, pooled_connection, self.connections)
         return ReceivedAnswer(answer, answer_metadata, body)
 
     def _send_request(
@@ -269,8 +267,8 @@
             self._wait_for_answer(
                 pooled_connection.http_connection.sock, outgoing
             )
-        pooled_connection.http_connection.sock.settimeout(
-            self._compute_remaining(outgoing.deadline)
+        pooled_connection.http_connection.read_limit = ReadLimit(
+            self._compute_remaining(outgoing.deadline), outgoing.caller
         )
         return pooled_connection.http_connection.getresponse()
 
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -197,6 +197,44 @@
         return False
 
 
+class EndlessServer(ScriptedServer):
+    """Sends the start of an answer, then a part of it again and again.
+
+    Parameters
+    ----------
+    start, part : str
+        The start of the answer and the part that is repeated.
+    pause_seconds : float
+        Time between two parts; 0 sends many at a time, at full speed.
+
+    """
+
+    def __init__(self, start, part, pause_seconds):
+        """Listen on a free port."""
+        self.start = start
+        self.part = part
+        self.pause_seconds = pause_seconds
+        super().__init__()
+
+    def _answer(self, connection):
+        head = self._read_head(connection)
+        if head is None:
+            return False
+        identifier = find_header(head, 'sesameroute-attempt-id')
+        start = self.start.replace('{0}', identifier)
+        part = self.part.encode('latin-1')
+        if not self.pause_seconds:
+            part *= 65536 // len(part)
+        try:
+            connection.sendall(start.encode('latin-1'))
+            while True:
+                connection.sendall(part)
+                time.sleep(self.pause_seconds)
+        except OSError:
+            self.closed.set()
+        return False
+
+
 def read_request(connection):
     """Return head and body of a request, None and b'' at the end."""
     received = b''
