Read requests' bodies strictly, in bounded parts, and to their end

Cause: the body readers of cheroot take a part of a size line for the whole one and any number that `int` reads; they copy what is left of a chunk with each read; what the handler leaves unread is read into one string, or, if it came in chunks, is taken for the next request.

Why this works: both kinds of bodies have a reader of our own, which returns at most what is asked for, checks each line, and says when the body is truncated. A refused request is answered at once; the rest of its body is discarded in parts for 5 s at most, and the connection closed if its end has not come.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -30,11 +30,14 @@
     ignore_refusal,
     report_refusal,
 )
+from sesameroute.adapters._request_body import build_body, discard_rest
 from sesameroute.adapters._running import RunningRequests
 from sesameroute.ports import Answer, SystemClock
 
 __all__ = ['FrontHandler', 'FrontServer']
 
+# Longest time for the rest of a body after its request has been answered.
+_DISCARD_SECONDS = 5.0
 _BACKLOG = 512  # connections waiting to be accepted
 _INITIAL_THREADS = 12
 _THREAD_STEP = 8
@@ -129,12 +132,15 @@
             request.simple_response('400 Bad Request')
             request.sent_headers = True
             return
+        request.rfile = build_body(request)
         request.conn.socket.settimeout(request.server.timeout)
         answer = request.server.front.handler(request)
         if answer is None:
             abort_connection(request)
-        else:
-            write_answer(request, answer)
+            return
+        write_answer(request, answer)
+        if not discard_rest(request, _DISCARD_SECONDS):
+            request.close_connection = True
 
 
 class _WorkerPool(ThreadPool):
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -148,16 +148,10 @@
 
     def read(self, size: int) -> bytes:
         """Return the next bytes; raise InputError if the body is truncated."""
-        source = self.request.rfile
         try:
-            chunk = source.read(size)
+            return self.request.rfile.read(size)
         except (OSError, ValueError) as error:
             raise InputError(f'request body truncated: {error}') from error
-        if not chunk and getattr(source, 'remaining', 0):
-            raise InputError(
-                f'request body truncated: {source.remaining} bytes missing'
-            )
-        return chunk
 
 
 def _find_length(request: Any) -> int | None:
