Refuse requests with two lengths, or one that is no number

Cause: cheroot keeps the last field of a name; the check for a list of lengths never saw the first one. A length with a sign was read as a number.

Evidence: test_request_inside_another_does_not_run[two lengths] and [length with a sign] failed before.

Why this works: the lines of a head are counted as they are read; a second length ends the request with 400 and the connection with it.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -18,6 +18,7 @@
 
 from cheroot.server import (
     Gateway,
+    HeaderReader,
     HTTPConnection,
     HTTPRequest,
     HTTPServer,
@@ -54,6 +55,7 @@
 # told.
 _IDLE_MARGIN_SECONDS = 3.0
 _TOO_LARGE_STATUS = '413'
+_LENGTH_NAME = b'content-length'
 # Part of cheroot's message when a header block is too long.
 _HEADER_LIMIT_TEXT = 'headers sent'
 _NO_LINGER = struct.pack('ii', 1, 0)  # SO_LINGER on, for no time: reset
@@ -71,9 +73,35 @@
         """
 
 
+class _HeaderLines:
+    """Reads the lines of a head; refuses a second Content-Length."""
+
+    def __init__(self, reader: Any) -> None:
+        self.reader = reader
+        self._length_count = 0
+
+    def readline(self) -> bytes:
+        """Return the next line; raise ValueError if the length is ambiguous."""
+        line = self.reader.readline()
+        self._length_count += line.lower().startswith(_LENGTH_NAME)
+        if self._length_count > 1:
+            raise ValueError('several Content-Length fields')
+        return line
+
+
+class _HeaderReader(HeaderReader):
+    """Reads a header block, of which cheroot keeps the last length."""
+
+    def __call__(self, rfile: Any, hdict: Any = None) -> Any:
+        """Return the header fields; raise ValueError if they are malformed."""
+        return super().__call__(_HeaderLines(rfile), hdict)
+
+
 class _Request(HTTPRequest):
     """A request that is refused with 431 if its headers are too large."""
 
+    header_reader = _HeaderReader()
+
     def simple_response(self, status: str, msg: str = '') -> None:
         """Answer 431 where cheroot answers 413 for headers and body alike."""
         if status.startswith(_TOO_LARGE_STATUS) and _HEADER_LIMIT_TEXT in msg:
@@ -341,7 +369,7 @@
 
 
 def _has_ambiguous_length(request: Any) -> bool:
-    headers = request.inheaders
-    return (
-        b'Transfer-Encoding' in headers and b'Content-Length' in headers
-    ) or b',' in headers.get(b'Content-Length', b'')
+    length = request.inheaders.get(b'Content-Length')
+    if length is None:
+        return False
+    return b'Transfer-Encoding' in request.inheaders or not length.isdigit()
--- a/sesameroute/adapters/tests/test_request_body.py
+++ b/sesameroute/adapters/tests/test_request_body.py
@@ -29,6 +29,10 @@
     **{name: _CHUNKED + body for name, body in _BODIES.items()},
 }
 _AMBIGUOUS = {
+    'two lengths': (
+        f'{_POST}Content-Length: {len(_INNER)}\r\nContent-Length: 0\r\n\r\n'
+    ),
+    'length with a sign': f'{_POST}Content-Length: +0\r\n\r\n',
     'length and chunks': (
         f'{_POST}Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n'
         '0\r\n\r\n'
