Send no request whose caller has left while it waited

Cause: whether the caller is still there was asked for idempotent requests only, though at that point no try of the request can have run.

Evidence: test_request_whose_caller_has_left_is_not_sent[unsafe] failed before; the safe case and the download passed.

Why this works: the question is asked for all kinds, after the wait for a slot and before anything is sent. A request that has been sent goes on as before.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -139,9 +139,7 @@
         slot_request, decision = self._get_slot(state)
         if isinstance(decision, Refusal):
             return self._answer_refusal(state, decision)
-        if state.route.kind.is_idempotent and has_disconnected(
-            state.request.caller
-        ):
+        if has_disconnected(state.request.caller):
             self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
             log_event(state, 'request dropped', 'caller-left', '')
             raise CallerClosedError(
