Close the connection to a server when a caller's body breaks off

Cause: a truncated body raises an error of the caller's side, for which the sender did not close the connection; the interpreter did so at some later time.

Evidence: test_server_does_not_wait_for_the_rest_of_a_body failed before.

Why this works: the connection is closed before the error goes on.

--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -13,6 +13,7 @@
 from sesameroute.adapters import ConnectionPool, PooledConnection, ReadLimit
 from sesameroute.adapters import wait_for_first_byte as wait_for_bytes
 from sesameroute.exceptions import (
+    InputError,
     RequestError,
     has_broken_off,
     has_refused,
@@ -205,6 +206,10 @@
     ) -> ReceivedAnswer:
         try:
             return self._read_matching_answer(pooled_connection, outgoing)
+        except InputError:
+            # The server would wait for the rest of the caller's body.
+            pooled_connection.http_connection.close()
+            raise
         except _TRY_ERRORS as error:
             pooled_connection.http_connection.close()
             failure = _classify_error(error)
