Bound the store's answers in time and in memory

Cause: `urlopen` reads until the end, whatever its size; an absurd Content-Length ends in MemoryError, which nothing catches.

Why this works: a connection whose reader sets no limit has one by default: the connection's time-out for the whole answer, and 32 MiB, by length or as read.

--- a/sesameroute/adapters/_checked_response.py
+++ b/sesameroute/adapters/_checked_response.py
@@ -108,12 +108,16 @@
         ------
         RemoteDisconnected
             The connection ended before the head was complete.
-        BadStatusLine
-            More interim responses came than are read.
+        HTTPException
+            More interim responses came than are read, or the length is above
+            the limit.
 
         """
         with self._checked_head():
             super().begin()
+        limit = self._limited_reader.limit
+        if limit is not None and (self.length or 0) > limit.remaining_bytes:
+            raise HTTPException(f'answer of {self.length} bytes is too long')
 
     @contextlib.contextmanager
     def _checked_head(self) -> Iterator[None]:
--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -15,6 +15,7 @@
 
 _CONNECT_SECONDS = 1.0
 _POOL_SIZE = 8
+_MAX_WHOLE_BYTES = 33_554_432  # of a response that is kept in memory
 
 
 class WireConnection(HTTPConnection):
@@ -37,7 +38,8 @@
     ----------
     read_limit : ReadLimit or None
         Ends the reading of the next responses, from the first byte to the
-        last; None leaves it to the time-out of each read.
+        last. None limits them to the connection's time-out and to a size
+        that can be kept in memory, as for responses that are read whole.
 
     """
 
@@ -95,9 +97,16 @@
         sock: socket.socket,
         **options: object,
     ) -> CheckedResponse:
-        self._last_response = CheckedResponse(sock, self.read_limit, **options)
+        self._last_response = CheckedResponse(
+            sock, self.read_limit or self._build_default_limit(), **options
+        )
         return self._last_response
 
+    def _build_default_limit(self) -> ReadLimit | None:
+        if isinstance(self.timeout, int | float):
+            return ReadLimit(self.timeout, max_bytes=_MAX_WHOLE_BYTES)
+        return None
+
     def _new_conn(self) -> socket.socket:
         seconds = self.timeout
         if not isinstance(seconds, (int, float)):
--- a/sesameroute/adapters/_limited_reader.py
+++ b/sesameroute/adapters/_limited_reader.py
@@ -24,15 +24,21 @@
     caller : socket.socket or None
         Connection of the caller, whose end ends the reading; None for
         requests that go on without their caller.
+    max_bytes : float, optional
+        Largest size of the answer, for one that is kept whole.
 
     """
 
     def __init__(
-        self, seconds: float, caller: socket.socket | None = None
+        self,
+        seconds: float,
+        caller: socket.socket | None = None,
+        max_bytes: float = math.inf,
     ) -> None:
         """Compute the deadline."""
         self.deadline = time.monotonic() + seconds
         self.caller = caller
+        self.remaining_bytes = max_bytes
         self._late_until = math.inf
 
     def wait(self, server: RawIOBase) -> None:
@@ -53,6 +59,12 @@
                 raise TimeoutError('answer not complete at the deadline')
         wait_for_first_byte(server, self.caller, self.deadline - now)
 
+    def count(self, size: int | None) -> None:
+        """Count bytes that were read; raise OSError if they are too many."""
+        self.remaining_bytes -= size or 0
+        if self.remaining_bytes < 0:
+            raise OSError('answer too long')
+
 
 class LimitedReader(RawIOBase):
     """Reads from a socket within a limit.
@@ -90,11 +102,16 @@
         ------
         TimeoutError, RequestError
             As `ReadLimit.wait`.
+        OSError
+            The answer is too long.
 
         """
-        if self.limit is not None:
-            self.limit.wait(self.raw)
-        return self.raw.readinto(buffer)
+        if self.limit is None:
+            return self.raw.readinto(buffer)
+        self.limit.wait(self.raw)
+        size = self.raw.readinto(buffer)
+        self.limit.count(size)
+        return size
 
     def close(self) -> None:
         """Close the reader, which lets the socket close."""
