Let a started node earn its retries

Cause: the bucket of retries starts full with each process, and the time window of the fleet's budget does not know of restarts. Six nodes that restart in turn while their servers fail mint six shares again and again.

Why this works: a process starts with an empty bucket; what it may send again is a part of the requests that it has sent itself. Tests of retries on one node let it earn some first, as after a few seconds of load.

--- a/sesameroute/forward/_retries.py
+++ b/sesameroute/forward/_retries.py
@@ -35,6 +35,9 @@
 class RetryBudgets:
     """This node's retry budget for each service.
 
+    A process starts without retries and earns them with its requests, so that
+    restarts add none to what the fleet may send in a time window.
+
     Parameters
     ----------
     fleet_budget : FleetRetryBudget
@@ -87,7 +90,8 @@
             ratio = min(_USED_RATIO_FRACTION * self.fleet_budget.ratio, 1)
             budget = self._budgets.get(service)
             if budget is None:
-                budget = Budget(ratio, max(slack, 1))
+                # The process may have used its share before a restart.
+                budget = Budget(ratio, max(slack, 1), is_full=False)
                 self._budgets[service] = budget
             budget.resize(ratio, max(slack, 1))
             return budget
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -25,6 +25,8 @@
     WeightedService,
 )
 
+_EARNING_REQUESTS = 500
+
 
 class OrderedAllocator:
     """Grants the first server that is not excluded, or refuses."""
@@ -50,6 +52,13 @@
         self.releases.append((grant.backend, outcome))
 
 
+def earn_retries(budgets, service='s'):
+    """Return the budgets of a node that has sent requests for some time."""
+    for _ in range(_EARNING_REQUESTS):
+        budgets.observe(service)
+    return budgets
+
+
 class NoPeers:
     """Peer connections of a node without peers."""
 
@@ -110,7 +119,7 @@
             self.allocator,
             Sender(connections, PlatformHeaderCodec(), self.clock),
             Guards(
-                RetryBudgets(FleetRetryBudget(0.2, 8), lambda: 1),
+                earn_retries(RetryBudgets(FleetRetryBudget(0.2, 8), lambda: 1)),
                 quarantine,
                 self.registry.announcements,
                 EndDetector(
--- a/sesameroute/forward/tests/test_changed_routes.py
+++ b/sesameroute/forward/tests/test_changed_routes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesameroute.forward.tests.harness import ForwarderHarness
+from sesameroute.forward.tests.harness import ForwarderHarness, earn_retries
 from sesameroute.forward.tests.servers import ScriptedServer
 from sesameroute.routes import RequestKind, WeightedService
 
@@ -49,6 +49,7 @@
     """A request that waited was sent outside the homes of its route."""
     servers = ScriptedServer(script), ScriptedServer('whole')
     harness = ForwarderHarness(*servers)
+    earn_retries(harness.forwarder.guards.retries, 't')
     route = harness.active_configuration.configuration.routes[0]
     harness.forwarder.allocator = ChangingAllocator(
         harness.allocator, lambda: configure(harness, replace(route, **changed))
--- a/sesameroute/limits/_budget.py
+++ b/sesameroute/limits/_budget.py
@@ -18,7 +18,9 @@
     ratio : float
         Extra tries allowed per first try, from 0 to 1.
     burst : float, optional
-        Capacity of the bucket in tries. The bucket starts full.
+        Capacity of the bucket in tries.
+    is_full : bool, optional
+        Whether the bucket starts full, or empty.
 
     Notes
     -----
@@ -39,12 +41,16 @@
     """
 
     def __init__(
-        self, ratio: float, burst: float = _DEFAULT_BURST_TRIES
+        self,
+        ratio: float,
+        burst: float = _DEFAULT_BURST_TRIES,
+        *,
+        is_full: bool = True,
     ) -> None:
-        """Store the parameters and fill the bucket."""
+        """Store the parameters."""
         self.ratio = ratio
         self.burst = burst
-        self.tokens_ = burst
+        self.tokens_ = burst if is_full else 0
         self._lock = threading.Lock()
 
     def resize(self, ratio: float, burst: float) -> None:
