End an upload to a slow server at the deadline

What callers saw: an upload to a server that reads slowly went on for as long as it liked. Found by reading, as the same cause as of answers without end, in the other direction.

Cause: the time left was set as the time-out of the socket once, and counts for each part of a body alone.

Why this works: the time-out is set anew before each part, and none is sent after the deadline. A caller that sends its body slowly is not bounded by this.

--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -3,7 +3,7 @@
 import logging
 import math
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from http.client import HTTPException
 
@@ -254,15 +254,32 @@
         pooled_connection.http_connection.sock.settimeout(
             pooled_connection.http_connection.timeout
         )
+        body = outgoing.body
+        if body is not None and not isinstance(body, bytes):
+            body = self._send_in_time(pooled_connection, outgoing)
         pooled_connection.http_connection.request(
             outgoing.method,
             outgoing.target,
-            outgoing.body,
+            body,
             dict(outgoing.headers),
             preload_content=False,
             decode_content=False,
         )
 
+    def _send_in_time(
+        self, pooled_connection: PooledConnection, outgoing: OutgoingRequest
+    ) -> Iterator[bytes]:
+        """Yield the parts of a body; raise TimeoutError at the deadline.
+
+        The time-out of a socket counts for each part alone.
+        """
+        for part in outgoing.body:
+            remaining = outgoing.deadline - self.clock.read_monotonic()
+            if remaining <= 0:
+                raise TimeoutError('request not sent by the deadline')
+            pooled_connection.http_connection.sock.settimeout(remaining)
+            yield part
+
     def _read_head(
         self,
         pooled_connection: PooledConnection,
--- a/sesameroute/forward/tests/test_endless_answers.py
+++ b/sesameroute/forward/tests/test_endless_answers.py
@@ -1,7 +1,10 @@
-"""Tests of answers that never end."""
+"""Tests of exchanges that servers never end."""
 
 import contextlib
+import socket
+import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -57,3 +60,30 @@
     assert server.closed.wait(1)
     assert len(harness.allocator.releases) == 1
     server.stop()
+
+
+@pytest.fixture
+def slow_reader():
+    """Run a server that reads a request slowly and never answers it."""
+    listening = socket.create_server(('127.0.0.1', 0))
+
+    def read():
+        connection = listening.accept()[0]
+        with connection:
+            while connection.recv(65_536):
+                time.sleep(0.05)
+
+    threading.Thread(target=read, daemon=True).start()
+    yield SimpleNamespace(target=listening.getsockname())
+    listening.close()
+
+
+def test_upload_to_a_slow_server_ends_in_time(slow_reader):
+    """Each part of a body had the whole time anew."""
+    harness = ForwarderHarness(slow_reader, kind=RequestKind.UNSAFE)
+    sent_at = time.monotonic()
+    answer = harness.open(
+        length=999_999_999, read=lambda size: b'x' * size, body=b'x'
+    )
+    assert answer.status == 504
+    assert time.monotonic() - sent_at < _LATE_SECONDS
