--- a/sesameroute/forward/tests/test_endless_answers.py
+++ b/sesameroute/forward/tests/test_endless_answers.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 from types import SimpleNamespace
 
 import pytest
@@ -19,6 +20,7 @@
 
 _TIMEOUT_SECONDS = 0.6  # of the route of the harness
 _LATE_SECONDS = _TIMEOUT_SECONDS + 0.5
+_MAX_MEMORY_BYTES = 8_388_608  # the servers' part included
 _HEAD = f'HTTP/1.1 200 X\r\n{SEAL_HEADER}{IDENTIFIER_HEADER}'
 # The start of an answer and the part that comes again and again.
 _FORMS = {
@@ -62,6 +64,21 @@
     server.stop()
 
 
+@pytest.mark.parametrize('form', list(_FORMS))
+def test_endless_answer_is_not_kept(form):
+    """At other operators, a node kept all bytes until its memory was gone."""
+    server = EndlessServer(*_FORMS[form], 0)
+    harness = ForwarderHarness(server, attempts=1)
+    tracemalloc.start()
+    with contextlib.suppress(TryError):
+        for _ in harness.open().chunks:
+            pass
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert peak < _MAX_MEMORY_BYTES
+    server.stop()
+
+
 @pytest.fixture
 def slow_reader():
     """Run a server that reads a request slowly and never answers it."""
