Share the lines of the chunked coding between both borders

Behaviour stays as it is: the size of a chunk is read in one place for answers and requests; two scripted servers of the tests share their start.

--- a/sesameroute/adapters/_checked_response.py
+++ b/sesameroute/adapters/_checked_response.py
@@ -1,7 +1,6 @@
 """Responses that are complete, bounded in their framing and end in time."""
 
 import contextlib
-import re
 import socket
 from collections.abc import Iterator
 from http.client import (
@@ -13,16 +12,17 @@
 )
 from io import BufferedReader
 
+from sesameroute.adapters._chunk_framing import (
+    MAX_LINE_BYTES,
+    MAX_TRAILER_LINES,
+    parse_chunk_size,
+)
 from sesameroute.adapters._limited_reader import LimitedReader, ReadLimit
 
 __all__ = ['CheckedResponse']
 
 # Interim responses that may come before the final one.
 _MAX_INTERIM_RESPONSES = 64
-_MAX_LINE_BYTES = 8192  # of a chunk size or a trailer field
-_MAX_TRAILER_LINES = 100
-_HEXADECIMAL = 16
-_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n')
 
 
 class _HeadReader:
@@ -132,23 +132,23 @@
     def _read_next_chunk_size(self) -> int:
         """Return the next chunk size; `http.client` takes a part of one."""
         line = self._read_framing_line()
-        matched = _CHUNK_SIZE.fullmatch(line)
-        if matched is None:
-            raise HTTPException('invalid chunk size')
-        return int(matched.group(1), _HEXADECIMAL)
+        try:
+            return parse_chunk_size(line)
+        except ValueError as error:
+            raise HTTPException(str(error)) from error
 
     def _read_and_discard_trailer(self) -> None:
         """Discard the trailer section; `http.client` reads it without end."""
-        for _ in range(_MAX_TRAILER_LINES):
+        for _ in range(MAX_TRAILER_LINES):
             if not self._read_framing_line().strip():
                 return
         raise HTTPException('trailer section too long')
 
     def _read_framing_line(self) -> bytes:
-        line = self.fp.readline(_MAX_LINE_BYTES)
+        line = self.fp.readline(MAX_LINE_BYTES)
         if line.endswith(b'\n'):
             return line
-        if len(line) == _MAX_LINE_BYTES:
+        if len(line) == MAX_LINE_BYTES:
             raise HTTPException('chunk size or trailer field too long')
         raise IncompleteRead(line)
 
--- a/sesameroute/adapters/_request_body.py
+++ b/sesameroute/adapters/_request_body.py
@@ -1,15 +1,16 @@
 """Bodies of callers' requests, read in parts of bounded size."""
 
-import re
 import time
 from typing import Any, Protocol
 
+from sesameroute.adapters._chunk_framing import (
+    MAX_LINE_BYTES,
+    MAX_TRAILER_LINES,
+    parse_chunk_size,
+)
+
 __all__ = ['RequestBody', 'build_body', 'discard_rest']
 
-_MAX_LINE_BYTES = 8192  # of a chunk size or a trailer field
-_MAX_TRAILER_LINES = 100
-_HEXADECIMAL = 16
-_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n')
 _LINE_END = b'\r\n'
 _DISCARD_BYTES = 65_536
 _MIN_WAIT_SECONDS = 0.001
@@ -83,10 +84,7 @@
         return content
 
     def _begin_chunk(self) -> None:
-        matched = _CHUNK_SIZE.fullmatch(self._read_line())
-        if matched is None:
-            raise ValueError('invalid chunk size')
-        self._missing = int(matched.group(1), _HEXADECIMAL)
+        self._missing = parse_chunk_size(self._read_line())
         self._size += self._missing
         if self.max_bytes and self._size > self.max_bytes:
             raise ValueError(f'body longer than {self.max_bytes} bytes')
@@ -95,7 +93,7 @@
             self._has_ended = True
 
     def _discard_trailer(self) -> None:
-        for _ in range(_MAX_TRAILER_LINES):
+        for _ in range(MAX_TRAILER_LINES):
             line = self._read_line()
             if line == _LINE_END:
                 return
@@ -104,7 +102,7 @@
         raise ValueError('trailer section too long')
 
     def _read_line(self) -> bytes:
-        line = self.source.readline(_MAX_LINE_BYTES)
+        line = self.source.readline(MAX_LINE_BYTES)
         if not line.endswith(b'\n'):
             raise ValueError('incomplete chunk size or trailer field')
         return line
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -190,14 +190,20 @@
             return False
         identifier = find_header(head, 'sesameroute-attempt-id')
         start = self.start.replace('{0}', identifier)
-        connection.sendall(start.encode('latin-1'))
+        try:
+            connection.sendall(start.encode('latin-1'))
+            self._go_on(connection)
+        except ConnectionError:
+            self.closed.set()
+        return False
+
+    def _go_on(self, connection):
         connection.settimeout(5)
         if not connection.recv(1):
             self.closed.set()
-        return False
 
 
-class EndlessServer(ScriptedServer):
+class EndlessServer(PausingServer):
     """Sends the start of an answer, then a part of it again and again.
 
     Parameters
@@ -211,28 +217,15 @@
 
     def __init__(self, start, part, pause_seconds):
         """Listen on a free port."""
-        self.start = start
-        self.part = part
+        self.part = part.encode('latin-1')
         self.pause_seconds = pause_seconds
-        super().__init__()
+        super().__init__(start)
 
-    def _answer(self, connection):
-        head = self._read_head(connection)
-        if head is None:
-            return False
-        identifier = find_header(head, 'sesameroute-attempt-id')
-        start = self.start.replace('{0}', identifier)
-        part = self.part.encode('latin-1')
-        if not self.pause_seconds:
-            part *= 65536 // len(part)
-        try:
-            connection.sendall(start.encode('latin-1'))
-            while True:
-                connection.sendall(part)
-                time.sleep(self.pause_seconds)
-        except OSError:
-            self.closed.set()
-        return False
+    def _go_on(self, connection):
+        repeats = 1 if self.pause_seconds else 65_536 // len(self.part)
+        while not self.closed.is_set():
+            connection.sendall(self.part * repeats)
+            time.sleep(self.pause_seconds)
 
 
 def read_request(connection):
