Export how busy the server for callers is

Nothing told an overloaded server for callers from one that had ended on its own or one that nobody asked: the metrics had the requests that were read only.

New gauges: whether it takes connections, how many it has taken, how many wait for a thread and for how long, and how many threads are busy.

--- a/sesameroute/adapters/__init__.py
+++ b/sesameroute/adapters/__init__.py
@@ -12,7 +12,7 @@
         '_entry_http': ['EntryApplication'],
         '_caller_disconnect': ['has_disconnected', 'wait_for_first_byte'],
         '_exchange': ['send_request', 'strip_headers'],
-        '_front_server': ['FrontHandler', 'FrontServer'],
+        '_front_server': ['FrontHandler', 'FrontLoad', 'FrontServer'],
         '_limited_reader': ['ReadLimit'],
         '_http_pool': ['WireConnection', 'build_pool'],
         '_http_server': ['HttpServer', 'ServerLimits'],
--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -35,7 +35,7 @@
 from sesameroute.adapters._running import RunningRequests
 from sesameroute.ports import Answer, SystemClock
 
-__all__ = ['FrontHandler', 'FrontServer']
+__all__ = ['FrontHandler', 'FrontLoad', 'FrontServer']
 
 # Longest time for the rest of a body after its request has been answered.
 _DISCARD_SECONDS = 5.0
@@ -73,6 +73,32 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class FrontLoad:
+    """How busy a server is.
+
+    Attributes
+    ----------
+    is_accepting : bool
+        Whether it takes new connections.
+    accepted : int
+        Connections that it has taken since its start.
+    waiting : int
+        Connections that wait for a thread.
+    oldest_seconds : float
+        How long the oldest of them has waited.
+    busy : int
+        Threads that serve a request.
+
+    """
+
+    is_accepting: bool
+    accepted: int
+    waiting: int
+    oldest_seconds: float
+    busy: int
+
+
 class _HeaderLines:
     """Reads the lines of a head; refuses a second Content-Length."""
 
@@ -116,6 +142,7 @@
 
     RequestHandlerClass = _Request  # noqa: WPS115 - cheroot's name
     must_reset = False
+    queued_at: float = 0
 
     def communicate(self) -> bool:
         """Serve one request; return whether the connection stays open."""
@@ -178,10 +205,23 @@
     ----------
     answers_until : float
         Monotonic time in seconds until which they may answer.
+    accepted : int
+        Connections that the server has taken since its start.
 
     """
 
     answers_until: float = 0
+    accepted: int = 0
+
+    def count_busy(self) -> int:
+        """Return the number of threads that serve a request."""
+        return sum(each.conn is not None for each in self._threads)
+
+    def read_oldest_seconds(self) -> float:
+        """Return how long the oldest waiting connection has waited."""
+        now = time.monotonic()
+        waiting = tuple(self._queue.queue)[:1]
+        return sum(now - getattr(each, 'queued_at', now) for each in waiting)
 
     def stop(self, timeout: float = _STOP_SECONDS) -> None:
         """Wait for the answers in progress, then stop the threads.
@@ -221,6 +261,8 @@
     def process_conn(self, conn: HTTPConnection) -> None:
         """Count the request on a connection, and queue it for a thread."""
         self.front.running.begin()
+        conn.queued_at = time.monotonic()
+        self.requests.accepted += conn.last_used is None
         super().process_conn(conn)
 
     def error_log(
@@ -352,6 +394,17 @@
         self._server.header_seconds = header_seconds
         self._server.timeout = idle_seconds + _IDLE_MARGIN_SECONDS
 
+    def read_load(self) -> FrontLoad:
+        """Return how busy the server is."""
+        pool = self._server.requests
+        return FrontLoad(
+            self._server.ready and not self._server.interrupt,
+            pool.accepted,
+            pool.qsize,
+            pool.read_oldest_seconds(),
+            pool.count_busy(),
+        )
+
     def _grow_pool(self) -> None:
         """Add worker threads when few are idle.
 
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -3,11 +3,11 @@
 import logging
 import resource
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import Any
 
-from sesameroute.adapters import FrontServer
+from sesameroute.adapters import FrontLoad, FrontServer
 from sesameroute.forward import RequestRecord
 from sesameroute.mirror import Mirror
 from sesameroute.node._address import parse_address
@@ -46,6 +46,11 @@
     quarantine : Quarantine
         Counts requests that crash backend servers.
 
+    Attributes
+    ----------
+    read_load_ : callable
+        Returns how busy the server for callers is; None without one.
+
     """
 
     def __init__(
@@ -63,6 +68,7 @@
         self.mirror = mirror
         self.quarantine = quarantine
         self.meter_ = Meter()
+        self.read_load_: Callable[[], FrontLoad | None] = _read_no_load
         self._leaving: set[tuple[str, str]] = set()
 
     def __call__(self, _request: Any) -> Answer:
@@ -148,6 +154,7 @@
 
     def _list_gauges(self) -> Iterator[tuple[Metric, float]]:
         yield from self._list_configuration_gauges()
+        yield from _list_front_gauges(self.read_load_())
         yield Metric.PEERS, len(self.allocator.peers.list_connected())
         yield Metric.BACKENDS, len(self.registry)
         yield Metric.STORE_ERA, self.mirror.era_
@@ -155,9 +162,7 @@
         suspected, quarantined = self.quarantine.count_suspects()
         yield Metric.SUSPECTED_REQUESTS, suspected
         yield Metric.QUARANTINED_REQUESTS, quarantined
-        yield Metric.THREADS, threading.active_count()
-        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        yield Metric.MEMORY_BYTES, peak * _BYTES_PER_KIBIBYTE
+        yield from _list_process_gauges()
 
     def _list_configuration_gauges(self) -> Iterator[tuple[Metric, float]]:
         current_configuration = self.active_configuration.configuration
@@ -206,3 +211,24 @@
     if record.status >= HTTPStatus.BAD_REQUEST:
         return str(record.status)
     return _LATE if record.is_late else _ON_TIME
+
+
+def _list_front_gauges(
+    load: FrontLoad | None,
+) -> Iterator[tuple[Metric, float]]:
+    if load is not None:
+        yield Metric.FRONT_IS_ACCEPTING, int(load.is_accepting)
+        yield Metric.FRONT_ACCEPTED, load.accepted
+        yield Metric.FRONT_WAITING, load.waiting
+        yield Metric.FRONT_OLDEST_SECONDS, load.oldest_seconds
+        yield Metric.FRONT_BUSY, load.busy
+
+
+def _list_process_gauges() -> Iterator[tuple[Metric, float]]:
+    yield Metric.THREADS, threading.active_count()
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    yield Metric.MEMORY_BYTES, peak * _BYTES_PER_KIBIBYTE
+
+
+def _read_no_load() -> None:
+    """Return None; the default of `NodeMeter.read_load_`."""
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -194,6 +194,7 @@
             self._store.mirror,
             self._node_servers.quarantine,
         )
+        meter.read_load_ = self._servers[0].read_load
         self._node_servers.forwarder.observer_ = meter.observe
         self._node_servers.forwarder.refusals_.observer_ = (
             lambda status, reason: meter.count(
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -164,6 +164,31 @@
         'sesame_quarantined_requests',
         'Requests that are refused because they crash backend servers.',
     )
+    FRONT_IS_ACCEPTING = _MetricSpecification(
+        Gauge,
+        'sesame_front_is_accepting',
+        'Whether the server for callers takes new connections.',
+    )
+    FRONT_ACCEPTED = _MetricSpecification(
+        Gauge,
+        'sesame_front_connections_accepted',
+        'Connections of callers that were taken since the start.',
+    )
+    FRONT_WAITING = _MetricSpecification(
+        Gauge,
+        'sesame_front_connections_waiting',
+        'Connections of callers that wait for a thread.',
+    )
+    FRONT_OLDEST_SECONDS = _MetricSpecification(
+        Gauge,
+        'sesame_front_oldest_waiting_seconds',
+        'Age of the connection that has waited longest for a thread.',
+    )
+    FRONT_BUSY = _MetricSpecification(
+        Gauge,
+        'sesame_front_threads_busy',
+        'Threads that serve requests of callers.',
+    )
     THREADS = _MetricSpecification(
         Gauge,
         'sesame_threads',
