Let an event loop own the callers' connections, and bound their wait

What callers saw: under 1,500 new connections a second, half of a core, a node that said it was ready answered nobody for 8.6 s; 600 callers that sent nothing kept all others waiting for more than 2 s; one error at the end of one connection ended the server for callers for good.

Cause: every accepted connection was queued, without a bound, for one of up to 512 threads before a byte of it had come, so that under load threads worked for callers that had left; silent callers held a thread each; the pool grew in steps of 0.1 s; and cheroot stops its whole server on an error of a worker's last step, while the thread that added workers ended with the first one it couldn't start.

Now a loop accepts without waiting and reads heads; a thread is taken once a head is whole. Requests wait at most 0.25 s for one, 0.1 s and newest first once the queue has stood for that long (CoDel's rule); what waits longer gets a 503 with Retry-After before it is read, and callers that have left get nothing. The number of requests served at once falls while threads start late, and rises again. An error of one connection ends that connection. Without free descriptors the oldest silent connections are closed and accepting pauses for 0.1 s.

cheroot is left as the parser. A silent new connection is closed instead of answered 408; half a head still gets 408.

--- /dev/null
+++ b/sesameroute/adapters/_connection_loop.py
@@ -0,0 +1,125 @@
+"""Event loop that owns the callers' connections while no request runs."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from sesameroute.adapters._acceptor import Acceptor, ExhaustedError
+from sesameroute.adapters._caller_connection import CallerConnection
+from sesameroute.adapters._idle_callers import IdleCallers
+from sesameroute.adapters._request_queue import RequestQueue
+from sesameroute.telemetry import survive
+
+__all__ = ['ConnectionLoop']
+
+_TURN_SECONDS = 0.25
+_BUSY_TURN_SECONDS = 0.02  # while requests wait for a thread
+_EXPIRY_SECONDS = 0.25  # interval of checks for silent connections
+_ERROR_PAUSE_SECONDS = 0.05
+_STOP_SECONDS = 1.0
+
+
+class ConnectionLoop:
+    """Accepts connections, and hands over those with a request to serve.
+
+    A connection costs a thread only while a request whose head has come
+    whole is served.
+
+    Parameters
+    ----------
+    idle : IdleCallers
+        The connections.
+    queue : RequestQueue
+        Those with a request that waits for a thread.
+    refuse : callable
+        Answers a connection that has waited for too long.
+
+    Attributes
+    ----------
+    acceptor : Acceptor
+        Accepts the connections.
+    turned_at_ : float
+        Monotonic time in seconds of the last turn of the loop.
+
+    """
+
+    def __init__(
+        self,
+        idle: IdleCallers,
+        queue: RequestQueue,
+        refuse: Callable[[CallerConnection], None],
+    ) -> None:
+        """Store the parameters."""
+        self.idle = idle
+        self.queue = queue
+        self.refuse = refuse
+        self.acceptor = Acceptor(idle.watched)
+        self.turned_at_: float = 0
+        self._expires_at: float = 0
+        self._is_closed = threading.Event()
+
+    def start(self, address: tuple[str, int]) -> threading.Thread:
+        """Listen; raise OSError when the address is taken."""
+        self.acceptor.start(address)
+        self.turned_at_ = time.monotonic()
+        thread = threading.Thread(
+            target=self._run, name=f'front-{address[1]}', daemon=True
+        )
+        thread.start()
+        return thread
+
+    def stop_accepting(self) -> None:
+        """Take the connections that wait already, then refuse new ones."""
+        is_more = True
+        while is_more:
+            is_more = self._accept(time.monotonic())
+        self.acceptor.stop()
+
+    def stop(self, thread: threading.Thread) -> None:
+        """End the loop's thread and close all connections."""
+        self.acceptor.stop()
+        self._is_closed.set()
+        self.idle.watched.wake()
+        thread.join(_STOP_SECONDS)
+        self.idle.close_all()
+        self.idle.watched.close()
+
+    def _run(self) -> None:
+        while not self._is_closed.is_set():
+            with survive('connections of callers'):
+                self._turn()
+                continue
+            self._is_closed.wait(_ERROR_PAUSE_SECONDS)
+
+    def _turn(self) -> None:
+        pause = _BUSY_TURN_SECONDS if self.queue else _TURN_SECONDS
+        ready = self.idle.watched.select(pause)
+        now = time.monotonic()
+        self.turned_at_ = now
+        for caller in ready:
+            with survive('connection of a caller'):
+                self._handle(caller, now)
+        for expired in self.queue.pop_expired():
+            with survive('refusal of a caller'):
+                self.refuse(expired)
+        if now >= self._expires_at or self.idle.is_stopping.is_set():
+            self._expires_at = now + _EXPIRY_SECONDS
+            self.acceptor.resume(now)
+            self.idle.expire(now)
+
+    def _handle(self, caller: CallerConnection | None, now: float) -> None:
+        """Handle a readable connection, or the listening socket."""
+        if caller is None:
+            self._accept(now)
+        else:
+            self.idle.read(caller, now)
+
+    def _accept(self, now: float) -> bool:
+        """Accept connections; return whether there were any."""
+        accepted = self.acceptor.accepted_
+        try:
+            for caller in self.acceptor.accept(now):
+                self.idle.add(caller)
+        except ExhaustedError:
+            self.idle.close_oldest()
+        return self.acceptor.accepted_ > accepted
--- /dev/null
+++ b/sesameroute/adapters/_request_queue.py
@@ -0,0 +1,99 @@
+"""Requests that wait for a thread, and those that are served."""
+
+import threading
+import time
+
+from sesameroute.adapters._caller_connection import CallerConnection
+from sesameroute.limits import AdmissionQueue, ConcurrencyLimit
+
+__all__ = ['RequestQueue']
+
+
+class RequestQueue:
+    """Gives threads their next request, as many as bring the most.
+
+    Parameters
+    ----------
+    limit : ConcurrencyLimit
+        Number of requests that are served at the same time.
+
+    Attributes
+    ----------
+    serving_ : set of CallerConnection
+        Connections whose requests are served.
+    idle_ : int
+        Threads that wait for a request.
+
+    """
+
+    def __init__(self, limit: ConcurrencyLimit) -> None:
+        """Start empty."""
+        self.limit = limit
+        self.serving_: set[CallerConnection] = set()
+        self.idle_ = 0
+        self._changed = threading.Condition()
+        self._waiting: AdmissionQueue[CallerConnection] = AdmissionQueue()
+        self._is_stopping = False
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting)
+
+    def submit(self, caller: CallerConnection) -> None:
+        """Let a connection wait for a thread."""
+        now = time.monotonic()
+        with self._changed:
+            may_start = self._may_start()
+            caller.queued_at = now
+            caller.could_start = may_start and len(self) < self.idle_
+            self._waiting.push(caller, now)
+            if may_start:
+                self._changed.notify()
+
+    def take(self) -> tuple[CallerConnection | None, list[CallerConnection]]:
+        """Wait for a request; return it, and those that have expired.
+
+        The first is None if all have expired, or the queue has stopped.
+        """
+        with self._changed:
+            self.idle_ += 1
+            self._changed.wait_for(self._has_turn)
+            self.idle_ -= 1
+            now = time.monotonic()
+            expired = list(self._waiting.pop_expired(now))
+            return (self._begin(now) if self._waiting else None), expired
+
+    def pop_expired(self) -> list[CallerConnection]:
+        """Remove and return the connections that have waited for too long."""
+        with self._changed:
+            return list(self._waiting.pop_expired(time.monotonic()))
+
+    def read_oldest_seconds(self) -> float:
+        """Return how long the first request has waited."""
+        with self._changed:
+            return self._waiting.read_oldest_seconds(time.monotonic())
+
+    def has_stopped(self) -> bool:
+        """Whether no request waits and none will be taken."""
+        return self._is_stopping and not self._waiting
+
+    def stop(self) -> None:
+        """Let the waiting threads end."""
+        with self._changed:
+            self._is_stopping = True
+            self._changed.notify_all()
+
+    def _has_turn(self) -> bool:
+        return self._is_stopping or (bool(self._waiting) and self._may_start())
+
+    def _may_start(self) -> bool:
+        return len(self.serving_) < self.limit.limit_
+
+    def _begin(self, now: float) -> CallerConnection:
+        caller = self._waiting.pop(now)
+        self.serving_.add(caller)
+        if caller.could_start:
+            # Only threads that are ready to run have delayed it.
+            delay = now - caller.queued_at
+            self.limit.observe(delay, len(self.serving_), now)
+        return caller
--- a/sesameroute/adapters/_running.py
+++ b/sesameroute/adapters/_running.py
@@ -1,8 +1,6 @@
 """Counter of the requests that a server has not finished answering."""
 
 import threading
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 from sesameroute.ports import Clock
 
@@ -39,13 +37,9 @@
         """Count one more request as in progress."""
         self._change(1)
 
-    @contextmanager
-    def ending(self) -> Iterator[None]:
-        """Count one request less when the block ends."""
-        try:
-            yield
-        finally:
-            self._change(-1)
+    def end(self) -> None:
+        """Count one request less."""
+        self._change(-1)
 
     def _change(self, change: int) -> None:
         with self._lock:
--- a/sesameroute/limits/__init__.py
+++ b/sesameroute/limits/__init__.py
@@ -9,7 +9,9 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
+        '_admission_queue': ['AdmissionQueue', 'QueueBounds'],
         '_budget': ['Budget'],
+        '_concurrency': ['ConcurrencyBounds', 'ConcurrencyLimit'],
         '_ledger': [
             'CLOCK_DRIFT_RATIO',
             'DEMAND_LEASE_SECONDS',
--- a/sesameroute/node/tests/press.py
+++ b/sesameroute/node/tests/press.py
@@ -22,6 +22,7 @@
 _PROBE_PAUSE_SECONDS = 0.2
 _PROBE_SECONDS = 2.0  # longest wait of a probe for its answer
 _TURN_SECONDS = 0.002
+_END_SECONDS = 30  # for the process of the press to start and end
 _READ_BYTES = 65_536
 _HEAD = (
     'GET /a/{0} HTTP/1.1\r\nHost: h\r\nSesameroute-Attempt-Id: {0}\r\n'
@@ -114,7 +115,7 @@
     )
     process.start()
     try:
-        yield results.get
+        yield lambda: results.get(timeout=seconds + _END_SECONDS)
     finally:
         process.kill()
         process.join()
@@ -158,7 +159,7 @@
 def ask(address):
     """Return the status of an answer on a new connection; 0 without one."""
     connection = HTTPConnection(*address, timeout=_PROBE_SECONDS)
-    headers = {'Host': 'h', 'Sesameroute-Deadline-Ms': '2000'}
+    headers = {'Host': 'h', 'Sesameroute-Deadline-Ms': '1000'}
     with contextlib.closing(connection):
         try:
             connection.request('GET', '/a/probe', headers=headers)
--- a/sesameroute/node/tests/test_refusals.py
+++ b/sesameroute/node/tests/test_refusals.py
@@ -58,9 +58,8 @@
     assert wait_for(lambda: send(1)[0] == 200)
     limits = node.active_configuration.configuration.limits
     assert limits.header_bytes < _MARGIN_BYTES
-    assert wait_for(
-        lambda: node._node_servers._front._server.header_seconds < 2
-    )
+    front = node._node_servers.servers[0]
+    assert wait_for(lambda: front._idle.limits.header_seconds < 2)
     with socket.create_connection(
         (f'{NETWORK_PREFIX}.1', FRONT_PORT), 5
     ) as caller:
