Lower the limit on concurrency sooner when threads start late

The event loop and the threads share one interpreter: with many ready threads each turn of the loop comes late, and callers leave before they are accepted. The limit now halves when the shortest of at least four delays in 0.1 s is above 10 ms, down to 8, and rises by 8.

--- a/sesameroute/adapters/_worker_pool.py
+++ b/sesameroute/adapters/_worker_pool.py
@@ -54,9 +54,7 @@
         self.refuse = refuse
         self.threads = threads
         self.queue = RequestQueue(
-            ConcurrencyLimit(
-                ConcurrencyBounds(lowest=threads, highest=_MAX_THREADS)
-            )
+            ConcurrencyLimit(ConcurrencyBounds(highest=_MAX_THREADS))
         )
         self._spare = min(_SPARE_THREADS, threads - 1)
         self._workers: set[threading.Thread] = set()
--- a/sesameroute/limits/_concurrency.py
+++ b/sesameroute/limits/_concurrency.py
@@ -20,7 +20,9 @@
     delay_seconds : float
         A start later than this tells of too many ready threads.
     interval_seconds : float
-        Time between two changes of the limit.
+        Shortest time between two changes of the limit.
+    samples : int
+        Fewest delays by which it is changed.
     decrease : float
         Factor by which the limit falls.
     increase : int
@@ -30,10 +32,11 @@
 
     lowest: int = 8
     highest: int = 512
-    delay_seconds: float = 0.02
+    delay_seconds: float = 0.01
     interval_seconds: float = 0.1
-    decrease: float = 0.7
-    increase: int = 16
+    samples: int = 4
+    decrease: float = 0.5
+    increase: int = 8
 
 
 class ConcurrencyLimit:
@@ -55,10 +58,10 @@
 
     Examples
     --------
-    >>> limit = ConcurrencyLimit(ConcurrencyBounds(highest=100))
+    >>> limit = ConcurrencyLimit(ConcurrencyBounds(highest=100, samples=1))
     >>> limit.observe(0.5, busy=60, now=1.0)
     >>> limit.limit_
-    42
+    30
 
     """
 
@@ -66,7 +69,7 @@
         """Start at the highest limit."""
         self.bounds = bounds
         self.limit_ = bounds.highest
-        self._least = float('inf')  # shortest delay of the interval
+        self._delays: list[float] = []  # since the last change
         self._changed_at: float = 0
 
     def observe(self, delay: float, busy: int, now: float) -> None:
@@ -74,14 +77,15 @@
 
         As in CoDel, the shortest delay of an interval decides.
         """
-        self._least = min(self._least, delay)
-        if now - self._changed_at < self.bounds.interval_seconds:
+        self._delays.append(delay)
+        is_early = now - self._changed_at < self.bounds.interval_seconds
+        if is_early or len(self._delays) < self.bounds.samples:
             return
-        if self._least > self.bounds.delay_seconds:
+        if min(self._delays) > self.bounds.delay_seconds:
             lowered = int(min(busy, self.limit_) * self.bounds.decrease)
             self.limit_ = max(lowered, self.bounds.lowest)
         else:
             raised = self.limit_ + self.bounds.increase
             self.limit_ = min(raised, self.bounds.highest)
-        self._least = float('inf')
+        self._delays.clear()
         self._changed_at = now
