Say ready only while the server for callers answers

What callers saw: a node whose server for callers had ended, or was not answering, passed the readiness check and stayed in every directory.

Cause: ready meant that the configuration had caught up, nothing more.

A node now observes that callers are answered: each answer or refusal counts, and where none was given for a second it asks itself on a connection of its own (OPTIONS *). After 2 s without an answer the readiness check says 503, peers are told at once, and their directories leave the node out. If fewer than half of the ready nodes answer, the directories name all of them: the check is likelier to be at fault than most of the fleet (the panic threshold of load balancers, 50%).

The time of a request now begins when its head has come, not when a thread reads it, so that a wait at the border counts against its deadline.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -99,6 +99,8 @@
     ----------
     running_ : RunningRequests
         Counts the requests whose answers are not completely sent.
+    answered_at_ : float
+        Monotonic time in seconds of the last answer or refusal.
 
     """
 
@@ -124,6 +126,7 @@
             lambda: report_refusal('408 Request Timeout', on_refusal),
         )
         self._loop = ConnectionLoop(self._idle, self._pool.queue, self._refuse)
+        self.answered_at_: float = 0
         self._thread: threading.Thread | None = None
 
     def start(self) -> None:
@@ -210,6 +213,7 @@
             caller.http = ParsedConnection(
                 self._parser, caller.socket, build_reader
             )
+        caller.http.came_at = caller.queued_at
         caller.pass_buffer()
         caller.socket.settimeout(self._idle.limits.header_seconds)
         is_kept = False
@@ -223,6 +227,7 @@
 
     def _end_request(self, caller: CallerConnection, *, is_kept: bool) -> None:
         caller.settle(self.running_)
+        self.answered_at_ = time.monotonic()
         if is_kept:
             return
         try:
@@ -236,4 +241,5 @@
         status = HTTPStatus.SERVICE_UNAVAILABLE
         self._parser.front.on_refusal(status, 'overloaded')
         seconds = random.uniform(*_RETRY_AFTER_BOUNDS)
+        self.answered_at_ = time.monotonic()
         self._idle.answer_last(caller, _REFUSAL.format(seconds).encode())
--- a/sesameroute/adapters/_request_parser.py
+++ b/sesameroute/adapters/_request_parser.py
@@ -37,6 +37,7 @@
 _LENGTH_NAME = b'content-length'
 # Part of cheroot's message when a header block is too long.
 _HEADER_LIMIT_TEXT = 'headers sent'
+_SERVER_WIDE = b'*'  # target of an OPTIONS request about the server itself
 _NO_LINGER = struct.pack('ii', 1, 0)  # SO_LINGER on, for no time: reset
 
 _logger = logging.getLogger(__name__)
@@ -95,6 +96,7 @@
 
     RequestHandlerClass = _Request  # noqa: WPS115 - cheroot's name
     must_reset = False
+    came_at: float = 0  # monotonic time of the head of its request, in s
 
     def close(self) -> None:
         """Close the connection; the caller gets an error if it is reset."""
@@ -126,9 +128,10 @@
         if request.server.front.is_leaving():
             request.close_connection = True
         if _has_ambiguous_length(request):
-            request.close_connection = True
-            request.simple_response('400 Bad Request')
-            request.sent_headers = True
+            _answer_shortly(request, '400 Bad Request')
+            return
+        if request.uri == _SERVER_WIDE:
+            _answer_shortly(request, '200 OK')
             return
         request.rfile = build_body(request)
         request.conn.socket.settimeout(request.server.timeout)
@@ -163,6 +166,12 @@
         _logger.log(level, 'connection error', extra={'why': msg})
 
 
+def _answer_shortly(request: Any, status: str) -> None:
+    request.close_connection = True
+    request.simple_response(status)
+    request.sent_headers = True
+
+
 def _has_ambiguous_length(request: Any) -> bool:
     length = request.inheaders.get(b'Content-Length')
     if length is None:
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -13,6 +13,9 @@
 _STATE_MAX_AGE_SECONDS = 3.5
 # One state message in this many lists all known nodes, also without a change.
 _COMPLETE_STATE_INTERVAL = 5
+# If fewer of the ready nodes than this answer callers, all count as answering:
+# their checks are likelier to fail than so many servers (panic threshold).
+_PANIC_FRACTION = 0.5
 # A lost node is no longer dialled after this time.
 _MAX_REDIAL_SECONDS = 15.0
 
@@ -50,6 +53,8 @@
         then for its state.
     is_answer : bool or None
         Whether this is such an answer; None for builds that give none.
+    answers_callers : bool
+        Whether its server for callers has answered lately.
 
     """
 
@@ -66,6 +71,7 @@
     first_era: int | None = None
     wants_answer: bool = False
     is_answer: bool | None = None
+    answers_callers: bool = True
 
 
 @dataclass(slots=True)
@@ -238,7 +244,7 @@
         none. A node that is leaving may miss the ones that have replaced
         others meanwhile, so that it names no other region.
         """
-        ready = [state for state in self.list_live() if state.is_ready]
+        ready = self._list_answering()
         near = [state for state in ready if state.region == region]
         if near or self.own_state.is_leaving:
             return [state.front for state in near]
@@ -248,6 +254,12 @@
         """Return the number of nodes, live or not yet forgotten."""
         return max(len(self._addresses) + 1, 1)
 
+    def _list_answering(self) -> list[NodeState]:
+        ready = [state for state in self.list_live() if state.is_ready]
+        answering = [state for state in ready if state.answers_callers]
+        is_panic = len(answering) < _PANIC_FRACTION * len(ready)
+        return ready if is_panic else answering
+
 
 def _build_rank_key(topic: str) -> Callable[[str], int]:
     """Return a sort key: the address with the lowest hash comes first."""
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -70,7 +70,7 @@
             headers,
             _BodyReader(request).read,
             _find_length(request),
-            self.clock.read_monotonic(),
+            request.conn.came_at,
             request.conn.socket,
         )
 
@@ -90,11 +90,12 @@
         self.fleet = fleet
 
     def __call__(self, request: Any) -> Answer:
-        """Return 200 if this node accepts callers, else 503."""
+        """Return 200 if this node accepts and answers callers, else 503."""
         if request.path.decode(_HEADER_ENCODING) != READY_PATH:
             return Answer(HTTPStatus.NOT_FOUND, (), iter(()), 0)
         status = HTTPStatus.SERVICE_UNAVAILABLE
-        if self.fleet.own_state.is_ready:
+        state = self.fleet.own_state
+        if state.is_ready and state.answers_callers:
             status = HTTPStatus.OK
         return Answer(status, (), iter(()), 0)
 
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -251,6 +251,7 @@
             is_ready=is_ready and not is_leaving,
             is_leaving=is_leaving,
             reaches_servers=not self.allocator.reachability.is_cut_off_,
+            answers_callers=self._node_servers.front_check.is_answering_,
         ):
             self._broadcast_state()
 
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -21,6 +21,7 @@
     ForwardHandler,
     ReadyHandler,
 )
+from sesameroute.node._front_check import FrontCheck
 from sesameroute.node._relay_handler import RelayHandler
 from sesameroute.node._relay_peers import RelayPeers
 from sesameroute.node._settings import NodeSettings
@@ -73,6 +74,8 @@
         The planned stop, once it has begun.
     directory : DirectoryHandler
         Names the ready nodes to callers.
+    front_check : FrontCheck
+        Observes whether callers are answered.
 
     """
 
@@ -111,10 +114,7 @@
             TcpWire(), settings.node.address, self.clock
         )
         self._connection_pools = (connections, relay_connections)
-        self.prober = Prober(
-            allocator.reachability, connections, allocator.pools.list_backends
-        )
-        self.end_detector = EndDetector(
+        end_detector = EndDetector(
             connections, registry.find, self.quarantine.evidence.observe_end
         )
         self.forwarder = Forwarder(
@@ -126,7 +126,7 @@
                 self._retries,
                 self.quarantine,
                 registry.announcements,
-                self.end_detector,
+                end_detector,
                 self.clock,
                 self.shutdown,
             ),
@@ -139,6 +139,16 @@
             self.shutdown.has_begun,
             on_refusal=self.forwarder.refusals_.record,
         )
+        self.front_check = FrontCheck(self._front)
+        self._checks = (
+            Prober(
+                allocator.reachability,
+                connections,
+                allocator.pools.list_backends,
+            ),
+            end_detector,
+            self.front_check,
+        )
         ready = FrontServer(
             parse_address(settings.listen.ready),
             ReadyHandler(fleet),
@@ -157,13 +167,13 @@
 
     def start_checks(self) -> None:
         """Start the checks of backend servers and of the links to them."""
-        self.prober.start()
-        self.end_detector.start()
+        for check in self._checks:
+            check.start()
 
     def stop_checks(self) -> None:
         """Stop all checks."""
-        self.prober.stop()
-        self.end_detector.stop()
+        for check in self._checks:
+            check.stop()
 
     def apply_settings(self, settings: NodeSettings) -> None:
         """Apply changed retry and TTL bounds."""
