Notice loops that stall, and end the process for one that has ended

What callers saw: nothing told that a loop on which a node depends had stopped taking turns; the process went on without it for good.

The main thread now checks the loops of the servers, of the pools and of the heartbeat each second.

The watch on the store, the peers and the checks of servers are not covered.

--- a/sesameroute/adapters/_connection_loop.py
+++ b/sesameroute/adapters/_connection_loop.py
@@ -10,9 +10,9 @@
 from sesameroute.adapters._request_queue import RequestQueue
 from sesameroute.telemetry import survive
 
-__all__ = ['ConnectionLoop']
+__all__ = ['TURN_SECONDS', 'ConnectionLoop']
 
-_TURN_SECONDS = 0.25
+TURN_SECONDS = 0.25  # longest pause between two turns
 _BUSY_TURN_SECONDS = 0.02  # while requests wait for a thread
 _EXPIRY_SECONDS = 0.25  # interval of checks for silent connections
 _ERROR_PAUSE_SECONDS = 0.05
@@ -58,13 +58,11 @@
         self._expires_at: float = 0
         self._is_closed = threading.Event()
 
-    def start(self, address: tuple[str, int]) -> threading.Thread:
+    def start(self, address: tuple[str, int], name: str) -> threading.Thread:
         """Listen; raise OSError when the address is taken."""
         self.acceptor.start(address)
         self.turned_at_ = time.monotonic()
-        thread = threading.Thread(
-            target=self._run, name=f'front-{address[1]}', daemon=True
-        )
+        thread = threading.Thread(target=self._run, name=name, daemon=True)
         thread.start()
         return thread
 
@@ -92,7 +90,7 @@
             self._is_closed.wait(_ERROR_PAUSE_SECONDS)
 
     def _turn(self) -> None:
-        pause = _BUSY_TURN_SECONDS if self.queue else _TURN_SECONDS
+        pause = _BUSY_TURN_SECONDS if self.queue else TURN_SECONDS
         ready = self.idle.watched.select(pause)
         now = time.monotonic()
         self.turned_at_ = now
--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -12,7 +12,10 @@
     CallerConnection,
     build_reader,
 )
-from sesameroute.adapters._connection_loop import ConnectionLoop
+from sesameroute.adapters._connection_loop import (
+    TURN_SECONDS,
+    ConnectionLoop,
+)
 from sesameroute.adapters._idle_callers import IdleCallers
 from sesameroute.adapters._refusal_reasons import (
     RefusalObserver,
@@ -114,6 +117,7 @@
     ) -> None:
         """Store the parameters."""
         self.address = address
+        self.name = f'front-{address[1]}'
         self.running_ = RunningRequests(SystemClock())
         self._parser = RequestParser(
             address, FrontContext(handler, is_leaving, on_refusal)
@@ -131,7 +135,7 @@
 
     def start(self) -> None:
         """Listen; raise OSError when the address is taken."""
-        self._thread = self._loop.start(self.address)
+        self._thread = self._loop.start(self.address, self.name)
         self._pool.start()
 
     def stop(self, answers_until: float = 0) -> None:
@@ -187,6 +191,10 @@
         self._parser.max_request_body_size = body_bytes
         self._parser.timeout = limits.idle_seconds
 
+    def read_turn(self) -> float:
+        """Return until when the loop's last turn and pause may last."""
+        return self._loop.turned_at_ + TURN_SECONDS
+
     def read_load(self) -> FrontLoad:
         """Return how busy the server is."""
         acceptor = self._loop.acceptor
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -18,7 +18,7 @@
 from sesameroute.ports import PeerIdentity, SystemClock, TcpWire, Wire
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
-from sesameroute.telemetry import Metric, survive
+from sesameroute.telemetry import LoopWatch, Metric, survive
 
 __all__ = ['FleetNode']
 
@@ -43,6 +43,11 @@
     server_wire : Wire, optional
         Opens the connections to backend servers.
 
+    Attributes
+    ----------
+    loops : LoopWatch
+        Tells which of the loops have ended.
+
     """
 
     def __init__(
@@ -122,6 +127,18 @@
             self._node_servers.loss_exchange,
             self._announcement_exchange,
         )
+        self.loops = LoopWatch(
+            {
+                'tick': lambda: self._ticked_at + _IDLE_INTERVAL_SECONDS,
+                'beat': lambda: self._beat_at + _HEARTBEAT_INTERVAL_SECONDS,
+                **{
+                    each.name: each.read_turn
+                    for each in self._node_servers.servers
+                },
+            }
+        )
+        self._ticked_at = self.clock.read_monotonic()
+        self._beat_at = self._ticked_at
         self._is_stopped = threading.Event()
         self._broadcast_lock = threading.Lock()
         self._connected: frozenset[str] = frozenset()
@@ -215,6 +232,7 @@
         refreshed_at = 0
         is_waiting = False
         while not self._is_stopped.is_set():
+            self._ticked_at = self.clock.read_monotonic()
             with survive('pool update'):
                 is_waiting = self.allocator.process_waiting()
                 now = self.clock.read_monotonic()
@@ -257,6 +275,7 @@
 
     def _run_heartbeat_loop(self) -> None:
         while not self._is_stopped.wait(_HEARTBEAT_INTERVAL_SECONDS):
+            self._beat_at = self.clock.read_monotonic()
             with survive('heartbeat'):
                 self._broadcast_state()
                 for gossip in self._dispatch.gossips:
--- a/sesameroute/programs/node.py
+++ b/sesameroute/programs/node.py
@@ -55,6 +55,7 @@
         print(f'address: {error}', file=sys.stderr)
         return int(ExitCode.UNREACHABLE)
     while _wait_for_signal(signals) != signal.SIGTERM:
+        _check_loops(node, log_stream)
         if settings_file.reload():
             _set_level(settings_file.settings)
             node.apply_settings(settings_file.settings)
@@ -63,6 +64,13 @@
     return int(ExitCode.OK)
 
 
+def _check_loops(node: FleetNode, log_stream: QueuedStream) -> None:
+    """End the process if a loop has ended; the platform starts it again."""
+    if tuple(node.loops.find_ended()):
+        log_stream.close(_LOG_FLUSH_SECONDS)
+        os._exit(ExitCode.INTERNAL)
+
+
 def _install_signal_handlers() -> queue.SimpleQueue[signal.Signals]:
     """Return a queue of the signals received; SIGINT becomes SIGTERM."""
     signals: queue.SimpleQueue[signal.Signals] = queue.SimpleQueue()
--- a/sesameroute/telemetry/__init__.py
+++ b/sesameroute/telemetry/__init__.py
@@ -13,6 +13,7 @@
         '_events': ['EventLog', 'KeyValueFormatter'],
         '_event_rate_filter': ['EventRateFilter'],
         '_line_parser': ['parse_line'],
+        '_loop_watch': ['LoopWatch'],
         '_meter': ['Meter', 'Metric'],
         '_queued_stream': ['QueuedStream'],
         '_survival': ['survive'],
