Raise the limit on concurrency while nothing tells of a delay

Once the limit had been lowered and all threads waited for slow servers, no request told anything, and the limit stayed low for as long as the load lasted, with an idle processor.

A caller that was refused and goes on sending no longer prolongs its connection.

--- a/sesameroute/adapters/_idle_callers.py
+++ b/sesameroute/adapters/_idle_callers.py
@@ -13,7 +13,7 @@
 
 __all__ = ['IdleCallers']
 
-_READ_BYTES = 65_536
+_READ_BYTES = 16_384
 _CLOSED_WHEN_EXHAUSTED = 16  # idle connections
 _TIMEOUT_ANSWER = (
     b'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n'
@@ -93,10 +93,10 @@
         except OSError as error:
             _log(error)
             content = b''
-        caller.changed_at = now
         if not content:
             self._drop(caller)
         elif not caller.is_refused:
+            caller.changed_at = now
             caller.buffer += content
             caller.begin(self.running)
             is_complete = self.limits.is_complete(caller.buffer)
--- a/sesameroute/adapters/_request_queue.py
+++ b/sesameroute/adapters/_request_queue.py
@@ -43,6 +43,8 @@
         """Let a connection wait for a thread."""
         now = time.monotonic()
         with self._changed:
+            if not self._may_start():
+                self.limit.probe(len(self.serving_), now)
             may_start = self._may_start()
             caller.queued_at = now
             caller.could_start = may_start and len(self) < self.idle_
--- a/sesameroute/limits/_concurrency.py
+++ b/sesameroute/limits/_concurrency.py
@@ -78,10 +78,22 @@
         As in CoDel, the shortest delay of an interval decides.
         """
         self._delays.append(delay)
-        is_early = now - self._changed_at < self.bounds.interval_seconds
-        if is_early or len(self._delays) < self.bounds.samples:
+        if len(self._delays) >= self.bounds.samples:
+            self._adjust(busy, now)
+
+    def probe(self, busy: int, now: float) -> None:
+        """Take note of a request that has to wait because of the limit.
+
+        While all threads are taken, none starts that could tell of a delay.
+        The limit rises then until it matters no more or a delay is seen.
+        """
+        self._adjust(busy, now)
+
+    def _adjust(self, busy: int, now: float) -> None:
+        if now - self._changed_at < self.bounds.interval_seconds:
             return
-        if min(self._delays) > self.bounds.delay_seconds:
+        is_known = len(self._delays) >= self.bounds.samples
+        if is_known and min(self._delays) > self.bounds.delay_seconds:
             lowered = int(min(busy, self.limit_) * self.bounds.decrease)
             self.limit_ = max(lowered, self.bounds.lowest)
         else:
