Follow the event loop's own delay in the limit on concurrency

The loop never waits while it handles connections, so the time of a turn beyond its own processor time went to threads that were ready to run. That tells of a delay in each turn, whether threads are free or wait for slow servers, and needs no probing.

--- a/sesameroute/adapters/_caller_connection.py
+++ b/sesameroute/adapters/_caller_connection.py
@@ -37,8 +37,6 @@
         Whether it counts among the requests that are not answered yet.
     is_refused : bool
         Whether its last answer is sent and only the caller's end is awaited.
-    could_start : bool
-        Whether a thread was free for the request when it began to wait.
 
     """
 
@@ -50,7 +48,6 @@
     http: Any = None
     is_counted: bool = False
     is_refused: bool = False
-    could_start: bool = False
 
     @property
     def is_idle(self) -> bool:
--- a/sesameroute/adapters/_connection_loop.py
+++ b/sesameroute/adapters/_connection_loop.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from sesameroute.adapters._acceptor import Acceptor, ExhaustedError
 from sesameroute.adapters._caller_connection import CallerConnection
@@ -94,9 +94,7 @@
         ready = self.idle.watched.select(pause)
         now = time.monotonic()
         self.turned_at_ = now
-        for caller in ready:
-            with survive('connection of a caller'):
-                self._handle(caller, now)
+        self._handle_all(ready, now)
         for expired in self.queue.pop_expired():
             with survive('refusal of a caller'):
                 self.refuse(expired)
@@ -105,6 +103,24 @@
             self.acceptor.resume(now)
             self.idle.expire(now)
 
+    def _handle_all(
+        self, ready: Iterable[CallerConnection | None], now: float
+    ) -> None:
+        """Handle what is readable; observe the time that others took.
+
+        Nothing here waits, so that the time beyond this thread's own went to
+        threads that were ready to run.
+        """
+        used_before = time.thread_time()
+        handled = 0
+        for caller in ready:
+            handled += 1
+            with survive('connection of a caller'):
+                self._handle(caller, now)
+        if handled:
+            used = time.thread_time() - used_before
+            self.queue.observe_delay(time.monotonic() - now - used)
+
     def _handle(self, caller: CallerConnection | None, now: float) -> None:
         """Handle a readable connection, or the listening socket."""
         if caller is None:
--- a/sesameroute/adapters/_request_queue.py
+++ b/sesameroute/adapters/_request_queue.py
@@ -43,13 +43,9 @@
         """Let a connection wait for a thread."""
         now = time.monotonic()
         with self._changed:
-            if not self._may_start():
-                self.limit.probe(len(self.serving_), now)
-            may_start = self._may_start()
             caller.queued_at = now
-            caller.could_start = may_start and len(self) < self.idle_
             self._waiting.push(caller, now)
-            if may_start:
+            if self._may_start():
                 self._changed.notify()
 
     def take(self) -> tuple[CallerConnection | None, list[CallerConnection]]:
@@ -75,6 +71,12 @@
         with self._changed:
             return self._waiting.read_oldest_seconds(time.monotonic())
 
+    def observe_delay(self, seconds: float) -> None:
+        """Take note of the time that the event loop lost in a turn."""
+        with self._changed:
+            busy = len(self.serving_)
+            self.limit.observe(seconds, busy, time.monotonic())
+
     def has_stopped(self) -> bool:
         """Whether no request waits and none will be taken."""
         return self._is_stopping and not self._waiting
@@ -94,8 +96,4 @@
     def _begin(self, now: float) -> CallerConnection:
         caller = self._waiting.pop(now)
         self.serving_.add(caller)
-        if caller.could_start:
-            # Only threads that are ready to run have delayed it.
-            delay = now - caller.queued_at
-            self.limit.observe(delay, len(self.serving_), now)
         return caller
--- a/sesameroute/adapters/_watched_callers.py
+++ b/sesameroute/adapters/_watched_callers.py
@@ -3,7 +3,6 @@
 import selectors
 import socket
 import threading
-from collections.abc import Iterator
 
 from sesameroute.adapters._caller_connection import CallerConnection
 
@@ -49,13 +48,13 @@
                 return False  # another thread has taken it
         return True
 
-    def select(self, seconds: float) -> Iterator[CallerConnection | None]:
-        """Wait; yield the readable connections, None for the listener."""
-        for key, _ in self._selector.select(seconds):
-            if key.data is self:
-                self._woken.recv(_WAKE_BYTES)
-            else:
-                yield key.data
+    def select(self, seconds: float) -> list[CallerConnection | None]:
+        """Wait; return the readable connections, None for the listener."""
+        ready = [key.data for key, _ in self._selector.select(seconds)]
+        if self in ready:
+            ready.remove(self)
+            self._woken.recv(_WAKE_BYTES)
+        return ready
 
     def wake(self) -> None:
         """End a wait."""
--- a/sesameroute/limits/_concurrency.py
+++ b/sesameroute/limits/_concurrency.py
@@ -18,7 +18,7 @@
     lowest, highest : int
         Bounds of the limit.
     delay_seconds : float
-        A start later than this tells of too many ready threads.
+        A longer delay tells of too many ready threads.
     interval_seconds : float
         Shortest time between two changes of the limit.
     samples : int
@@ -42,9 +42,9 @@
 class ConcurrencyLimit:
     """Additive-increase, multiplicative-decrease limit on concurrency.
 
-    It follows the delay between handing a request to an idle thread and the
-    thread's start. Threads that wait for a backend server delay nobody, so
-    slow servers alone do not lower the limit.
+    It follows the time that the event loop has lost, in a turn, to threads
+    that were ready to run. Threads that wait for a backend server take none,
+    so slow servers alone do not lower the limit.
 
     Parameters
     ----------
@@ -78,22 +78,10 @@
         As in CoDel, the shortest delay of an interval decides.
         """
         self._delays.append(delay)
-        if len(self._delays) >= self.bounds.samples:
-            self._adjust(busy, now)
-
-    def probe(self, busy: int, now: float) -> None:
-        """Take note of a request that has to wait because of the limit.
-
-        While all threads are taken, none starts that could tell of a delay.
-        The limit rises then until it matters no more or a delay is seen.
-        """
-        self._adjust(busy, now)
-
-    def _adjust(self, busy: int, now: float) -> None:
-        if now - self._changed_at < self.bounds.interval_seconds:
+        is_early = now - self._changed_at < self.bounds.interval_seconds
+        if is_early or len(self._delays) < self.bounds.samples:
             return
-        is_known = len(self._delays) >= self.bounds.samples
-        if is_known and min(self._delays) > self.bounds.delay_seconds:
+        if min(self._delays) > self.bounds.delay_seconds:
             lowered = int(min(busy, self.limit_) * self.bounds.decrease)
             self.limit_ = max(lowered, self.bounds.lowest)
         else:
