Bound the time to take waiting connections at a stop

Under a press of new connections a planned stop could go on taking them for as long as they came. It takes them for 1 s at most now; by reading, no test shows it.

--- a/sesameroute/adapters/_connection_loop.py
+++ b/sesameroute/adapters/_connection_loop.py
@@ -17,6 +17,7 @@
 _EXPIRY_SECONDS = 0.25  # interval of checks for silent connections
 _ERROR_PAUSE_SECONDS = 0.05
 _STOP_SECONDS = 1.0
+_DRAIN_SECONDS = 1.0  # longest time to take the connections that wait
 
 
 class ConnectionLoop:
@@ -68,8 +69,9 @@
 
     def stop_accepting(self) -> None:
         """Take the connections that wait already, then refuse new ones."""
+        until = time.monotonic() + _DRAIN_SECONDS
         is_more = True
-        while is_more:
+        while is_more and time.monotonic() < until:
             is_more = self._accept(time.monotonic())
         self.acceptor.stop()
 
