Let a part of a configuration that is not understood cost only itself

Change: hosts, routes, services and limits are decoded one by one. Requests that an odd part may be about get 503 (`part-not-understood`), never 404; a route that names an odd service is one of them. Each odd part has a log line and counts in sesame_ignored_items_total{kind="part"}.

--- a/sesameroute/forward/_refusals.py
+++ b/sesameroute/forward/_refusals.py
@@ -71,6 +71,9 @@
             status = HTTPStatus.SERVICE_UNAVAILABLE
             reason = 'no-configuration'
             retry_after = _CONFIGURATION_RETRY_SECONDS
+        elif table.may_have_route(request.host, request.path):
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            reason = 'part-not-understood'
         request_metadata = self.header_codec.read_request_metadata(
             request.headers
         )
--- a/sesameroute/platform/_documents.py
+++ b/sesameroute/platform/_documents.py
@@ -1,87 +1,44 @@
 """Decoder for the configuration of the operator.
 
-The private models check the types of the JSON fields; they are then converted
-to the types of `routes`.
+Each part is decoded by itself: one that this build does not understand leaves
+the others in force.
 """
 
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
 import msgspec
 
 from sesameroute.exceptions import InputError, describe_error
-from sesameroute.platform._field_types import (
-    Count,
-    Milliseconds,
-    Name,
-    PathPrefix,
-    Rate,
-    Seconds,
-    Text,
-    TimeLimit,
-    Version,
-    Weight,
+from sesameroute.platform._document_models import (
+    HostDocument,
+    LimitsDocument,
+    PathDocument,
+    ServiceDocument,
+    convert_limits,
+    convert_route,
+    convert_service,
 )
+from sesameroute.platform._field_types import Version
 from sesameroute.routes import (
     CallerLimits,
     Configuration,
-    RequestKind,
     Route,
     ServiceDefinition,
-    WeightedService,
+    UnreadablePart,
 )
 
 __all__ = ['decode_configuration']
 
-_MILLISECONDS = 1000
 _VERSION_BASE = 16  # versions are hexadecimal numbers
 _DECODING_ERRORS = (msgspec.MsgspecError, RecursionError, ValueError)
 
 
-class _Split(msgspec.Struct):
-    service: Name
-    weight: Weight
-
-
-class _Path(msgspec.Struct):
-    name: Name
-    path_prefix: PathPrefix
-    kind: RequestKind
-    timeout_ms: TimeLimit
-    target_latency_ms: Milliseconds
-    priority: Count
-    max_attempts: Count
-    # Whether backend servers are faster for objects that they have served
-    # before; callers are not bound to one backend server.
-    session_affinity: bool = False
-    # Regions that may serve the route; empty means all.
-    allowed_regions: list[Name] = []
-    service: Text | None = None
-    traffic_split: list[_Split] = []
-
-
-class _Host(msgspec.Struct):
-    host: Text
-    paths: list[_Path]
-
-
-class _Service(msgspec.Struct):
-    name: Name
-    health_path: PathPrefix
-    max_connections: Count
-    cold_start_s: Seconds = 0
-    cold_per_s: Rate = 1
-
-
-class _Limits(msgspec.Struct):
-    max_header_bytes: Count
-    max_body_bytes: Count
-    header_timeout_ms: TimeLimit
-    idle_timeout_ms: TimeLimit
-
-
 class _Configuration(msgspec.Struct):
     version: Version
-    services: list[_Service]
-    limits: _Limits
-    virtual_hosts: list[_Host]
+    services: list[msgspec.Raw]
+    limits: msgspec.Raw
+    virtual_hosts: list[msgspec.Raw]
 
 
 def decode_configuration(content: bytes) -> Configuration:
@@ -90,7 +47,8 @@
     Raises
     ------
     InputError
-        The document is not valid.
+        The document as a whole is not valid. A part that is not valid is
+        listed in the result.
 
     """
     try:
@@ -103,57 +61,108 @@
 
 
 def _convert_configuration(document: _Configuration) -> Configuration:
-    limits = document.limits
+    services = _decode_services(document.services)
+    routes = list(_decode_hosts(document.virtual_hosts, services))
+    limits = _decode_limits(document.limits)
+    odd_limits = [limits] if isinstance(limits, UnreadablePart) else []
     return Configuration(
         int(document.version, _VERSION_BASE),
-        tuple(
-            _convert_route(host.host, path)
-            for host in document.virtual_hosts
-            for path in host.paths
-        ),
-        {
-            service.name: _convert_service(service)
-            for service in document.services
-        },
-        CallerLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_ms / _MILLISECONDS,
-            limits.idle_timeout_ms / _MILLISECONDS,
+        tuple(part for part in routes if isinstance(part, Route)),
+        services.known,
+        CallerLimits() if odd_limits else limits,
+        unreadable=(
+            *odd_limits,
+            *services.unreadable,
+            *(part for part in routes if isinstance(part, UnreadablePart)),
         ),
     )
 
 
-def _convert_service(document: _Service) -> ServiceDefinition:
-    return ServiceDefinition(
-        document.name,
-        document.health_path,
-        document.max_connections,
-        document.cold_start_s,
-        document.cold_per_s,
-    )
-
-
-def _convert_route(host: str, path: _Path) -> Route:
-    parts = tuple(
-        WeightedService(share.service, share.weight)
-        for share in path.traffic_split
-        if share.weight > 0
-    )
-    if path.service:
-        parts = (WeightedService(path.service, 1),)
-    if not parts:
-        raise ValueError(f'route {path.name} names no service')
-    return Route(
-        path.name,
-        host,
-        path.path_prefix,
-        path.kind,
-        parts,
-        path.timeout_ms / _MILLISECONDS,
-        path.target_latency_ms / _MILLISECONDS,
-        path.priority,
-        max(path.max_attempts, 1),
-        path.session_affinity,
-        frozenset(path.allowed_regions),
-    )
+@dataclass(slots=True)
+class _Services:
+    """The services of a document, and those that are not understood."""
+
+    known: dict[str, ServiceDefinition] = field(default_factory=dict)
+    unreadable: list[UnreadablePart] = field(default_factory=list)
+    unreadable_names: set[str | None] = field(default_factory=set)
+
+    def check(self, name: str) -> None:
+        """Raise ValueError if a route's service may be an unreadable one."""
+        may_be_unnamed = None in self.unreadable_names and (
+            name not in self.known
+        )
+        if may_be_unnamed or name in self.unreadable_names:
+            raise ValueError(f'service {name} is not understood')
+
+
+def _decode_services(parts: Iterable[msgspec.Raw]) -> _Services:
+    services = _Services()
+    for number, part in enumerate(parts):
+        try:
+            definition = msgspec.json.decode(part, type=ServiceDocument)
+        except _DECODING_ERRORS as error:
+            services.unreadable_names.add(_read_field(part, 'name'))
+            services.unreadable.append(
+                UnreadablePart(
+                    f'services[{number}]',
+                    describe_error(error),
+                    has_routes=False,
+                )
+            )
+        else:
+            services.known[definition.name] = convert_service(definition)
+    return services
+
+
+def _decode_limits(part: msgspec.Raw) -> CallerLimits | UnreadablePart:
+    try:
+        limits = msgspec.json.decode(part, type=LimitsDocument)
+    except _DECODING_ERRORS as error:
+        return UnreadablePart('limits', describe_error(error), has_routes=False)
+    return convert_limits(limits)
+
+
+def _decode_hosts(
+    parts: Iterable[msgspec.Raw], services: _Services
+) -> Iterator[Route | UnreadablePart]:
+    for number, part in enumerate(parts):
+        where = f'virtual_hosts[{number}]'
+        try:
+            host = msgspec.json.decode(part, type=HostDocument)
+        except _DECODING_ERRORS as error:
+            yield UnreadablePart(
+                where, describe_error(error), _read_field(part, 'host')
+            )
+        else:
+            yield from _decode_paths(host, where, services)
+
+
+def _decode_paths(
+    host: HostDocument, where: str, services: _Services
+) -> Iterator[Route | UnreadablePart]:
+    for number, part in enumerate(host.paths):
+        try:
+            yield _decode_route(host.host, part, services)
+        except _DECODING_ERRORS as error:
+            yield UnreadablePart(
+                f'{where}.paths[{number}]',
+                describe_error(error),
+                host.host,
+                _read_field(part, 'path_prefix'),
+            )
+
+
+def _decode_route(host: str, part: msgspec.Raw, services: _Services) -> Route:
+    route = convert_route(host, msgspec.json.decode(part, type=PathDocument))
+    for share in route.parts:
+        services.check(share.service)
+    return route
+
+
+def _read_field(part: msgspec.Raw, name: str) -> str | None:
+    """Return one text of a part that is not valid as a whole."""
+    try:
+        fields = msgspec.json.decode(part, type=dict[str, msgspec.Raw])
+        return msgspec.json.decode(fields.get(name, b''), type=str)
+    except _DECODING_ERRORS:
+        return None
--- a/sesameroute/platform/_ignored_items.py
+++ b/sesameroute/platform/_ignored_items.py
@@ -11,6 +11,7 @@
     MEMBER_PREFIX,
     REGISTRY_PREFIX,
 )
+from sesameroute.routes import UnreadablePart
 
 __all__ = ['IgnoredItems']
 
@@ -21,6 +22,7 @@
     (MEMBER_PREFIX, 'node'),
 )
 _OTHER = 'other'
+_PART = 'part'
 
 _logger = logging.getLogger(__name__)
 
@@ -32,7 +34,8 @@
     ----------
     observer_ : callable
         Called with the kind of each ignored item: ``configuration``,
-        ``evacuation``, ``backend``, ``node`` or ``other``.
+        ``part`` of a configuration, ``evacuation``, ``backend``, ``node`` or
+        ``other``.
 
     """
 
@@ -51,6 +54,18 @@
         )
         self.observer_(_name_kind(key))
 
+    def record_part(self, part: UnreadablePart) -> None:
+        """Log and count a part of a configuration that is not understood."""
+        _logger.warning(
+            'configuration part not understood',
+            extra={
+                'key': CONFIGURATION_KEY,
+                'part': part.where,
+                'why': part.why,
+            },
+        )
+        self.observer_(_PART)
+
 
 def _name_kind(key: str) -> str:
     for prefix, kind in _KINDS_BY_PREFIX:
--- a/sesameroute/platform/_item_dispatcher.py
+++ b/sesameroute/platform/_item_dispatcher.py
@@ -112,6 +112,8 @@
         if item.content is not None:
             decoded = decode_configuration(item.content)
             origin = ConfigurationOrigin(item.revision)
+            for part in decoded.unreadable:
+                self.ignored_items.record_part(part)
             self.receiver.put_configuration(replace(decoded, origin=origin))
 
     def _handle_member(self, item: MirrorItem) -> None:
--- a/sesameroute/routes/__init__.py
+++ b/sesameroute/routes/__init__.py
@@ -8,6 +8,7 @@
     RequestKind,
     Route,
     ServiceDefinition,
+    UnreadablePart,
     WeightedService,
 )
 from sesameroute.routes._split import SplitChooser
@@ -23,5 +24,6 @@
     'RouteTable',
     'ServiceDefinition',
     'SplitChooser',
+    'UnreadablePart',
     'WeightedService',
 ]
--- a/sesameroute/routes/_table.py
+++ b/sesameroute/routes/_table.py
@@ -1,6 +1,6 @@
 """Look-up of routes by host and longest path prefix."""
 
-from sesameroute.routes._model import Configuration, Route
+from sesameroute.routes._model import Configuration, Route, UnreadablePart
 
 __all__ = ['RouteTable']
 
@@ -24,13 +24,38 @@
                 route.host.lower(), {}
             )
             host_routes[route.prefix] = route
+        self._unreadable = [
+            part for part in configuration.unreadable if part.has_routes
+        ]
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`, or None.
 
         Prefixes begin and end with a slash, so only the parts of the path
-        that end at a slash are looked up.
+        that end at a slash are looked up. An unreadable route hides those
+        with shorter prefixes.
         """
+        route = self._find_readable(host, path)
+        if route and self._hides(route, host, path):
+            return None
+        return route
+
+    def may_have_route(self, host: str, path: str) -> bool:
+        """Return whether an unreadable part may be about a request."""
+        return any(
+            _is_about(part, _strip_port(host), path)
+            for part in self._unreadable
+        )
+
+    def _hides(self, route: Route, host: str, path: str) -> bool:
+        return any(
+            part.prefix is not None
+            and len(part.prefix) >= len(route.prefix)
+            and _is_about(part, _strip_port(host), path)
+            for part in self._unreadable
+        )
+
+    def _find_readable(self, host: str, path: str) -> Route | None:
         routes_by_prefix = self._routes_by_host.get(_strip_port(host))
         if routes_by_prefix is None:
             return None
@@ -43,5 +68,11 @@
         return None
 
 
+def _is_about(part: UnreadablePart, host: str, path: str) -> bool:
+    """Return whether a part may be about a request, as far as it tells."""
+    is_host = part.host is None or part.host.lower() == host
+    return is_host and path.startswith(part.prefix or '')
+
+
 def _strip_port(host: str) -> str:
     return host.partition(':')[0].lower()
