--- a/sesameroute/placement/__init__.py
+++ b/sesameroute/placement/__init__.py
@@ -8,6 +8,7 @@
     Reason,
     Refusal,
     Release,
+    ServerLoad,
     SlotRequest,
 )
 from sesameroute.placement._pool import Pool, PoolIdentity
@@ -27,6 +28,7 @@
     'RegionLoad',
     'Release',
     'PoolReport',
+    'ServerLoad',
     'SettleCallback',
     'SpilloverPlan',
     'hash_key',
--- a/sesameroute/placement/_messages.py
+++ b/sesameroute/placement/_messages.py
@@ -13,6 +13,7 @@
     'Refusal',
     'Release',
     'PoolReport',
+    'ServerLoad',
 ]
 
 
@@ -66,6 +67,14 @@
         Regions that may serve the request; empty means all.
     excluded : tuple of str
         Names of the backend servers that were tried already.
+    tenant : str
+        Tenant that sends the request; empty if the configuration has none.
+    tenant_priority : int
+        Priority of the tenant, which goes before that of the route.
+    allowance : float
+        Requests per second that the tenant may send; 0 means no limit.
+    body_bytes : int
+        Size of the request's body; -1 if it is not known.
 
     """
 
@@ -79,6 +88,10 @@
     is_returning: bool = False
     homes: tuple[str, ...] = ()
     excluded: tuple[str, ...] = ()
+    tenant: str = ''
+    tenant_priority: int = 0
+    allowance: float = 0
+    body_bytes: int = 0
 
 
 @register_message('grant', is_nonblocking=True)
@@ -120,6 +133,30 @@
     retry_after: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """What a backend server says of its load in an answer.
+
+    Attributes
+    ----------
+    running : int
+        Requests that it runs.
+    waiting : int
+        Requests in its queue.
+    slots : int
+        Requests that it can run at once.
+    pace : float
+        Ratio of the time that work takes at this moment to the usual time;
+        0 if it does not say.
+
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float = 0
+
+
 @register_message('release', is_nonblocking=True)
 @dataclass(frozen=True, slots=True)
 class Release:
@@ -135,6 +172,10 @@
         How the try ended.
     seconds : float
         Time in seconds from sending the request to its answer.
+    byte_count : int
+        Bytes of the request's body and of the answer's.
+    load : ServerLoad or None
+        What the backend server said of its load in the answer.
 
     """
 
@@ -142,6 +183,8 @@
     number: int
     outcome: Outcome
     seconds: float
+    byte_count: int = 0
+    load: ServerLoad | None = None
 
 
 @register_message('report', is_nonblocking=True)
@@ -164,6 +207,8 @@
     shares : dict of str to dict of str to float
         Fraction of each region's requests that each other region serves, as
         far as the sender knows.
+    forecast_wait : float
+        Seconds that a request which comes now probably waits for a slot.
 
     """
 
@@ -173,3 +218,4 @@
     demand: float
     room: float
     shares: dict[str, dict[str, float]] = field(default_factory=dict)
+    forecast_wait: float = 0
