Count an answer without a status of HTTP as none

Here 000, 099, 1000, empty, letters gave 502 already, since http.client takes a status from 100 to 999 only. But it takes all that Python reads as an integer ("+200", "0200", "2_00") and 600 to 999, and skips only 100 of the interim answers: 101, 102, 103 and 199 counted as final and reached the caller, the answer behind them was lost.

Change: a status is three digits from 200 to 599; interim answers are skipped but for 101, which was never asked for. All else ends the connection and is "may have run": 502, or another try for safe requests.

--- a/sesameroute/adapters/_checked_response.py
+++ b/sesameroute/adapters/_checked_response.py
@@ -1,8 +1,10 @@
 """Responses that are complete, bounded in their framing and end in time."""
 
 import contextlib
+import re
 import socket
 from collections.abc import Iterator
+from http import HTTPStatus
 from http.client import (
     BadStatusLine,
     HTTPException,
@@ -23,6 +25,9 @@
 
 # Interim responses that may come before the final one.
 _MAX_INTERIM_RESPONSES = 64
+_INTERIM_STATUS = re.compile('1[0-9]{2}')
+_FINAL_STATUS = re.compile('[2-5][0-9]{2}')
+_SWITCHING = str(HTTPStatus.SWITCHING_PROTOCOLS.value)
 
 
 class _HeadReader:
@@ -37,11 +42,17 @@
     reader : BufferedReader
         Reads the response.
 
+    Attributes
+    ----------
+    last_line : bytes
+        The line that was read last.
+
     """
 
     def __init__(self, reader: BufferedReader) -> None:
         """Store the reader; no line has been read yet."""
         self.reader = reader
+        self.last_line = b''
         self._has_status = False
         self._head_count = 0
 
@@ -58,6 +69,7 @@
 
         """
         line = self.reader.readline(limit)
+        self.last_line = line
         if self._has_status and not line:
             raise RemoteDisconnected('connection closed within the head')
         self._has_status = True
@@ -119,6 +131,26 @@
         if limit is not None and (self.length or 0) > limit.remaining_bytes:
             raise HTTPException(f'answer of {self.length} bytes is too long')
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return version, status and reason of a head.
+
+        `http.client` takes all that Python reads as an integer for a status,
+        and of the interim responses it skips only those with status 100.
+
+        Raises
+        ------
+        BadStatusLine
+            The status is not one of HTTP, or one that was not asked for.
+
+        """
+        version, status, reason = super()._read_status()
+        text = self.fp.last_line.decode('latin-1').split(None, 2)[1]
+        if _INTERIM_STATUS.fullmatch(text) and text != _SWITCHING:
+            return version, HTTPStatus.CONTINUE, reason
+        if not _FINAL_STATUS.fullmatch(text):
+            raise BadStatusLine(f'status {text}')
+        return version, status, reason
+
     @contextlib.contextmanager
     def _checked_head(self) -> Iterator[None]:
         reader = self.fp
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -65,6 +65,8 @@
 class ScriptedServer:
     """Answers requests with its scripts in order, then repeats the last one.
 
+    A script is a name in `SCRIPTS`, or such a pair of text and end.
+
     Attributes
     ----------
     heads : list of str
@@ -122,7 +124,7 @@
         script = self.scripts[0]
         if len(self.scripts) > 1:
             self.scripts.pop(0)
-        text, end = SCRIPTS[script]
+        text, end = SCRIPTS.get(script, script)
         identifier = find_header(head, 'sesameroute-attempt-id')
         text = text.replace('{0}', identifier)
         text = text.replace('\r\n', f'\r\n{self.headers}', 1)
