Tell operators where a request would go now, and why

Cause: operators asked for a command that explains the place of a given request without sending it; the log lines tell of past requests only.

Change: `sesame-explain where NODE` reads the page /placement at a node's metrics address. The node asks the leader of the pool, which takes the very decisions that requests get (placement/_rehearsal.py), with a copy of the spillover plan, since that counts each request it is asked about.

--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -11,6 +11,7 @@
 from sesameroute.forward import RequestRecord
 from sesameroute.mirror import Mirror
 from sesameroute.node._address import parse_address
+from sesameroute.node._placement_page import PLACEMENT_PATH, PlacementPage
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.placement import Outcome
 from sesameroute.ports import Answer
@@ -176,7 +177,7 @@
 
 
 class MetricsServer(FrontServer):
-    """Serves the metrics; a failure to listen does not stop the node.
+    """Serves the operators' pages; a failure to listen stops no node.
 
     Parameters
     ----------
@@ -189,7 +190,16 @@
 
     def __init__(self, address: str, meter: NodeMeter) -> None:
         """Build the server without listening."""
-        super().__init__(parse_address(address), meter, threads=_THREADS)
+        placement_page = PlacementPage(meter.allocator)
+        super().__init__(
+            parse_address(address),
+            lambda request: (
+                placement_page(request)
+                if request.path == PLACEMENT_PATH
+                else meter(request)
+            ),
+            threads=_THREADS,
+        )
         self._is_started = False
 
     def start(self) -> None:
--- a/sesameroute/node/_slot_allocator.py
+++ b/sesameroute/node/_slot_allocator.py
@@ -13,6 +13,7 @@
 from sesameroute.placement import (
     Grant,
     Outcome,
+    PlacementQuery,
     Pool,
     PoolReport,
     Reason,
@@ -115,6 +116,9 @@
     def handle(self, sender: str, message: Any) -> Any:
         """Handle a message from a peer about slots; return the reply if any."""
         now = self.clock.read_monotonic()
+        if isinstance(message, PlacementQuery):
+            pool = self.pools.find(message.slot_request.service)
+            return pool.rehearser.rehearse(message.slot_request, now)
         pool = self.pools.find(message.service)
         if isinstance(message, Release):
             pool.release(message, now)
--- a/sesameroute/placement/__init__.py
+++ b/sesameroute/placement/__init__.py
@@ -13,6 +13,11 @@
 )
 from sesameroute.placement._pool import Pool, PoolIdentity
 from sesameroute.placement._queue import SettleCallback
+from sesameroute.placement._rehearsal import (
+    PlacementQuery,
+    Rehearsal,
+    ServerView,
+)
 from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
 from sesameroute.placement._states import LimitShares
 
@@ -21,14 +26,17 @@
     'Grant',
     'LimitShares',
     'Outcome',
+    'PlacementQuery',
     'Pool',
     'PoolIdentity',
     'Reason',
     'Refusal',
     'RegionLoad',
+    'Rehearsal',
     'Release',
     'PoolReport',
     'ServerLoad',
+    'ServerView',
     'SettleCallback',
     'SpilloverPlan',
     'hash_key',
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -7,7 +7,11 @@
 from sesameroute.placement._admission import Admission, Decision, Verdict
 from sesameroute.placement._candidates import Candidates, hash_key
 from sesameroute.placement._messages import Grant, Refusal, SlotRequest
-from sesameroute.placement._queue import Waiter, WaitingRequests
+from sesameroute.placement._queue import (
+    SettleCallback,
+    Waiter,
+    WaitingRequests,
+)
 from sesameroute.placement._spillover import SpilloverPlan
 from sesameroute.placement._states import UpstreamStates
 from sesameroute.placement._upstream import UpstreamState
@@ -56,6 +60,26 @@
         self.waiting = WaitingRequests()
         self.active_grants = ActiveGrants()
 
+    def build_waiter(
+        self,
+        slot_request: SlotRequest,
+        node: str,
+        settle: SettleCallback,
+        now: float,
+    ) -> Waiter:
+        """Return a request as the queue holds it, in the own region."""
+        return Waiter(
+            slot_request,
+            node,
+            settle,
+            self.plan.region,
+            now,
+            now
+            + slot_request.on_time
+            - self.admission.estimate_response_time(slot_request),
+            now + slot_request.time_left,
+        )
+
     def choose_region(self, slot_request: SlotRequest, now: float) -> str:
         """Return the region in which a request should run."""
         own = self.plan.region
--- a/sesameroute/placement/_pool.py
+++ b/sesameroute/placement/_pool.py
@@ -23,8 +23,9 @@
     Release,
     SlotRequest,
 )
-from sesameroute.placement._queue import SettleCallback, Waiter
+from sesameroute.placement._queue import SettleCallback
 from sesameroute.placement._region_reports import RegionReports
+from sesameroute.placement._rehearsal import Rehearser
 from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
 from sesameroute.placement._states import UpstreamStates
 from sesameroute.registry import Announcements, RegistryEntry
@@ -86,6 +87,7 @@
             Admission(self.estimates),
         )
         self._learner = Learner(self.estimates, self.states.model)
+        self.rehearser = Rehearser(self._granter, self._lock)
 
     def update_backends(
         self,
@@ -143,17 +145,8 @@
                 slot_request.flow, slot_request.objective
             )
             self._demand.add(run.seconds, now)
-            waiter = Waiter(
-                slot_request,
-                node,
-                settle,
-                self._granter.choose_region(slot_request, now),
-                now,
-                now
-                + slot_request.on_time
-                - self._granter.admission.estimate_response_time(slot_request),
-                now + slot_request.time_left,
-            )
+            waiter = self._granter.build_waiter(slot_request, node, settle, now)
+            waiter.region = self._granter.choose_region(slot_request, now)
             return self._granter.decide(waiter, now)
 
     def release(self, release: Release, now: float) -> None:
--- a/sesameroute/programs/explain.py
+++ b/sesameroute/programs/explain.py
@@ -7,6 +7,7 @@
 from absl import app
 
 from sesameroute.exceptions import ExitCode
+from sesameroute.programs._placement_query import run_query
 from sesameroute.telemetry import parse_line
 
 __all__ = ['explain', 'run']
@@ -14,10 +15,13 @@
 _USAGE = """Prints the history of a request, from the nodes' log lines.
 
   sesame-explain REQUEST [FILE ...]
+  sesame-explain where NODE --host HOST --path PATH [--json]
 
 Reads the files, or standard input. The lines may be in any order, and mixed
-with lines of other programs.
+with lines of other programs. `where` asks a running node where a request
+would go now, and why.
 """
+_WHERE = 'where'
 
 _EVENT_SENTENCES = {  # noqa: WPS407
     'request-turned-away': 'was turned away',
@@ -107,6 +111,8 @@
 
 def run() -> None:
     """Run the program."""
+    if sys.argv[1:2] == [_WHERE]:
+        sys.exit(int(run_query(sys.argv[1:])))
     sys.modules['__main__'].__doc__ = _USAGE
     app.run(_run)
 
