Carry all peer streams on one event loop

Cause: two to three threads a peer; 140 nodes don't fit on one machine.

Change: PeerLoop reads and writes all streams; dials, handshakes and handlers that may block run in bounded pools whose threads end when idle. A stream whose messages wait for a handler beyond 1 MB is not read further. The test of a host that can't be encoded looked for a thread a dialer; now it asks that dialing goes on, and that others are dialed beside it.

Measured: sesameroute/adapters/tests/test_peer*.py, fakes/tests/test_fleet.py.

--- a/sesameroute/adapters/_peer_dispatcher.py
+++ b/sesameroute/adapters/_peer_dispatcher.py
@@ -1,12 +1,12 @@
 """Passes received peer messages to the handler and sends its replies."""
 
 import logging
-import threading
-from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Any
 
 from sesameroute.adapters._peer_frames import Frame, FrameKind
 from sesameroute.adapters._peer_stream import PeerStream
+from sesameroute.adapters._peer_workers import PeerWorkers
 from sesameroute.exceptions import InputError, describe_error
 from sesameroute.ports import (
     DeferredReply,
@@ -17,18 +17,23 @@
 
 __all__ = ['PeerDispatcher']
 
-_WORKERS = 32
-_MAX_QUEUED = 256
+_CALL_THREADS = 32
+_MAX_CALLS = 256
+_ORDERED_THREADS = 8
+_MAX_ORDERED = 4096  # one for each stream whose messages wait
+# Larger messages are decoded and handled in a thread, whatever they are.
+_MAX_DIRECT_BYTES = 16_384
 
 _logger = logging.getLogger(__name__)
 
 
 class PeerDispatcher:
-    """Handles peer messages on the stream's thread or in a thread pool.
+    """Handles peer messages on the loop or in threads.
 
-    One-way messages and those registered as quick, whose handlers do not
-    block, run on the thread that reads the stream; other calls run in the
-    pool.
+    Small messages that are registered as non-blocking are handled on the
+    loop. Other one-way messages are handled in threads, those of each stream
+    in their order, and so is what arrives behind them; calls that may block
+    have threads of their own.
 
     Parameters
     ----------
@@ -38,41 +43,62 @@
     """
 
     def __init__(self, handler: MessageHandler) -> None:
-        """Store the handler and create the thread pool."""
+        """Store the handler; no thread runs yet."""
         self.handler = handler
-        self._queued = threading.BoundedSemaphore(_MAX_QUEUED)
-        self._workers = ThreadPoolExecutor(_WORKERS, 'peer-call')
+        self._calls = PeerWorkers('peer-call', _CALL_THREADS, _MAX_CALLS)
+        self._ordered = PeerWorkers(
+            'peer-message', _ORDERED_THREADS, _MAX_ORDERED
+        )
 
     def dispatch(self, stream: PeerStream, frame: Frame) -> None:
-        """Handle a received message.
+        """Handle a received message, or pass it to a thread.
 
-        A call fails at once when the queue of the thread pool is full.
+        A call that may block fails at once when too many are pending.
         """
-        try:
-            message = decode_message(frame.content)
-        except InputError as error:
-            _logger.info(
-                'peer message not valid',
-                extra={'peer': stream.peer.sender, 'why': error.message},
-            )
-            _fail(stream, frame, error.message)
+        if stream.mailbox.is_busy or frame.size > _MAX_DIRECT_BYTES:
+            self._defer(stream, frame, None)
+            return
+        message = _decode(stream, frame)
+        if message is None:
             return
-        if frame.kind is FrameKind.ONE_WAY or message.is_nonblocking:
-            self._handle(stream, frame, message)
-        elif self._queued.acquire(blocking=False):
-            work = self._workers.submit(self._handle, stream, frame, message)
-            work.add_done_callback(lambda _work: self._queued.release())
+        if frame.kind is FrameKind.ONE_WAY and not message.is_nonblocking:
+            self._defer(stream, frame, message)
         else:
+            self._route(stream, frame, message)
+
+    def stop(self) -> None:
+        """Discard queued calls and messages."""
+        self._calls.stop()
+        self._ordered.stop()
+
+    def _defer(self, stream: PeerStream, frame: Frame, message: Any) -> None:
+        """Let a thread handle a message after the earlier ones."""
+        if stream.mailbox.put(frame, message):
+            drain = partial(self._drain, stream)
+            if not self._ordered.submit(drain):
+                stream.close()
+
+    def _drain(self, stream: PeerStream) -> None:
+        """Handle what waits in the mailbox of a stream."""
+        for frame, message in iter(stream.mailbox.take, None):
+            decoded = _decode(stream, frame) if message is None else message
+            if decoded is not None:
+                self._route(stream, frame, decoded)
+            if stream.mailbox.reopen():
+                stream.resume()
+
+    def _route(self, stream: PeerStream, frame: Frame, message: Any) -> None:
+        is_direct = frame.kind is FrameKind.ONE_WAY or message.is_nonblocking
+        handle = partial(self._handle, stream, frame, message)
+        if is_direct:
+            handle()
+        elif not self._calls.submit(handle):
             _fail(
                 stream,
                 frame,
-                f'{_MAX_QUEUED} calls are already queued or running',
+                f'{_MAX_CALLS} calls are already queued or running',
             )
 
-    def stop(self) -> None:
-        """Discard queued calls."""
-        self._workers.shutdown(wait=False, cancel_futures=True)
-
     def _handle(self, stream: PeerStream, frame: Frame, message: Any) -> None:
         try:
             reply = self.handler(stream.peer.sender, message)
@@ -95,6 +121,19 @@
             _reply(stream, frame, reply)
 
 
+def _decode(stream: PeerStream, frame: Frame) -> Any:
+    """Return the message of a frame, or None if it is not valid."""
+    try:
+        return decode_message(frame.content)
+    except InputError as error:
+        _logger.info(
+            'peer message not valid',
+            extra={'peer': stream.peer.sender, 'why': error.message},
+        )
+        _fail(stream, frame, error.message)
+    return None
+
+
 def _reply(stream: PeerStream, frame: Frame, reply: Any) -> None:
     packed = None if reply is None else encode_message(reply)
     if not stream.send(Frame(FrameKind.REPLY, frame.number, packed)):
--- a/sesameroute/adapters/_peer_frames.py
+++ b/sesameroute/adapters/_peer_frames.py
@@ -9,7 +9,7 @@
 import hmac
 import struct
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum, unique
 from typing import Any
 
@@ -54,11 +54,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Frame:
-    """One frame; `number` matches a reply or failure to its call."""
+    """One frame.
+
+    Attributes
+    ----------
+    number : int
+        Matches a reply or failure to its call.
+    size : int
+        Bytes of its body when it was received.
+
+    """
 
     kind: FrameKind
     number: int = 0
     content: Any = None
+    size: int = field(default=0, compare=False)
 
 
 class FrameSigner:
@@ -141,7 +151,7 @@
         if len(self._buffer) < end:
             return None
         signed = bytes(self._buffer[_LENGTH_BYTES:end])
-        self._buffer = self._buffer[end:]
+        del self._buffer[:end]  # noqa: WPS420
         return self._verify(signed)
 
     def _verify(self, signed: bytes) -> bytes:
@@ -182,14 +192,15 @@
 def unpack_frame(packed: bytes) -> Frame:
     """Return the frame in a body; raise PeerError if it is not valid."""
     try:
-        kind, number, content = msgpack.unpackb(_decompress(packed))
+        body = _decompress(packed)
+        kind, number, content = msgpack.unpackb(body)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise PeerError(
             f'frame is not valid: {describe_error(error)}'
         ) from error
     if kind not in _KINDS or not isinstance(number, int):
         raise PeerError('frame has an unknown kind or no number')
-    return Frame(FrameKind(kind), number, content)
+    return Frame(FrameKind(kind), number, content, len(body))
 
 
 def _decompress(packed: bytes) -> bytes:
--- a/sesameroute/adapters/_peer_listener.py
+++ b/sesameroute/adapters/_peer_listener.py
@@ -1,11 +1,12 @@
 """Accepts peer connections and authenticates them."""
 
+import selectors
 import socket
-import threading
-from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING
 
 from sesameroute.adapters._peer_handshake import accept_handshake
+from sesameroute.adapters._peer_workers import PeerWorkers
 from sesameroute.exceptions import PeerError
 
 if TYPE_CHECKING:
@@ -13,14 +14,16 @@
 
 __all__ = ['PeerListener']
 
-_BACKLOG = 128
-_MAX_HANDSHAKES = 32
-_MAX_STREAMS = 512
-_ACCEPT_RETRY_SECONDS = 0.01
+_BACKLOG = 512
+_BATCH = 64  # connections accepted before streams are read
+_HANDSHAKE_THREADS = 16
+_MAX_HANDSHAKES = 128
+_MAX_STREAMS = 1024
+_RETRY_SECONDS = 0.1
 
 
 class PeerListener:
-    """A listening socket with an accept thread and a thread per connection.
+    """A listening socket on the loop, and threads for handshakes.
 
     Parameters
     ----------
@@ -32,9 +35,10 @@
     def __init__(self, network: 'PeerNetwork') -> None:
         """Store the parameters."""
         self.network = network
-        self._is_stopping = threading.Event()
         self._server: socket.socket | None = None
-        self._handshakes = threading.BoundedSemaphore(_MAX_HANDSHAKES)
+        self._handshakes = PeerWorkers(
+            'peer-accepted', _HANDSHAKE_THREADS, _MAX_HANDSHAKES
+        )
 
     def start(self) -> None:
         """Listen; raise OSError when the address is taken."""
@@ -42,26 +46,32 @@
             self.network.listen,
             backlog=_BACKLOG,
         )
-        threading.Thread(
-            target=self._accept,
-            name='peer-accept',
-            daemon=True,
-        ).start()
+        self._server.setblocking(False)
+        self.network.carrier.loop.call_soon(self._watch)
 
     def stop(self) -> None:
-        """Stop listening."""
-        self._is_stopping.set()
-        with suppress(OSError):
-            self._server.shutdown(socket.SHUT_RDWR)
-        self._server.close()
-
-    def _accept(self) -> None:
-        while not self._is_stopping.is_set():
+        """Stop listening, after the loop has ended."""
+        self._handshakes.stop()
+        if self._server:
+            self._server.close()
+
+    def _watch(self) -> None:
+        self.network.carrier.loop.watch(
+            self._server, selectors.EVENT_READ, self._accept
+        )
+
+    def _accept(self, _events: int) -> None:
+        """Accept what waits; pause while no descriptor is left."""
+        for _ in range(_BATCH):
             try:
                 connection = self._server.accept()[0]
+            except BlockingIOError:
+                return
             except OSError:
-                self._is_stopping.wait(_ACCEPT_RETRY_SECONDS)
-                continue
+                loop = self.network.carrier.loop
+                loop.watch(self._server, 0, self._accept)
+                loop.call_later(_RETRY_SECONDS, self._watch)
+                return
             self._start_handshake(connection)
 
     def _start_handshake(self, connection: socket.socket) -> None:
@@ -70,16 +80,10 @@
         The connection is closed when too many handshakes are in progress or
         too many streams are open.
         """
-        is_full = len(self.network.streams.list_streams()) >= _MAX_STREAMS
-        if is_full or not self._handshakes.acquire(blocking=False):
+        is_full = self.network.streams.count() >= _MAX_STREAMS
+        serve = partial(self._serve, connection)
+        if is_full or not self._handshakes.submit(serve):
             connection.close()
-            return
-        threading.Thread(
-            target=self._serve,
-            args=(connection,),
-            name='peer-accepted',
-            daemon=True,
-        ).start()
 
     def _serve(self, connection: socket.socket) -> None:
         network = self.network
@@ -92,7 +96,5 @@
         except (PeerError, OSError):
             connection.close()
             return
-        finally:
-            self._handshakes.release()
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        network.run_stream(connection, session)
+        network.carrier.open_stream(connection, session)
--- a/sesameroute/adapters/_peer_stream.py
+++ b/sesameroute/adapters/_peer_stream.py
@@ -1,25 +1,21 @@
 """One peer stream: sends without blocking, detects silence and stalls."""
 
 import logging
-import select
+import selectors
 import socket
-import threading
-from collections.abc import Iterator
 from contextlib import suppress
+from typing import Protocol
 
-from sesameroute.adapters._peer_frames import (
-    MAX_FRAME_BYTES,
-    Frame,
-    FrameKind,
-    FrameReader,
-    FrameSigner,
-    pack_frame,
-)
+from sesameroute.adapters._peer_frames import Frame, FrameKind, pack_frame
 from sesameroute.adapters._peer_handshake import Session
+from sesameroute.adapters._peer_loop import PeerLoop
+from sesameroute.adapters._peer_mailbox import PeerMailbox
+from sesameroute.adapters._peer_receiver import FrameReceiver
+from sesameroute.adapters._peer_sender import FrameSender
 from sesameroute.exceptions import PeerError
 from sesameroute.ports import Clock, PeerIdentity
 
-__all__ = ['PeerStream']
+__all__ = ['PeerStream', 'StreamOwner', 'pack_or_log']
 
 HEARTBEAT_SECONDS = 1.0
 # A stream is closed when the peer sends nothing, or reads nothing of what
@@ -27,20 +23,30 @@
 STALL_SECONDS = 2.8
 MAX_UNANSWERED_CALLS = 2  # in a row, with nothing received meanwhile
 
-_MAX_PENDING_BYTES = 2 * MAX_FRAME_BYTES
-_CHUNK_BYTES = 65_536
-_MILLISECONDS = 1000
-
 _logger = logging.getLogger(__name__)
 
 
+class StreamOwner(Protocol):
+    """What a stream tells of itself; called on the loop's thread."""
+
+    loop: PeerLoop
+
+    def handle_frame(self, stream: 'PeerStream', frame: Frame) -> None:
+        """Handle a received frame."""
+
+    def handle_change(self) -> None:
+        """Note that a stream can be used now, or no longer; any thread."""
+
+    def handle_end(self, stream: 'PeerStream') -> None:
+        """Forget a stream that has closed."""
+
+
 class PeerStream:
     """A connection to a peer after the handshake.
 
-    Any thread may call `send`; one thread reads with `receive`; the
-    maintenance thread of the network calls `maintain`. Bytes that the kernel
-    does not accept at once wait in a bounded buffer, so that a peer that
-    reads slowly blocks no sender and is disconnected.
+    Any thread may call `send` and `close`; all else runs on the loop. Bytes
+    that the kernel does not accept at once wait in a bounded buffer, so that
+    a peer that reads slowly blocks no sender and is disconnected.
 
     Parameters
     ----------
@@ -50,6 +56,8 @@
         The result of the handshake.
     clock : Clock
         Source of time.
+    owner : StreamOwner
+        Has the loop, and is told of frames and of the end.
 
     Attributes
     ----------
@@ -58,8 +66,8 @@
         certain that the peer holds the key and receives what this end sends.
     is_closed : bool
         Whether the stream was closed by either end.
-    last_received : float
-        Monotonic time in seconds at which bytes last arrived.
+    mailbox : PeerMailbox
+        Received messages that wait for a handler thread.
 
     """
 
@@ -68,21 +76,20 @@
         connection: socket.socket,
         session: Session,
         clock: Clock,
+        owner: StreamOwner,
     ) -> None:
         """Store the parameters and make the socket non-blocking."""
         self.connection = connection
         self.session = session
         self.clock = clock
+        self.owner = owner
         self.has_received = False
         self.is_closed = False
-        self.last_received = clock.read_monotonic()
-        self._unanswered = 0
+        self.mailbox = PeerMailbox()
         connection.setblocking(False)
-        self._signer = FrameSigner(session.sending_key)
-        self._pending = bytearray()
-        self._last_sent = clock.read_monotonic()
-        self._blocked_since = self._last_sent
-        self._lock = threading.Lock()
+        self._sender = FrameSender(connection, session.sending_key)
+        self._receiver = FrameReceiver(connection, session.receiving_key, clock)
+        self._has_ended = False
 
     @property
     def peer(self) -> PeerIdentity:
@@ -91,45 +98,47 @@
 
     def send(self, frame: Frame) -> bool:
         """Send or queue a frame; return whether that succeeded."""
-        try:
-            packed = pack_frame(frame)
-        except PeerError as error:
-            _logger.warning(
-                'peer frame not sent',
-                extra={'peer': self.peer.sender, 'why': error.message},
-            )
+        packed = pack_or_log(frame)
+        return packed is not None and self.send_packed(packed)
+
+    def send_packed(self, packed: bytes) -> bool:
+        """Send or queue a packed frame; return whether that succeeded."""
+        if self.is_closed:
             return False
-        with self._lock:
-            self._last_sent = self.clock.read_monotonic()
-            if not self._pending:
-                self._blocked_since = self._last_sent
-            self._pending += self._signer.sign(packed)
-            self._flush()
+        with suppress(OSError):
+            if not self._sender.send(packed, self.clock.read_monotonic()):
+                self.owner.loop.call_soon(self.watch)
             return not self.is_closed
-
-    def receive(self) -> Iterator[Frame]:
-        """Yield frames until the stream closes, fails or stays silent."""
-        reader = FrameReader(self.session.receiving_key)
-        poller = select.poll()
-        poller.register(self.connection, select.POLLIN)
-        with suppress(OSError, PeerError):
-            while received := self._read(poller):
-                self.has_received = True
-                self.last_received = self.clock.read_monotonic()
-                self._unanswered = 0
-                yield from reader.feed(received)
         self.close()
+        return False
 
-    def maintain(self) -> None:
-        """Send buffered bytes and due heartbeats; close a stalled stream."""
-        now = self.clock.read_monotonic()
-        if self._pending:
-            with self._lock:
-                self._flush()
-                is_slow = now - self._blocked_since > STALL_SECONDS
-                if self._pending and is_slow:
-                    self._shut_down()
-        if now - self._last_sent >= HEARTBEAT_SECONDS:
+    def watch(self) -> None:
+        """Wait for what the stream needs now: reading, writing or its end."""
+        if self._has_ended:
+            return
+        if self.is_closed:
+            self._end()
+            return
+        events = 0 if self.mailbox.is_full else selectors.EVENT_READ
+        if self._sender.has_pending:
+            events |= selectors.EVENT_WRITE
+        self.owner.loop.watch(self.connection, events, self._handle_events)
+
+    def resume(self) -> None:
+        """Read again after the mailbox was full; for any thread."""
+        self.owner.loop.call_soon(self.watch)
+
+    def maintain(self, now: float) -> None:
+        """Send a due heartbeat; close a stream that is silent or stalled."""
+        if self.mailbox.is_full:
+            self._receiver.skip(now)
+        if self._receiver.measure_silence(now) > STALL_SECONDS:
+            # What waits to be read tells that the peer is not silent.
+            self._handle_events(selectors.EVENT_READ)
+        silence = self._receiver.measure_silence(now)
+        if max(silence, self._sender.measure_stall(now)) > STALL_SECONDS:
+            self.close()
+        if now - self._sender.last_sent >= HEARTBEAT_SECONDS:
             self.send(Frame(FrameKind.HEARTBEAT))
 
     def record_unanswered_call(self, sent_at: float) -> None:
@@ -144,44 +153,53 @@
             Monotonic time in seconds at which the call was sent.
 
         """
-        if self.last_received >= sent_at:
+        if self._receiver.last_received >= sent_at:
             return
-        self._unanswered += 1
-        if self._unanswered >= MAX_UNANSWERED_CALLS:
+        self._receiver.unanswered += 1
+        if self._receiver.unanswered >= MAX_UNANSWERED_CALLS:
             self.close()
 
-    @property
-    def has_pending(self) -> bool:
-        """Whether bytes wait until the kernel accepts them."""
-        return bool(self._pending) and not self.is_closed
-
     def close(self) -> None:
-        """Close the connection, which ends `receive`."""
-        with self._lock:
-            self._shut_down()
-        self.connection.close()
-
-    def _read(self, poller: select.poll) -> bytes:
-        """Return received bytes; none after a time-out or at the end."""
-        if not poller.poll(STALL_SECONDS * _MILLISECONDS):
-            return b''
-        return self.connection.recv(_CHUNK_BYTES)
-
-    def _flush(self) -> None:
-        """Pass the kernel what it accepts now; the caller holds the lock."""
-        try:
-            while self._pending:
-                sent = self.connection.send(self._pending[:_CHUNK_BYTES])
-                self._pending = self._pending[sent:]
-        except BlockingIOError:
-            if len(self._pending) > _MAX_PENDING_BYTES:
-                self._shut_down()
-        except OSError:
-            self._shut_down()
-
-    def _shut_down(self) -> None:
-        """Mark as closed and end `receive`; the caller holds the lock."""
+        """Shut the connection down; the loop closes it."""
+        if self.is_closed:
+            return
         self.is_closed = True
-        self._pending = bytearray()
         with suppress(OSError):
             self.connection.shutdown(socket.SHUT_RDWR)
+        self.owner.handle_change()
+        self.owner.loop.call_soon(self.watch)
+
+    def _handle_events(self, events: int) -> None:
+        try:
+            self._transfer(events)
+        except (OSError, PeerError):
+            self.close()
+        self.watch()
+
+    def _transfer(self, events: int) -> None:
+        if events & selectors.EVENT_WRITE:
+            self._sender.flush(self.clock.read_monotonic())
+        if not events & selectors.EVENT_READ:
+            return
+        frames = self._receiver.receive()
+        if frames is not None and not self.has_received:
+            self.has_received = True
+            self.owner.handle_change()
+        for frame in frames or ():
+            self.owner.handle_frame(self, frame)
+
+    def _end(self) -> None:
+        self._has_ended = True
+        with suppress(ValueError):
+            self.owner.loop.watch(self.connection, 0, self._handle_events)
+        self.connection.close()
+        self.owner.handle_end(self)
+
+
+def pack_or_log(frame: Frame) -> bytes | None:
+    """Return the body of a frame; log why there is none."""
+    try:
+        return pack_frame(frame)
+    except PeerError as error:
+        _logger.warning('peer frame not sent', extra={'why': error.message})
+    return None
--- a/sesameroute/adapters/_peer_table.py
+++ b/sesameroute/adapters/_peer_table.py
@@ -9,6 +9,7 @@
 from sesameroute.adapters._peer_frames import Frame, FrameKind
 from sesameroute.adapters._peer_stream import PeerStream
 from sesameroute.exceptions import PeerError
+from sesameroute.telemetry import survive
 
 __all__ = ['CallTable', 'PendingCall', 'StreamTable']
 
@@ -21,7 +22,9 @@
     def __init__(self) -> None:
         """Start empty."""
         self._streams: dict[str, tuple[PeerStream, ...]] = {}
-        self._changed = threading.Condition()
+        self._lock = threading.Lock()
+        self._senders: tuple[str, ...] | None = None
+        self._changes = 0
 
     def add(self, stream: PeerStream) -> None:
         """Add a stream and close those of earlier incarnations of the peer.
@@ -29,10 +32,9 @@
         An incarnation is one start of the peer's process.
         """
         sender = stream.peer.sender
-        with self._changed:
+        with self._lock:
             known = self._streams.get(sender, ())
             self._streams[sender] = (*known, stream)
-            self._changed.notify_all()
         for other in known:
             if other.peer.incarnation != stream.peer.incarnation:
                 other.close()
@@ -40,13 +42,13 @@
     def remove(self, stream: PeerStream) -> None:
         """Remove a stream."""
         sender = stream.peer.sender
-        with self._changed:
+        with self._lock:
             known = self._streams.get(sender, ())
             remaining = tuple(other for other in known if other is not stream)
             self._streams[sender] = remaining
             if not remaining:
                 self._streams.pop(sender)
-            self._changed.notify_all()
+        self.forget_senders()
 
     def find(self, sender: str) -> PeerStream | None:
         """Return the newest open stream that has received bytes, or None."""
@@ -55,46 +57,59 @@
                 return stream
         return None
 
-    def wait_until_absent(self, sender: str, seconds: float) -> None:
-        """Wait until no stream to the peer is left, at most `seconds`."""
-        with self._changed:
-            self._changed.wait_for(
-                lambda: sender not in self._streams,
-                seconds,
-            )
-
-    def maintain(self, own: str) -> bool:
-        """Send what is due on all streams; close duplicates.
+    def maintain(self, own: str, now: float) -> None:
+        """Send what is due on all streams; close silent ones and duplicates.
 
         Parameters
         ----------
         own : str
             This process's sender id.
-
-        Returns
-        -------
-        bool
-            Whether bytes still wait to be sent.
+        now : float
+            Monotonic time in seconds.
 
         """
-        streams = self.list_streams()
-        for open_stream in streams:
-            open_stream.maintain()
+        for open_stream in self.list_streams():
+            with survive('peer stream'):
+                open_stream.maintain(now)
         for duplicate in self.list_duplicates(own):
             duplicate.close()
-        return any(each.has_pending for each in streams)
 
     def list_streams(self) -> tuple[PeerStream, ...]:
         """Return all streams."""
-        with self._changed:
+        with self._lock:
             groups = tuple(self._streams.values())
         return tuple(itertools.chain.from_iterable(groups))
 
+    def has(self, sender: str) -> bool:
+        """Whether there is a stream, also one that has received nothing."""
+        return sender in self._streams
+
+    def count(self) -> int:
+        """Return the number of peers with a stream."""
+        return len(self._streams)
+
     def list_senders(self) -> tuple[str, ...]:
-        """Return the ids of the peers that `find` has a stream for."""
-        with self._changed:
-            senders = tuple(self._streams)
-        return tuple(sender for sender in senders if self.find(sender))
+        """Return the ids of the peers that `find` has a stream for.
+
+        It is the same object until they change, since every request asks.
+        """
+        known = self._senders
+        if known is not None:
+            return known
+        with self._lock:
+            changes = self._changes
+            names = tuple(self._streams)
+        senders = tuple(filter(self.find, names))
+        with self._lock:
+            if changes == self._changes:
+                self._senders = senders
+        return senders
+
+    def forget_senders(self) -> None:
+        """Look at the streams again, because one can or can't be used now."""
+        with self._lock:
+            self._changes += 1
+            self._senders = None
 
     def list_duplicates(self, own_name: str) -> Iterable[PeerStream]:
         """Yield the duplicate streams that this end has to close.
@@ -103,9 +118,13 @@
         name closes streams, all but the newest: if both ends did, each could
         close a different one and none would be left.
         """
-        with self._changed:
-            groups = dict(self._streams)
-        for sender, streams in groups.items():
+        with self._lock:
+            groups = [
+                (sender, streams)
+                for sender, streams in self._streams.items()
+                if len(streams) > 1
+            ]
+        for sender, streams in groups:
             confirmed = [stream for stream in streams if stream.has_received]
             if own_name < sender:
                 yield from confirmed[:-1]
--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -1,20 +1,20 @@
-"""Peer network over TCP: msgpack frames, one reading thread per stream."""
+"""Peer network over TCP: msgpack frames, one event loop for all streams."""
 
+import itertools
 import math
-import socket
 import threading
 from collections.abc import Mapping
-from contextlib import ExitStack
 from dataclasses import dataclass
 from typing import Any
 
+from sesameroute.adapters._peer_carrier import PeerCarrier
 from sesameroute.adapters._peer_dialer import PeerDialer
 from sesameroute.adapters._peer_dispatcher import PeerDispatcher
 from sesameroute.adapters._peer_frames import Frame, FrameKind
-from sesameroute.adapters._peer_handshake import MIN_KEY_BYTES, Session
+from sesameroute.adapters._peer_handshake import MIN_KEY_BYTES
 from sesameroute.adapters._peer_listener import PeerListener
-from sesameroute.adapters._peer_stream import PeerStream
-from sesameroute.adapters._peer_table import CallTable, StreamTable
+from sesameroute.adapters._peer_stream import pack_or_log
+from sesameroute.adapters._peer_workers import PeerWorkers
 from sesameroute.exceptions import InputError, PeerError
 from sesameroute.ports import (
     Clock,
@@ -24,21 +24,22 @@
     decode_message,
     encode_message,
 )
-from sesameroute.telemetry import survive
 
 __all__ = ['PeerNetwork']
 
-_MAINTENANCE_SECONDS = 0.25
-_FLUSH_SECONDS = 0.005
-_REPLY_KINDS = frozenset((FrameKind.REPLY, FrameKind.FAILURE))
+_DIAL_THREADS = 32
+_MAX_DIALS = 4096  # one for each target
 
 
 @dataclass(frozen=True, slots=True)
 class _EncodedMessage:
-    """The last one-way message sent, with its encoded form."""
+    """The last one-way message sent, with the body of its frame.
+
+    The body is None if the message can't be encoded.
+    """
 
     message: Any
-    content: list[Any]
+    packed: bytes | None
 
 
 class PeerNetwork:
@@ -62,6 +63,15 @@
         IP address and TCP port; with port 0 the process only opens
         connections and accepts none.
 
+    Attributes
+    ----------
+    carrier : PeerCarrier
+        Reads and writes all streams.
+    streams : StreamTable
+        The streams.
+    dial_workers : PeerWorkers
+        Threads that open connections.
+
     """
 
     def __init__(
@@ -78,9 +88,11 @@
         self.wire = wire
         self.clock = clock
         self.listen = listen
-        self.streams = StreamTable()
-        self._calls = CallTable()
+        self.carrier = PeerCarrier(identity.sender, clock)
+        self.streams = self.carrier.streams
+        self.dial_workers = PeerWorkers('peer-dial', _DIAL_THREADS, _MAX_DIALS)
         self._last_encoded: _EncodedMessage | None = None
+        self._connected: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
         self._dialers: dict[str, PeerDialer] = {}
         self._dialers_lock = threading.Lock()
         self._dispatcher: PeerDispatcher | None = None
@@ -107,20 +119,17 @@
         if self.listen[1]:
             self._listener = PeerListener(self)
             self._listener.start()
-        threading.Thread(
-            target=self._maintain_streams,
-            name='peer-tick',
-            daemon=True,
-        ).start()
+        self.carrier.on_end = self._replace_stream
+        self.carrier.start(self._dispatcher)
 
     def stop(self) -> None:
         """Close all streams and stop listening."""
         self._is_stopping.set()
         self.set_targets({})
+        self.carrier.stop()
+        self.dial_workers.stop()
         if self._listener:
             self._listener.stop()
-        for stream in self.streams.list_streams():
-            stream.close()
         if self._dispatcher:
             self._dispatcher.stop()
 
@@ -143,12 +152,16 @@
     def list_connected(self) -> tuple[str, ...]:
         """Return the names of the entry VMs that are connected."""
         senders = self.streams.list_senders()
-        return tuple(sender for sender in senders if '/' not in sender)
+        listed = self._connected
+        if listed[0] is not senders:
+            listed = (senders, tuple(filter(_is_vm, senders)))
+            self._connected = listed
+        return listed[1]
 
     def list_observers(self) -> tuple[str, ...]:
         """Return the ids of connected look-up and operator processes."""
         senders = self.streams.list_senders()
-        return tuple(sender for sender in senders if '/' in sender)
+        return tuple(itertools.filterfalse(_is_vm, senders))
 
     def list_refused_dials(self) -> Mapping[str, float]:
         """Return the VMs that refused a connection and when.
@@ -167,12 +180,14 @@
         stream = self.streams.find(vm)
         if stream is None:
             return False
-        # A membership digest is sent to each peer in turn: encode it once.
+        # A node's state is sent to each peer in turn: encode it once.
         encoded = self._last_encoded
         if encoded is None or encoded.message is not message:
-            encoded = _EncodedMessage(message, encode_message(message))
+            frame = Frame(FrameKind.ONE_WAY, 0, encode_message(message))
+            encoded = _EncodedMessage(message, pack_or_log(frame))
             self._last_encoded = encoded
-        return stream.send(Frame(FrameKind.ONE_WAY, 0, encoded.content))
+        packed = encoded.packed
+        return packed is not None and stream.send_packed(packed)
 
     def call(self, vm: str, message: Any, timeout: float) -> Any:
         """Send a message and return the reply.
@@ -189,7 +204,7 @@
         stream = self.streams.find(vm)
         if stream is None:
             raise PeerError(f'no stream to {vm}')
-        with self._calls.open(stream) as call:
+        with self.carrier.calls.open(stream) as call:
             packed = encode_message(message)
             sent_at = self.clock.read_monotonic()
             if not stream.send(Frame(FrameKind.CALL, call.number, packed)):
@@ -200,35 +215,14 @@
                 stream.record_unanswered_call(sent_at)
             return _read_reply(vm, call.reply)
 
-    def run_stream(self, connection: socket.socket, session: Session) -> None:
-        """Read from a connection in the calling thread until it closes."""
-        stream = PeerStream(connection, session, self.clock)
-        with ExitStack() as cleanup:
-            cleanup.callback(self._calls.fail, stream)
-            cleanup.callback(self.streams.remove, stream)
-            cleanup.callback(stream.close)
-            self.streams.add(stream)
-            if self._is_stopping.is_set():
-                return
-            stream.send(Frame(FrameKind.HEARTBEAT))
-            for frame in stream.receive():
-                with survive('peer frame'):
-                    self._handle_frame(stream, frame)
-
-    def _handle_frame(self, stream: PeerStream, frame: Frame) -> None:
-        if frame.kind in _REPLY_KINDS:
-            self._calls.complete(stream, frame)
-        elif frame.kind is not FrameKind.HEARTBEAT:
-            self._dispatcher.dispatch(stream, frame)
-
-    def _maintain_streams(self) -> None:
-        """Send heartbeats and buffered bytes; close duplicate streams."""
-        while not self._is_stopping.is_set():
-            has_pending = False
-            with survive('peer streams'):
-                has_pending = self.streams.maintain(self.identity.sender)
-            pause = _FLUSH_SECONDS if has_pending else _MAINTENANCE_SECONDS
-            self._is_stopping.wait(pause)
+    def _replace_stream(self, sender: str) -> None:
+        dialer = self._dialers.get(sender)
+        if dialer:
+            dialer.replace_stream()
+
+
+def _is_vm(sender: str) -> bool:
+    return '/' not in sender
 
 
 def _read_reply(vm: str, frame: Frame | None) -> Any:
