Keep the view of live nodes and its leaders until it changes; measure idle nodes

Load: every request asks for the leader of its service, and the store's watch for ranks; both listed and hashed all live nodes each time.

--- /dev/null
+++ b/benchmarks/_idle_node.py
@@ -0,0 +1,130 @@
+"""One idle node whose peers are streams of another process.
+
+``python _idle_node.py peers COUNT`` prints the settings of the node and then
+plays its peers; ``python _idle_node.py node COUNT SECONDS`` reads the settings
+and prints what the node costs. Both run on any source tree in ``PYTHONPATH``.
+"""
+
+import json
+import socket
+import struct
+import sys
+import threading
+import time
+from dataclasses import replace
+from pathlib import Path
+
+from sesameroute.adapters import PeerNetwork
+from sesameroute.node import FleetNode, parse_node_settings
+from sesameroute.node._fleet import NodeState
+from sesameroute.node.tests.cluster import (
+    NETWORK_PREFIX,
+    PEERS_PORT,
+    Cluster,
+)
+from sesameroute.ports import PeerIdentity, SystemClock, TcpWire
+
+_KEY = b'key of this test 0123456789'
+_MAX_SECONDS = 90
+_SETTLE_SECONDS = 6
+_HEARTBEAT_SECONDS = 1.0
+_ADDRESSES = 200  # of each third part of an IP address
+_REGIONS = ('north', 'south', 'east')
+_TCP_INFO_BYTES = 232
+_COUNTERS_OFFSET_BYTES = 120
+_HEADER_BYTES = 52
+_PAGE_BYTES = 4096
+
+
+def run_peers(count: int) -> None:
+    """Print the node's settings, then tell it the states of its peers."""
+    cluster = Cluster()
+    settings = cluster.build_settings(1)
+    sys.stdout.write(json.dumps(settings))
+    sys.stdout.write('\n')
+    sys.stdout.flush()
+    target = {f'{NETWORK_PREFIX}.1': (f'{NETWORK_PREFIX}.1', PEERS_PORT)}
+    prefix, third = NETWORK_PREFIX.rsplit('.', 1)
+    playing = []
+    for number in range(count):
+        part = (int(third) + 1 + number // _ADDRESSES) % 256
+        address = f'{prefix}.{part}.{1 + number % _ADDRESSES}'
+        network = PeerNetwork(
+            PeerIdentity(address, f'i{number}'),
+            _KEY,
+            TcpWire(),
+            SystemClock(),
+            (address, PEERS_PORT),
+        )
+        network.start(lambda _sender, _message: None)
+        network.set_targets(target)
+        playing.append((network, _make_state(address, number)))
+    known = tuple(state.address for _network, state in playing)
+    beat = 0
+    while True:
+        beat += 1
+        for network, state in playing:
+            is_complete = beat % 5 == 0
+            sent = replace(state, known=known if is_complete else ())
+            network.send_one_way(next(iter(target)), sent)
+        time.sleep(_HEARTBEAT_SECONDS)
+
+
+def measure_node(count: int, seconds: float) -> dict[str, float]:
+    """Return the cost of a node with peers, for each second."""
+    node = FleetNode(parse_node_settings(json.loads(sys.stdin.readline())))
+    node.start()
+    until = time.monotonic() + _MAX_SECONDS
+    while len(node.fleet.list_live()) <= count and time.monotonic() < until:
+        time.sleep(_HEARTBEAT_SECONDS)
+    live = len(node.fleet.list_live()) - 1
+    time.sleep(_SETTLE_SECONDS)
+    used, transferred = time.process_time(), _sum_bytes(node.peers)
+    time.sleep(seconds)
+    return {
+        'live': live,
+        'threads': threading.active_count(),
+        'core': (time.process_time() - used) / seconds,
+        'bytes': (_sum_bytes(node.peers) - transferred) / seconds,
+        'memory': _read_memory(),
+    }
+
+
+def _make_state(address: str, number: int) -> NodeState:
+    region = _REGIONS[number % len(_REGIONS)]
+    return NodeState(
+        address, f'{region}-a', region, f'{address}:1', is_ready=True
+    )
+
+
+def _sum_bytes(network: PeerNetwork) -> int:
+    """Return the bytes of all streams, both directions, with headers."""
+    return sum(
+        _read_bytes(stream.connection)
+        for stream in network.streams.list_streams()
+    )
+
+
+def _read_bytes(connection: socket.socket) -> int:
+    packed = connection.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+    )
+    acked, received, sent_segments, received_segments = struct.unpack_from(
+        '=QQII', packed, _COUNTERS_OFFSET_BYTES
+    )
+    segments = sent_segments + received_segments
+    return acked + received + segments * _HEADER_BYTES
+
+
+def _read_memory() -> int:
+    fields = Path('/proc/self/statm').read_text().split()
+    return int(fields[1]) * _PAGE_BYTES
+
+
+if __name__ == '__main__':
+    if sys.argv[1] == 'node':
+        measured = measure_node(int(sys.argv[2]), float(sys.argv[3]))
+        sys.stdout.write(json.dumps(measured))
+        sys.stdout.flush()
+        threading.Event().wait()
+    run_peers(int(sys.argv[2]))
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -1,16 +1,13 @@
 """Tracks the live nodes of the fleet and elects leaders among them."""
 
 import threading
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from sesameroute.placement import hash_key
+from sesameroute.node._live_view import LiveStates
 from sesameroute.ports import Clock, Peers, register_message
 
 __all__ = ['Fleet', 'NodeState']
 
-# A node counts as live until its last state message is this old.
-_STATE_MAX_AGE_SECONDS = 3.5
 # One state message in this many lists all known nodes, also without a change.
 _COMPLETE_STATE_INTERVAL = 5
 # If fewer of the ready nodes than this answer callers, all count as answering:
@@ -74,12 +71,6 @@
     answers_callers: bool = True
 
 
-@dataclass(slots=True)
-class _ReceivedState:
-    state: NodeState
-    received_at: float
-
-
 class _KnownList:
     """Leaves the list of known nodes out of most messages.
 
@@ -126,7 +117,7 @@
         self.peers = peers
         self.clock = clock
         self._lock = threading.Lock()
-        self._received: dict[str, _ReceivedState] = {}
+        self._states = LiveStates(peers, clock)
         self._addresses: dict[str, float] = {}
         self._known_list = _KnownList()
 
@@ -135,7 +126,8 @@
         with self._lock:
             updated = replace(self.own_state, **changes)
             has_changed = updated != self.own_state
-            self.own_state = updated
+            if has_changed:
+                self.own_state = updated
         return has_changed
 
     def add_address(self, address: str) -> None:
@@ -145,9 +137,7 @@
 
     def receive_state(self, state: NodeState) -> None:
         """Store a state received from a node."""
-        now = self.clock.read_monotonic()
-        with self._lock:
-            self._received[state.address] = _ReceivedState(state, now)
+        self._states.store(state)
         self.add_address(state.address)
         for address in state.known:
             if address not in self._addresses:
@@ -174,17 +164,7 @@
 
     def list_live(self) -> list[NodeState]:
         """Return the states of the live nodes, this node first."""
-        now = self.clock.read_monotonic()
-        connected = set(self.peers.list_connected())
-        with self._lock:
-            received = list(self._received.values())
-        live = [
-            entry.state
-            for entry in received
-            if entry.state.address in connected
-            and now - entry.received_at <= _STATE_MAX_AGE_SECONDS
-        ]
-        return [self.own_state, *live]
+        return self._states.find_view(self.own_state).list_states()
 
     def list_dial_addresses(self) -> list[str]:
         """Return the IP addresses to keep connections to."""
@@ -203,16 +183,7 @@
         This node itself leads if the region has no ready node. One that has
         just started decides nothing for others: it may not know all yet.
         """
-        ready = (
-            state.address
-            for state in self.list_live()
-            if state.region == region and state.is_ready
-        )
-        return min(
-            ready,
-            key=_build_rank_key(topic),
-            default=self.own_state.address,
-        )
+        return self._states.find_view(self.own_state).find_leader(topic, region)
 
     def find_rank(self, topic: str, address: str = '') -> int:
         """Return a node's rank among the possible leaders, from 0.
@@ -228,12 +199,7 @@
             IP address of the node; by default this node's.
 
         """
-        possible = (
-            state.address
-            for state in self.list_live()
-            if state.region == self.own_state.region and not state.is_leaving
-        )
-        ranked = sorted(possible, key=_build_rank_key(topic))
+        ranked = self._states.find_view(self.own_state).rank(topic)
         found = address or self.own_state.address
         return ranked.index(found) if found in ranked else len(ranked)
 
@@ -259,8 +225,3 @@
         answering = [state for state in ready if state.answers_callers]
         is_panic = len(answering) < _PANIC_FRACTION * len(ready)
         return ready if is_panic else answering
-
-
-def _build_rank_key(topic: str) -> Callable[[str], int]:
-    """Return a sort key: the address with the lowest hash comes first."""
-    return lambda address: hash_key(f'{topic}/{address}')
