--- a/sesameroute/mirror/_messages.py
+++ b/sesameroute/mirror/_messages.py
@@ -33,7 +33,7 @@
     content: bytes | None
 
 
-@register_message('mirror-news', is_nonblocking=True)
+@register_message('mirror-news')
 @dataclass(frozen=True, slots=True)
 class MirrorUpdate:
     """Changes of the store between two positions, or a full copy.
@@ -57,7 +57,7 @@
     age: float = 0
 
 
-@register_message('mirror-query', is_nonblocking=True)
+@register_message('mirror-query')
 @dataclass(frozen=True, slots=True)
 class MirrorCopyRequest:
     """Asks a peer for a full copy.
@@ -91,7 +91,7 @@
     replaces: int
 
 
-@register_message('mirror-held', is_nonblocking=True)
+@register_message('mirror-held')
 @dataclass(frozen=True, slots=True)
 class HeldItems:
     """All items that a node holds since the store was restored.
--- /dev/null
+++ b/sesameroute/node/tests/test_live_view.py
@@ -0,0 +1,160 @@
+"""Tests of what nodes derive from the states of the live nodes."""
+
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+
+from sesameroute.node import _live_view
+from sesameroute.node._fleet import Fleet, NodeState
+from sesameroute.routing.tests.samples import ManualClock
+
+_NODES = 140
+_REGIONS = ('north', 'south', 'east')
+_SERVICE = 's'
+
+
+class Observer:
+    """A node's view of a fleet whose other nodes send their states."""
+
+    def __init__(self):
+        """Hear of all nodes once."""
+        self.clock = ManualClock()
+        self.states = {
+            f'10.1.{each}.34': make_state(each) for each in range(_NODES)
+        }
+        self.own = self.states.pop('10.1.0.34')
+        self.connected = tuple(self.states)
+        self.fleet = Fleet(
+            self.own,
+            SimpleNamespace(list_connected=lambda: self.connected),
+            self.clock,
+        )
+        self.beat()
+
+    def beat(self, silent=()):
+        """Let a second pass, in which all nodes but some send their states."""
+        self.clock.now += 1
+        for address, state in self.states.items():
+            if address not in silent:
+                self.fleet.receive_state(state)
+
+    def find_leader(self):
+        """Return the leader of a service in this node's region."""
+        return self.fleet.find_leader(_SERVICE, 'north')
+
+    def change(self, address, **changes):
+        """Let a node send a changed state."""
+        self.states[address] = replace(self.states[address], **changes)
+        self.fleet.receive_state(self.states[address])
+
+
+def make_state(number):
+    """Return the state of a ready node."""
+    address = f'10.1.{number}.34'
+    region = _REGIONS[number % len(_REGIONS)]
+    return NodeState(
+        address, f'{region}-a', region, f'{address}:1', is_ready=True
+    )
+
+
+def lose_stream(observer, leader):
+    """Close the stream to the leader."""
+    observer.connected = tuple(
+        each for each in observer.connected if each != leader
+    )
+
+
+def fall_silent(observer, leader):
+    """Let the leader's states end while its stream stays open."""
+    for _ in range(4):
+        observer.beat(silent=(leader,))
+
+
+def lose_all_others(observer, _leader):
+    """Let this node be cut off."""
+    observer.connected = ()
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        lose_stream,
+        fall_silent,
+        lose_all_others,
+        pytest.param(
+            lambda observer, leader: observer.change(leader, is_ready=False),
+            id='not ready',
+        ),
+        pytest.param(
+            lambda observer, leader: observer.change(leader, region='south'),
+            id='moved',
+        ),
+    ],
+)
+def test_changes_show_at_once(change):
+    """A view that is kept names no node that no longer leads."""
+    observer = Observer()
+    leader = observer.find_leader()
+    assert leader != observer.own.address
+    assert observer.fleet.find_rank(_SERVICE, leader) == 0
+    change(observer, leader)
+    live = {state.address: state for state in observer.fleet.list_live()}
+    led_by = observer.find_leader()
+    assert led_by != leader
+    assert live[led_by].region == 'north'
+    assert live[led_by].is_ready
+
+
+def test_nodes_that_come_back_lead_again():
+    """A lost node is back with its stream and state, a ready one leads."""
+    observer = Observer()
+    leader, connected = observer.find_leader(), observer.connected
+    lose_stream(observer, leader)
+    assert observer.find_leader() != leader
+    observer.connected = connected
+    assert observer.find_leader() == leader
+    fall_silent(observer, leader)
+    assert observer.find_leader() != leader
+    observer.beat()
+    assert observer.find_leader() == leader
+    observer.fleet.update_own_state(is_leaving=True)
+    assert (
+        observer.fleet.find_rank(_SERVICE)
+        == len(
+            [
+                each
+                for each in observer.fleet.list_live()
+                if each.region == 'north'
+            ]
+        )
+        - 1
+    )
+
+
+def test_newest_states_are_listed():
+    """A view that is kept shows what changes no leader, too."""
+    observer = Observer()
+    address = observer.connected[0]
+    observer.fleet.list_live()
+    observer.change(address, revision=9, reaches_servers=False)
+    listed = {state.address: state for state in observer.fleet.list_live()}
+    assert listed[address] == observer.states[address]
+
+
+def test_requests_of_a_large_fleet_rank_its_nodes_rarely(monkeypatch):
+    """Each request ranked all nodes: 140 nodes, 100 requests a second."""
+    observer = Observer()
+    hashed = []
+
+    def count_hash(text):
+        hashed.append(text)
+        return len(text)
+
+    monkeypatch.setattr(_live_view, 'hash_key', count_hash)
+    for _ in range(10):
+        observer.beat()
+        for _ in range(100):
+            observer.find_leader()
+            observer.fleet.find_rank(_SERVICE)
+    assert 0 < len(hashed) < 10 * _NODES
