--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -1,18 +1,18 @@
 """Tracks the live nodes of the fleet and elects leaders among them."""
 
 import threading
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from sesameroute.gossip import (
+    choose_heartbeat_interval,
+    choose_list_interval,
+)
+from sesameroute.node._live_view import LiveStates
 from sesameroute.placement import hash_key
 from sesameroute.ports import Clock, Peers, register_message
 
 __all__ = ['Fleet', 'NodeState']
 
-# A node counts as live until its last state message is this old.
-_STATE_MAX_AGE_SECONDS = 3.5
-# One state message in this many lists all known nodes, also without a change.
-_COMPLETE_STATE_INTERVAL = 5
 # If fewer of the ready nodes than this answer callers, all count as answering:
 # their checks are likelier to fail than so many servers (panic threshold).
 _PANIC_FRACTION = 0.5
@@ -74,12 +74,6 @@
     answers_callers: bool = True
 
 
-@dataclass(slots=True)
-class _ReceivedState:
-    state: NodeState
-    received_at: float
-
-
 class _KnownList:
     """Leaves the list of known nodes out of most messages.
 
@@ -87,18 +81,22 @@
     cube of its size.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, address: str) -> None:
         self._last: tuple[str, ...] = ()
         self._left_out = 0
+        self._phase = hash_key(address)
 
     def select(self, known: tuple[str, ...]) -> tuple[str, ...]:
         """Return the list if it is new or due, else an empty one."""
         self._left_out += 1
-        is_due = self._left_out >= _COMPLETE_STATE_INTERVAL
-        if not is_due and sorted(known) == sorted(self._last):
+        interval = choose_list_interval(len(known))
+        is_same = sorted(known) == sorted(self._last)
+        if is_same and self._left_out < interval:
             return ()
+        # Nodes that hear of a change at the same time list all again at
+        # different times.
+        self._left_out = 0 if is_same else self._phase % interval
         self._last = known
-        self._left_out = 0
         return known
 
 
@@ -126,16 +124,17 @@
         self.peers = peers
         self.clock = clock
         self._lock = threading.Lock()
-        self._received: dict[str, _ReceivedState] = {}
+        self._states = LiveStates(peers, clock)
         self._addresses: dict[str, float] = {}
-        self._known_list = _KnownList()
+        self._known_list = _KnownList(own_state.address)
 
     def update_own_state(self, **changes: bool | int) -> bool:
         """Update fields of this node's state; return whether it has changed."""
         with self._lock:
             updated = replace(self.own_state, **changes)
             has_changed = updated != self.own_state
-            self.own_state = updated
+            if has_changed:
+                self.own_state = updated
         return has_changed
 
     def add_address(self, address: str) -> None:
@@ -145,9 +144,7 @@
 
     def receive_state(self, state: NodeState) -> None:
         """Store a state received from a node."""
-        now = self.clock.read_monotonic()
-        with self._lock:
-            self._received[state.address] = _ReceivedState(state, now)
+        self._states.store(state)
         self.add_address(state.address)
         for address in state.known:
             if address not in self._addresses:
@@ -174,17 +171,7 @@
 
     def list_live(self) -> list[NodeState]:
         """Return the states of the live nodes, this node first."""
-        now = self.clock.read_monotonic()
-        connected = set(self.peers.list_connected())
-        with self._lock:
-            received = list(self._received.values())
-        live = [
-            entry.state
-            for entry in received
-            if entry.state.address in connected
-            and now - entry.received_at <= _STATE_MAX_AGE_SECONDS
-        ]
-        return [self.own_state, *live]
+        return self._states.find_view(self.own_state).list_states()
 
     def list_dial_addresses(self) -> list[str]:
         """Return the IP addresses to keep connections to."""
@@ -203,16 +190,7 @@
         This node itself leads if the region has no ready node. One that has
         just started decides nothing for others: it may not know all yet.
         """
-        ready = (
-            state.address
-            for state in self.list_live()
-            if state.region == region and state.is_ready
-        )
-        return min(
-            ready,
-            key=_build_rank_key(topic),
-            default=self.own_state.address,
-        )
+        return self._states.find_view(self.own_state).find_leader(topic, region)
 
     def find_rank(self, topic: str, address: str = '') -> int:
         """Return a node's rank among the possible leaders, from 0.
@@ -228,12 +206,7 @@
             IP address of the node; by default this node's.
 
         """
-        possible = (
-            state.address
-            for state in self.list_live()
-            if state.region == self.own_state.region and not state.is_leaving
-        )
-        ranked = sorted(possible, key=_build_rank_key(topic))
+        ranked = self._states.find_view(self.own_state).rank(topic)
         found = address or self.own_state.address
         return ranked.index(found) if found in ranked else len(ranked)
 
@@ -244,23 +217,24 @@
         none. A node that is leaving may miss the ones that have replaced
         others meanwhile, so that it names no other region.
         """
-        ready = self._list_answering()
+        ready = _select_answering(self.list_live())
         near = [state for state in ready if state.region == region]
         if near or self.own_state.is_leaving:
             return [state.front for state in near]
         return [state.front for state in ready]
 
+    def choose_heartbeat_interval(self) -> float:
+        """Return the seconds between two state messages to all peers."""
+        return choose_heartbeat_interval(len(self.peers.list_connected()))
+
     def count_known(self) -> int:
         """Return the number of nodes, live or not yet forgotten."""
         return max(len(self._addresses) + 1, 1)
 
-    def _list_answering(self) -> list[NodeState]:
-        ready = [state for state in self.list_live() if state.is_ready]
-        answering = [state for state in ready if state.answers_callers]
-        is_panic = len(answering) < _PANIC_FRACTION * len(ready)
-        return ready if is_panic else answering
-
 
-def _build_rank_key(topic: str) -> Callable[[str], int]:
-    """Return a sort key: the address with the lowest hash comes first."""
-    return lambda address: hash_key(f'{topic}/{address}')
+def _select_answering(live: list[NodeState]) -> list[NodeState]:
+    """Return the ready nodes that answer callers, or all if too few do."""
+    ready = [state for state in live if state.is_ready]
+    answering = [state for state in ready if state.answers_callers]
+    is_panic = len(answering) < _PANIC_FRACTION * len(ready)
+    return ready if is_panic else answering
