Know tenants by their keys

The configuration may hold tenants with keys, decoded part by part. On routes that are not anonymous a request bears one key of a tenant: without one it is answered 401, with one that an unreadable tenant may hold 503, and nothing is sent. Servers get the tenant's name, set by the node alone, and never the key; a node that passes a request on hands the key to the other node. The key is looked up again before each send. Without tenants nothing changes.

--- a/sesameroute/adapters/_request_parser.py
+++ b/sesameroute/adapters/_request_parser.py
@@ -53,6 +53,27 @@
         """
 
 
+class _HeaderFields(dict[bytes, bytes]):
+    """The fields of a head, of which cheroot keeps the last of a name.
+
+    Attributes
+    ----------
+    replaced : list of (bytes, bytes)
+        The earlier fields of the same name, in their order.
+
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.replaced: list[tuple[bytes, bytes]] = []
+
+    def __setitem__(self, name: bytes, text: bytes) -> None:
+        earlier = self.get(name)
+        if earlier is not None and not text.startswith(b'%s, ' % earlier):
+            self.replaced.append((name, earlier))
+        super().__setitem__(name, text)
+
+
 class _HeaderLines:
     """Reads the lines of a head; refuses a second Content-Length."""
 
@@ -82,6 +103,11 @@
 
     header_reader = _HeaderReader()
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Create it with fields that keep the earlier ones of a name."""
+        super().__init__(*arguments, **options)
+        self.inheaders = _HeaderFields()
+
     def simple_response(self, status: str, msg: str = '') -> None:
         """Answer 431 where cheroot answers 413 for headers and body alike."""
         if status.startswith(_TOO_LARGE_STATUS) and _HEADER_LIMIT_TEXT in msg:
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -93,17 +93,21 @@
         if route is None:
             return self.refusals_.answer_unrouted(request, table)
         state = self._make_state(request, route)
-        state.table = table
+        follow_configuration(state, self.active_configuration)
+        denied = self.guards.tenants.check_key(state)
+        if denied is not None:
+            return denied
         state.body = read_body(request)
         state.fingerprint = compute_fingerprint(state)
         if not self.relay_.is_needed(state):
             # The node that sends a request counts it.
             self.guards.retries.observe(state.service)
         answer = None
-        while answer is None:
-            follow_configuration(state, self.active_configuration)
-            answer = self.guards.check(state)
-            answer = answer or self._try_once(state)
+        with self.guards.tenants.settling(state):
+            while answer is None:
+                follow_configuration(state, self.active_configuration)
+                answer = self.guards.check(state)
+                answer = answer or self._try_once(state)
         _release_reserved(self.allocator, state)
         self.observer_(log_answer(state, answer, self.clock.read_monotonic()))
         return answer
@@ -175,8 +179,11 @@
 
     def _get_slot(
         self, state: RequestState
-    ) -> tuple[SlotRequest, Grant | Refusal]:
-        """Return the reserved slot, or request one."""
+    ) -> tuple[SlotRequest | None, Grant | Refusal]:
+        """Return the reserved slot, or request one within the allowance."""
+        refusal = self.guards.tenants.take_allowance(state)
+        if refusal is not None:
+            return None, refusal
         reserved = state.reserved
         if reserved is not None:
             state.reserved = None
@@ -206,8 +213,9 @@
             route.latency_target - state.compute_elapsed(now),
             state.deadline - now,
             may_wait,
-            tuple(sorted(route.homes)),
+            tuple(sorted(state.homes)),
             state.excluded,
+            **state.describe_tenant(),
         )
 
     def _send_once(
@@ -218,6 +226,7 @@
         backend: Backend,
     ) -> Answer | None:
         state.tries += 1
+        state.charged = None
         state.backend = backend.name
         state.incarnation = backend.incarnation
         state.sent_try = self.guards.quarantine.evidence.begin_try(
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -13,6 +13,7 @@
 from sesameroute.forward._request_state import RequestState, is_consumed
 from sesameroute.forward._rerouting import may_run_again
 from sesameroute.forward._retries import RetryBudgets
+from sesameroute.forward._tenants import TenantGate
 from sesameroute.limits import Shutdown
 from sesameroute.placement import Outcome
 from sesameroute.ports import Answer, Clock
@@ -39,7 +40,7 @@
     that crash backend servers, `announcements` records what the servers
     say of themselves, `end_detector` checks servers that fall silent, `clock`
     is the source of time. `shutdown` decides what a stopping node still
-    starts.
+    starts, `tenants` refuses requests by key and allowance.
     """
 
     retries: RetryBudgets
@@ -48,6 +49,7 @@
     end_detector: EndDetector
     clock: Clock
     shutdown: Shutdown = field(default_factory=Shutdown)
+    tenants: TenantGate = field(default_factory=TenantGate)
 
     def may_start(self, state: RequestState) -> bool:
         """Whether a try may start: a node that stops soon starts few."""
@@ -69,8 +71,9 @@
         """
         if not may_run_again(state):
             return build_failure_answer(state.last_error, 0, may_have_run=True)
-        if not self.may_start(state):
-            return _build_stop_answer(state)
+        denied = self.tenants.check_key(state)
+        if denied or not self.may_start(state):
+            return denied or _build_stop_answer(state)
         state.deadline = self.shutdown.limit_deadline(state.deadline)
         ends = self.clock.read_monotonic() + _MAX_TRIAL_WAIT_SECONDS
         refusal = self._find_refusal(state)
@@ -125,6 +128,7 @@
 
     def observe_failure(self, state: RequestState, error: TryError) -> None:
         """Count a backend server that ended under the request, or before."""
+        state.charged = None if error.may_have_run else state.tenant
         evidence = self.quarantine.evidence
         if error.outcome in _GIVEN_UP:
             evidence.observe_give_up(state.sent_try)
--- a/sesameroute/forward/_local_answers.py
+++ b/sesameroute/forward/_local_answers.py
@@ -2,7 +2,7 @@
 
 from sesameroute.exceptions import SesameError
 from sesameroute.forward._message import TryError
-from sesameroute.placement import Outcome, Refusal
+from sesameroute.placement import Outcome, Reason, Refusal
 from sesameroute.ports import Answer
 
 __all__ = [
@@ -12,6 +12,7 @@
     'build_refusal_answer',
 ]
 
+_TOO_MANY_REQUESTS = 429
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -41,11 +42,10 @@
 
 def build_refusal_answer(refusal: Refusal) -> Answer:
     """Return the answer to a request that got no slot."""
-    return build_answer(
-        _UNAVAILABLE,
-        refusal.reason.value,
-        refusal.retry_after,
-    )
+    status = _UNAVAILABLE
+    if refusal.reason is Reason.OVER_ALLOWANCE:
+        status = _TOO_MANY_REQUESTS
+    return build_answer(status, refusal.reason.value, refusal.retry_after)
 
 
 def build_failure_answer(
--- a/sesameroute/forward/_message.py
+++ b/sesameroute/forward/_message.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sesameroute.exceptions import SesameError
 from sesameroute.placement import Outcome
@@ -30,12 +30,15 @@
         Affinity key: the object that the request concerns; empty if none.
     timeout_seconds : float or None
         Time that the caller waits for the answer; None if it gave none.
+    keys : tuple of str
+        Keys of tenants that it bears; not to be logged.
 
     """
 
     identifier: str
     affinity_key: str
     timeout_seconds: float | None
+    keys: tuple[str, ...] = field(default=(), repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +156,14 @@
         """Return whether a header is replaced at each hop."""
         raise NotImplementedError
 
+    def is_of_tenants(self, name: str) -> bool:
+        """Return whether a header tells whose a request is."""
+        raise NotImplementedError
+
+    def build_tenant_headers(self, tenant: str) -> Headers:
+        """Return the headers that tell whose a request is; empty: nobody's."""
+        raise NotImplementedError
+
     def read_answer_metadata(self, answer: Answer) -> AnswerMetadata:
         """Return the metadata in the headers of an answer."""
         raise NotImplementedError
--- a/sesameroute/forward/_relay.py
+++ b/sesameroute/forward/_relay.py
@@ -136,7 +136,7 @@
             return self._handle_failure(state, error, peer)
 
     def _choose_peer(self, state: RequestState) -> RelayPeer | None:
-        return self.peers.choose(state.route.homes, state.relayed_to)
+        return self.peers.choose(state.homes, state.relayed_to)
 
     def _send(self, state: RequestState, peer: RelayPeer) -> Answer:
         codec: RelayCodec = self.sender.header_codec
@@ -144,7 +144,9 @@
             state,
             codec,
             codec.encode_context(
-                self.read_version(), state.compute_elapsed(self._read_clock())
+                self.read_version(),
+                state.compute_elapsed(self._read_clock()),
+                has_tenants=state.table.tenants.is_used,
             ),
             self._read_clock(),
         )
--- a/sesameroute/forward/_relay_codec.py
+++ b/sesameroute/forward/_relay_codec.py
@@ -18,10 +18,20 @@
 ]
 
 # In a request: version of the configuration, and milliseconds that have passed.
+# A third field says that there are tenants: builds that know none, and would
+# hand their keys to backend servers, take the header as malformed and decline.
 # In an answer: identifier of the attempt; `;declined` if it has not run.
 _RELAY_HEADER = 'Sesame-Relay'
 _DECLINED = 'declined'
+_TENANTS = ';tenants'
 _MILLISECONDS = 1000
+_REFUSED_STATUSES = frozenset(
+    (
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.UNAUTHORIZED,
+    )
+)
 
 
 class RelayCodec(HeaderCodec):
@@ -64,7 +74,9 @@
             is_sealed=bool(texts),
         )
 
-    def encode_context(self, version: int, elapsed: float) -> Headers:
+    def encode_context(
+        self, version: int, elapsed: float, *, has_tenants: bool = False
+    ) -> Headers:
         """Return the header that tells the other node about the request.
 
         Parameters
@@ -73,19 +85,19 @@
             Version of the configuration by which it was accepted.
         elapsed : float
             Seconds that it and the caller's earlier attempts have taken.
+        has_tenants : bool, optional
+            Whether the other node has to know tenants.
 
         """
         milliseconds = round(elapsed * _MILLISECONDS)
-        return ((_RELAY_HEADER, f'{version};{milliseconds}'),)
+        suffix = _TENANTS if has_tenants else ''
+        return ((_RELAY_HEADER, f'{version};{milliseconds}{suffix}'),)
 
 
 def is_refusal(answer: Answer, platform_codec: HeaderCodec) -> bool:
     """Return whether a node, not a backend server, refuses a request."""
     metadata = platform_codec.read_answer_metadata(answer)
-    return (
-        answer.status == HTTPStatus.SERVICE_UNAVAILABLE
-        and not metadata.is_sealed
-    )
+    return answer.status in _REFUSED_STATUSES and not metadata.is_sealed
 
 
 def decode_context(headers: Headers) -> RelayedRequest | None:
@@ -101,7 +113,7 @@
     """
     for name, text in headers:
         if name.lower() == _RELAY_HEADER.lower():
-            version, _, elapsed = text.partition(';')
+            version, _, elapsed = text.removesuffix(_TENANTS).partition(';')
             if version.isdecimal() and elapsed.isdecimal():
                 return RelayedRequest(
                     int(version), int(elapsed) / _MILLISECONDS
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -20,6 +20,7 @@
 from sesameroute.quarantine import SentTry
 from sesameroute.registry import Backend
 from sesameroute.routes import Route, RouteTable
+from sesameroute.tenants import Denial, Tenant
 
 __all__ = [
     'HOP_BY_HOP_HEADERS',
@@ -100,6 +101,12 @@
         The last try, as the quarantine knows it.
     relayed_to : tuple of str
         Nodes that the request was passed on to.
+    tenant : Tenant or None
+        Whose request it is; None if it needs no key.
+    denial : Denial or None
+        Why it is not let through by its key.
+    charged : Tenant or None
+        Tenant in whose allowance the next try is counted already.
 
     """
 
@@ -123,6 +130,27 @@
     fingerprint: str = ''
     sent_try: SentTry | None = None
     relayed_to: tuple[str, ...] = ()
+    tenant: Tenant | None = None
+    denial: Denial | None = None
+    charged: Tenant | None = None
+
+    @property
+    def homes(self) -> frozenset[str]:
+        """Regions that route and tenant both permit; empty means all."""
+        own = self.route.homes
+        others = self.tenant.homes if self.tenant else frozenset()
+        return own & others if own and others else own | others
+
+    def describe_tenant(self) -> dict[str, object]:
+        """Return the fields of a slot request that tell whose it is."""
+        tenant = self.tenant
+        if tenant is None:
+            return {}
+        return {
+            'tenant': tenant.name,
+            'tenant_priority': tenant.priority,
+            'allowance': tenant.rate,
+        }
 
     def has_time_to_retry(self, now: float) -> bool:
         """Whether enough time is left before the deadline for another try."""
@@ -236,9 +264,13 @@
         _list_headers(
             state,
             header_codec,
-            header_codec.build_backend_headers(
-                state.deadline - now, backend.name
+            (
+                *header_codec.build_backend_headers(
+                    state.deadline - now, backend.name
+                ),
+                *_build_tenant_headers(state, header_codec),
             ),
+            keeps_keys=False,
         ),
         state.body,
         state.request_metadata.identifier,
@@ -275,7 +307,9 @@
     return OutgoingRequest(
         state.request.method,
         state.request.target,
-        _list_headers(state, header_codec, (*deadline_header, *context)),
+        _list_headers(
+            state, header_codec, (*deadline_header, *context), keeps_keys=True
+        ),
         state.body,
         state.request_metadata.identifier,
         state.deadline,
@@ -285,14 +319,32 @@
 
 
 def _list_headers(
-    state: RequestState, header_codec: HeaderCodec, added: Headers
+    state: RequestState,
+    header_codec: HeaderCodec,
+    added: Headers,
+    *,
+    keeps_keys: bool,
 ) -> Headers:
+    keeps_keys = keeps_keys or not _has_tenants(state)
     forwarded = tuple(
         (name, text)
         for name, text in state.request.headers
         if name.lower() not in HOP_BY_HOP_HEADERS
         and not header_codec.is_replaced_per_hop(name)
+        and (keeps_keys or not header_codec.is_of_tenants(name))
     )
     if state.request.length and isinstance(state.body, _StreamedBody):
         added = (*added, ('Content-Length', str(state.request.length)))
     return (*forwarded, *added)
+
+
+def _build_tenant_headers(
+    state: RequestState, header_codec: HeaderCodec
+) -> Headers:
+    if state.tenant is None:
+        return ()
+    return header_codec.build_tenant_headers(state.tenant.name)
+
+
+def _has_tenants(state: RequestState) -> bool:
+    return state.table is not None and state.table.tenants.is_used
--- a/sesameroute/forward/_rerouting.py
+++ b/sesameroute/forward/_rerouting.py
@@ -3,8 +3,9 @@
 from dataclasses import replace
 
 from sesameroute.forward._request_state import RequestState
+from sesameroute.forward._tenants import identify_tenant
 from sesameroute.placement import SlotRequest
-from sesameroute.routes import ActiveConfiguration, RequestKind
+from sesameroute.routes import ActiveConfiguration, RequestKind, Route
 
 __all__ = ['follow_configuration', 'is_of_route', 'may_run_again']
 
@@ -12,7 +13,7 @@
 def follow_configuration(
     state: RequestState, active_configuration: ActiveConfiguration
 ) -> None:
-    """Give a request the route of the newest configuration.
+    """Give a request the route and the tenant of the newest configuration.
 
     A request that was accepted outlives its route, and one that was ever of
     kind `UNSAFE` remains so.
@@ -22,8 +23,16 @@
         return
     state.table = table
     route = table.find(state.request.host, state.request.path)
-    if route is None:
-        return
+    if route is not None:
+        _follow_route(state, route, active_configuration)
+    identify_tenant(state)
+
+
+def _follow_route(
+    state: RequestState,
+    route: Route,
+    active_configuration: ActiveConfiguration,
+) -> None:
     if not state.route.kind.is_idempotent:
         route = replace(route, kind=RequestKind.UNSAFE)
     state.route = route
@@ -32,9 +41,14 @@
 
 
 def is_of_route(slot_request: SlotRequest, state: RequestState) -> bool:
-    """Return whether a slot was requested by the request's present route."""
-    homes = tuple(sorted(state.route.homes))
-    return (slot_request.service, slot_request.homes) == (state.service, homes)
+    """Return whether a slot was requested by the present route and tenant."""
+    present = (
+        state.service,
+        tuple(sorted(state.homes)),
+        state.tenant.name if state.tenant else '',
+    )
+    asked = (slot_request.service, slot_request.homes, slot_request.tenant)
+    return asked == present and state.denial is None
 
 
 def may_run_again(state: RequestState) -> bool:
--- /dev/null
+++ b/sesameroute/forward/_tenants.py
@@ -0,0 +1,178 @@
+"""Lets requests pass by the key and the allowance of their tenant."""
+
+import hashlib
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from http import HTTPStatus
+from typing import Protocol
+
+from sesameroute.forward._local_answers import (
+    build_answer,
+    build_failure_answer,
+)
+from sesameroute.forward._request_log import log_event
+from sesameroute.forward._request_state import RequestState
+from sesameroute.placement import Reason, Refusal
+from sesameroute.ports import Answer
+from sesameroute.tenants import Denial, Tenant
+
+__all__ = [
+    'Allowances',
+    'NoAllowances',
+    'TenantGate',
+    'identify_tenant',
+]
+
+_HASH_CHARACTERS = 8  # enough to tell keys apart, too few to guess one
+
+
+class Allowances(Protocol):
+    """What tenants may still send, over all nodes together."""
+
+    def take(self, tenant: Tenant) -> float | None:
+        """Count one request; return None if it is within the allowance.
+
+        Else return the seconds until there is probably room for it.
+        """
+
+    def give_back(self, tenant: Tenant) -> None:
+        """Count a request as not sent after all."""
+
+
+class NoAllowances:
+    """Lets all requests pass; for a node without other nodes."""
+
+    def take(self, _tenant: Tenant) -> None:
+        """Return None: the request is within the allowance."""
+
+    def give_back(self, _tenant: Tenant) -> None:
+        """Do nothing."""
+
+
+def identify_tenant(state: RequestState) -> None:
+    """Set the tenant of a request, or why it is not let through.
+
+    Called again whenever the configuration has changed: a key may have been
+    taken away or have passed to another tenant.
+    """
+    state.tenant = None
+    state.denial = None
+    tenants = state.table.tenants
+    if not tenants.is_used or state.route.is_anonymous:
+        return
+    found = tenants.identify(state.request_metadata.keys)
+    if isinstance(found, Denial):
+        state.denial = found
+        return
+    state.tenant = found
+    if found.homes and state.route.homes and not state.homes:
+        state.denial = Denial.NO_REGION
+
+
+class TenantGate:
+    """Refuses requests without a valid key or beyond the allowance.
+
+    What is refused has not run, and costs its tenant nothing.
+
+    Attributes
+    ----------
+    allowances_ : Allowances
+        What tenants may still send.
+    observer_ : callable
+        Called with status and reason of each refusal.
+    tenant_observer_ : callable
+        Called with the tenant and the result of each request of a tenant.
+
+    """
+
+    def __init__(self) -> None:
+        """Limit no tenant."""
+        self.allowances_: Allowances = NoAllowances()
+        self.observer_: Callable[[int, str], None] = _ignore
+        self.tenant_observer_: Callable[[Tenant, str], None] = _ignore
+
+    def check_key(self, state: RequestState) -> Answer | None:
+        """Return the answer to a request that is not let through, or None."""
+        denial = state.denial
+        if denial is None:
+            return None
+        status = (
+            HTTPStatus.UNAUTHORIZED
+            if denial.is_final
+            else HTTPStatus.SERVICE_UNAVAILABLE
+        )
+        log_event(
+            state,
+            'request refused' if denial.is_final else 'request turned away',
+            denial.value,
+            '',
+            status=int(status),
+            key=_hash_keys(state.request_metadata.keys),
+            version=state.table.configuration.version,
+        )
+        self.observer_(int(status), denial.value)
+        if state.may_have_run:
+            return build_failure_answer(state.last_error, 0, may_have_run=True)
+        return build_answer(status, denial.value)
+
+    def take_allowance(self, state: RequestState) -> Refusal | None:
+        """Return a refusal of a try beyond the allowance, or None.
+
+        Each try that may run counts once.
+        """
+        tenant = state.tenant
+        if tenant is None or tenant == state.charged:
+            return None
+        self.settle(state)
+        seconds = self.allowances_.take(tenant) if tenant.rate else None
+        if seconds is None:
+            state.charged = tenant
+            self.tenant_observer_(tenant, 'allowed')
+            return None
+        refusal = Refusal(Reason.OVER_ALLOWANCE, seconds)
+        self.tenant_observer_(tenant, refusal.reason.value)
+        log_event(
+            state,
+            'tenant over allowance',
+            refusal.reason.value,
+            '',
+            tenant=tenant.name,
+            rate=tenant.rate,
+            burst=tenant.burst,
+            retry_after_s=round(seconds, 3),
+        )
+        return refusal
+
+    @contextmanager
+    def settling(self, state: RequestState) -> Iterator[None]:
+        """Give back at the end what is counted and has not been sent."""
+        try:
+            yield
+        finally:  # noqa: WPS501 - nothing is caught
+            self.settle(state)
+
+    def settle(self, state: RequestState) -> None:
+        """Give back what is counted for a try that has not been sent."""
+        charged = state.charged
+        state.charged = None
+        if charged is not None and charged.rate:
+            self.allowances_.give_back(charged)
+
+
+def _hash_keys(keys: tuple[str, ...]) -> str:
+    """Return a short hash of the keys of a request, '-' for none.
+
+    Examples
+    --------
+    >>> _hash_keys(('secret',)), _hash_keys(())
+    ('2bb80d53', '-')
+
+    """
+    if not keys:
+        return '-'
+    digest = hashlib.sha256('\0'.join(keys).encode())
+    return digest.hexdigest()[:_HASH_CHARACTERS]
+
+
+def _ignore(*_arguments: object) -> None:
+    """Do nothing; the default observer."""
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -157,6 +157,7 @@
                 ('Sesameroute-Deadline-Ms', '5000'),
                 ('Connection', 'keep-alive'),
                 ('X-Other', 'kept'),
+                *options.get('headers', ()),
             ),
             options.get('read', read),
             options.get('length', len(body)),
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -59,9 +59,11 @@
         return self.forwarder.forward(request)
 
     def _read(self, request: Any) -> CallerRequest:
+        # Of several fields of a name the last one counts, if only one may.
+        fields = (*request.inheaders.replaced, *request.inheaders.items())
         headers = tuple(
             (name.decode(_HEADER_ENCODING), text.decode(_HEADER_ENCODING))
-            for name, text in request.inheaders.items()
+            for name, text in fields
         )
         return CallerRequest(
             request.method.decode(_HEADER_ENCODING),
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -12,6 +12,7 @@
 from sesameroute.mirror import Mirror
 from sesameroute.node._address import parse_address
 from sesameroute.node._slot_allocator import FleetSlotAllocator
+from sesameroute.node._tenant_meter import TenantMeter
 from sesameroute.placement import Outcome
 from sesameroute.ports import Answer
 from sesameroute.quarantine import Quarantine
@@ -48,6 +49,8 @@
 
     Attributes
     ----------
+    tenants_ : TenantMeter
+        Counts by tenant.
     read_load_ : callable
         Returns how busy the server for callers is; None without one.
 
@@ -70,6 +73,7 @@
         self.meter_ = Meter()
         self.read_load_: Callable[[], FrontLoad | None] = _read_no_load
         self._leaving: set[tuple[str, str]] = set()
+        self.tenants_ = TenantMeter(self.meter_, active_configuration)
 
     def __call__(self, _request: Any) -> Answer:
         """Return all metrics in the Prometheus text format."""
--- a/sesameroute/node/tests/backends.py
+++ b/sesameroute/node/tests/backends.py
@@ -34,6 +34,8 @@
     ----------
     arrivals : list of Arrival
         Monotonic time, node and path of each request.
+    heads : list of str
+        Head of each request.
     answer_times : list of float
         Monotonic time of each answer.
     crashes : list of Crash
@@ -59,6 +61,7 @@
         self.work_seconds = work_seconds
         self.down_seconds = down_seconds
         self.arrivals = []
+        self.heads = []
         self.answer_times = []
         self.crashes = []
         self.is_harmful = CRASH_PATH.__eq__
@@ -132,6 +135,7 @@
             return False
         target = head.split(' ', 2)[1]
         with self._lock:
+            self.heads.append(head)
             self.arrivals.append(Arrival(time.monotonic(), node, target))
         time.sleep(self.work_seconds)
         if self.is_harmful(target):
--- a/sesameroute/node/tests/cluster.py
+++ b/sesameroute/node/tests/cluster.py
@@ -99,7 +99,10 @@
         self.configure(prefix='/a/')
 
     def configure(self, **route):
-        """Store the next version of a configuration with one route."""
+        """Store the next version of a configuration with one route.
+
+        `tenants` are the tenants of the configuration; by default none.
+        """
         self.version += 1
         fields = {
             'name': 'r',
@@ -114,6 +117,7 @@
             'service': 's',
         }
         prefix = route.pop('prefix', '/a/')
+        tenants = route.pop('tenants', None)
         fields.update(route, path_prefix=prefix)
         self.store.put(
             'op/config',
@@ -130,6 +134,7 @@
                         },
                     ],
                     'limits': self.limits,
+                    'tenants': tenants,
                     'virtual_hosts': [{'host': 'h', 'paths': [fields]}],
                 },
             ).encode(),
--- a/sesameroute/placement/_messages.py
+++ b/sesameroute/placement/_messages.py
@@ -24,6 +24,8 @@
     NO_ROOM = 'no-room'
     NO_BACKEND = 'no-backend'
     TOO_LATE = 'too-late'
+    # The tenant sends more than its allowance; never said by a pool.
+    OVER_ALLOWANCE = 'over-allowance'
 
 
 @unique
--- a/sesameroute/platform/_document_models.py
+++ b/sesameroute/platform/_document_models.py
@@ -13,6 +13,7 @@
     PathPrefix,
     Rate,
     Seconds,
+    TenantName,
     Text,
     TimeLimit,
     Weight,
@@ -24,15 +25,18 @@
     ServiceDefinition,
     WeightedService,
 )
+from sesameroute.tenants import Tenant
 
 __all__ = [
     'HostDocument',
     'LimitsDocument',
     'PathDocument',
     'ServiceDocument',
+    'TenantDocument',
     'convert_limits',
     'convert_route',
     'convert_service',
+    'convert_tenant',
 ]
 
 _MILLISECONDS = 1000
@@ -62,6 +66,8 @@
     allowed_regions: list[Name] = []
     service: Text | None = None
     traffic_split: list[SplitDocument] = []
+    # Whether requests need no tenant's key.
+    anonymous: bool = False
 
 
 class HostDocument(msgspec.Struct):
@@ -81,6 +87,19 @@
     cold_per_s: Rate = 1
 
 
+class TenantDocument(msgspec.Struct):
+    """A tenant."""
+
+    name: TenantName
+    api_keys: list[Name]
+    priority: Count = 0
+    # Requests per second; 0 means no limit.
+    rate_per_s: Rate = 0
+    burst: Rate = 0
+    # Regions that may serve the tenant; empty means all.
+    allowed_regions: list[Name] = []
+
+
 class LimitsDocument(msgspec.Struct):
     """Limits on callers."""
 
@@ -111,6 +130,18 @@
     )
 
 
+def convert_tenant(document: TenantDocument) -> Tenant:
+    """Return a tenant."""
+    return Tenant(
+        document.name,
+        frozenset(document.api_keys),
+        document.priority,
+        document.rate_per_s,
+        document.burst,
+        frozenset(document.allowed_regions),
+    )
+
+
 def convert_route(host: str, path: PathDocument) -> Route:
     """Return a route; raise ValueError if it names no service."""
     parts = tuple(
@@ -134,4 +165,5 @@
         max(path.max_attempts, 1),
         path.session_affinity,
         frozenset(path.allowed_regions),
+        path.anonymous,
     )
--- a/sesameroute/platform/_documents.py
+++ b/sesameroute/platform/_documents.py
@@ -15,9 +15,11 @@
     LimitsDocument,
     PathDocument,
     ServiceDocument,
+    TenantDocument,
     convert_limits,
     convert_route,
     convert_service,
+    convert_tenant,
 )
 from sesameroute.platform._field_types import Version
 from sesameroute.routes import (
@@ -27,6 +29,7 @@
     ServiceDefinition,
     UnreadablePart,
 )
+from sesameroute.tenants import Tenant
 
 __all__ = ['decode_configuration']
 
@@ -39,6 +42,7 @@
     services: list[msgspec.Raw]
     limits: msgspec.Raw
     virtual_hosts: list[msgspec.Raw]
+    tenants: msgspec.Raw = msgspec.Raw(b'[]')
 
 
 def decode_configuration(content: bytes) -> Configuration:
@@ -63,6 +67,7 @@
 def _convert_configuration(document: _Configuration) -> Configuration:
     services = _decode_services(document.services)
     routes = list(_decode_hosts(document.virtual_hosts, services))
+    tenants = list(_decode_tenants(document.tenants))
     limits = _decode_limits(document.limits)
     odd_limits = [limits] if isinstance(limits, UnreadablePart) else []
     return Configuration(
@@ -73,8 +78,13 @@
         unreadable=(
             *odd_limits,
             *services.unreadable,
-            *(part for part in routes if isinstance(part, UnreadablePart)),
+            *(
+                part
+                for part in (*routes, *tenants)
+                if isinstance(part, UnreadablePart)
+            ),
         ),
+        tenants=tuple(part for part in tenants if isinstance(part, Tenant)),
     )
 
 
@@ -122,6 +132,27 @@
     return convert_limits(limits)
 
 
+def _decode_tenants(part: msgspec.Raw) -> Iterator[Tenant | UnreadablePart]:
+    try:
+        parts = msgspec.json.decode(part, type=list[msgspec.Raw] | None)
+    except _DECODING_ERRORS as error:
+        yield _describe_tenants('tenants', error)
+        return
+    for number, each in enumerate(parts or ()):
+        try:
+            document = msgspec.json.decode(each, type=TenantDocument)
+        except _DECODING_ERRORS as error:
+            yield _describe_tenants(f'tenants[{number}]', error)
+        else:
+            yield convert_tenant(document)
+
+
+def _describe_tenants(where: str, error: Exception) -> UnreadablePart:
+    return UnreadablePart(
+        where, describe_error(error), has_routes=False, has_tenants=True
+    )
+
+
 def _decode_hosts(
     parts: Iterable[msgspec.Raw], services: _Services
 ) -> Iterator[Route | UnreadablePart]:
--- a/sesameroute/platform/_field_types.py
+++ b/sesameroute/platform/_field_types.py
@@ -25,6 +25,7 @@
     'Revision',
     'Seconds',
     'Slots',
+    'TenantName',
     'Text',
     'TimeLimit',
     'Version',
@@ -58,6 +59,8 @@
 Weight = Annotated[float, Meta(le=_MAX_WEIGHT)]
 Key = Annotated[str, Meta(min_length=1, max_length=MAX_KEY_CHARACTERS)]
 Name = Annotated[str, Meta(min_length=1, max_length=_MAX_NAME_CHARACTERS)]
+# Part of a header: printable ASCII, no space at either end.
+TenantName = Annotated[str, Meta(pattern=r'\A[!-~]([ -~]{0,198}[!-~])?\Z')]
 Text = Annotated[str, Meta(max_length=_MAX_TEXT_CHARACTERS)]
 PathPrefix = Annotated[str, Meta(max_length=_MAX_PATH_CHARACTERS)]
 Address = Annotated[str, Meta(max_length=_MAX_ADDRESS_CHARACTERS)]
--- a/sesameroute/platform/_header_codec.py
+++ b/sesameroute/platform/_header_codec.py
@@ -2,10 +2,12 @@
 
 import math
 import re
+from collections.abc import Iterator
 
 from sesameroute.forward import AnswerMetadata, HeaderCodec, RequestMetadata
 from sesameroute.platform._names import (
     AFFINITY_HEADER,
+    API_KEY_HEADER,
     ATTEMPT_HEADER,
     DEADLINE_HEADER,
     EXPECTED_INSTANCE_HEADER,
@@ -14,6 +16,7 @@
     LOAD_HEADER,
     NOT_RUN_HEADER,
     SEAL_HEADER,
+    TENANT_HEADER,
 )
 from sesameroute.ports import Answer, Headers
 
@@ -30,6 +33,8 @@
 _PER_HOP_HEADERS = frozenset(
     (DEADLINE_HEADER.lower(), EXPECTED_INSTANCE_HEADER.lower())
 )
+# Headers that no backend server gets from a caller if there are tenants.
+_TENANT_HEADERS = frozenset((API_KEY_HEADER.lower(), TENANT_HEADER.lower()))
 
 
 class PlatformHeaderCodec(HeaderCodec):
@@ -42,6 +47,7 @@
             by_name.get(ATTEMPT_HEADER.lower(), ''),
             by_name.get(AFFINITY_HEADER.lower(), ''),
             _parse_deadline(by_name.get(DEADLINE_HEADER.lower(), '')),
+            tuple(_list_keys(headers)),
         )
 
     def build_backend_headers(self, seconds: float, backend: str) -> Headers:
@@ -69,6 +75,14 @@
         """Return whether a node replaces this header itself."""
         return name.lower() in _PER_HOP_HEADERS
 
+    def is_of_tenants(self, name: str) -> bool:
+        """Return whether a header tells whose a request is."""
+        return name.lower() in _TENANT_HEADERS
+
+    def build_tenant_headers(self, tenant: str) -> Headers:
+        """Return the header with the tenant's name, if there is one."""
+        return ((TENANT_HEADER, tenant),) if tenant else ()
+
     def read_answer_metadata(self, answer: Answer) -> AnswerMetadata:
         """Return what the headers and the status of an answer indicate."""
         by_name = _index_headers(answer.headers)
@@ -88,6 +102,13 @@
     return {name.lower(): text for name, text in headers}
 
 
+def _list_keys(headers: Headers) -> Iterator[str]:
+    """Yield each key; bytes that are no text match none."""
+    for name, text in headers:
+        if name.lower() == API_KEY_HEADER.lower():
+            yield text.encode('latin-1', 'replace').decode('utf-8', 'replace')
+
+
 def _parse_deadline(text: str) -> float | None:
     """Return a deadline in seconds, None if it is not valid."""
     if not _WHOLE_NUMBER.fullmatch(text):
--- a/sesameroute/platform/_names.py
+++ b/sesameroute/platform/_names.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     'AFFINITY_HEADER',
+    'API_KEY_HEADER',
     'ATTEMPT_HEADER',
     'CONFIGURATION_KEY',
     'DEADLINE_HEADER',
@@ -18,6 +19,7 @@
     'REGISTRY_PREFIX',
     'RESOLVE_PATH',
     'SEAL_HEADER',
+    'TENANT_HEADER',
 ]
 
 # Identifier of the attempt; a backend server returns it with its answer.
@@ -41,6 +43,11 @@
 # Number in the store's answers that rises when it is restored from a copy.
 ERA_HEADER = 'Store-Era'
 
+# Secret by which a caller's tenant is known; no backend server sees it.
+API_KEY_HEADER = 'X-Api-Key'
+# Name of the tenant whose request a backend server gets.
+TENANT_HEADER = 'Sesameroute-Tenant'
+
 # Paths that a node serves.
 READY_PATH = '/-/ready'
 RESOLVE_PATH = '/-/resolve'
--- a/sesameroute/routes/_model.py
+++ b/sesameroute/routes/_model.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
 
+from sesameroute.tenants import Tenant
+
 __all__ = [
     'CallerLimits',
     'Configuration',
@@ -71,6 +73,8 @@
         before.
     homes : frozenset of str
         Regions that may serve the route; empty means all.
+    is_anonymous : bool
+        Whether requests need no tenant's key.
 
     """
 
@@ -85,6 +89,7 @@
     max_attempts: int
     has_object_affinity: bool
     homes: frozenset[str] = frozenset()
+    is_anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +160,8 @@
         is a whole host.
     has_routes : bool
         Whether the part may hold routes.
+    has_tenants : bool
+        Whether the part may hold keys of tenants.
 
     """
 
@@ -163,6 +170,7 @@
     host: str | None = None
     prefix: str | None = None
     has_routes: bool = True
+    has_tenants: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +206,8 @@
         Services by name.
     unreadable : tuple of UnreadablePart
         What this build does not understand; the rest is in force.
+    tenants : tuple of Tenant
+        Tenants; without any, requests need no keys.
 
     """
 
@@ -207,3 +217,4 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     origin: ConfigurationOrigin = ConfigurationOrigin()
     unreadable: tuple[UnreadablePart, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
--- a/sesameroute/routes/_table.py
+++ b/sesameroute/routes/_table.py
@@ -1,6 +1,7 @@
 """Look-up of routes by host and longest path prefix."""
 
 from sesameroute.routes._model import Configuration, Route, UnreadablePart
+from sesameroute.tenants import TenantIndex
 
 __all__ = ['RouteTable']
 
@@ -13,6 +14,11 @@
     configuration : Configuration
         The configuration that contains the routes.
 
+    Attributes
+    ----------
+    tenants : TenantIndex
+        Its tenants by key.
+
     """
 
     def __init__(self, configuration: Configuration) -> None:
@@ -27,6 +33,12 @@
         self._unreadable = [
             part for part in configuration.unreadable if part.has_routes
         ]
+        self.tenants = TenantIndex(
+            configuration.tenants,
+            has_unreadable=any(
+                part.has_tenants for part in configuration.unreadable
+            ),
+        )
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`, or None.
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -84,6 +84,16 @@
         'sesame_refusals_total',
         'Requests that the node itself has refused, by status and reason.',
     )
+    TENANT_TRIES = _MetricSpecification(
+        Counter,
+        'sesame_tenant_tries_total',
+        'Tries of the largest tenants and of all others, by result.',
+    )
+    TENANT_TOKENS = _MetricSpecification(
+        Gauge,
+        'sesame_tenant_tokens',
+        'Requests that this node may still let through, by large tenant.',
+    )
     PEERS = _MetricSpecification(
         Gauge,
         'sesame_peers_connected',
