--- /dev/null
+++ b/sesameroute/node/_allowances.py
@@ -0,0 +1,201 @@
+"""Moves the tokens of tenants' allowances between nodes."""
+
+import threading
+import uuid
+from typing import Any
+
+from sesameroute.exceptions import PeerError
+from sesameroute.node._fleet import Fleet
+from sesameroute.node._pools import PoolTable
+from sesameroute.node._settings import Bounds
+from sesameroute.placement import hash_key
+from sesameroute.ports import Clock, Peers
+from sesameroute.tenants import (
+    AllowanceAsk,
+    AllowanceLedger,
+    AllowanceNeed,
+    AllowanceTransfer,
+    QuotaBounds,
+    RegionCensus,
+    Tenant,
+)
+
+__all__ = ['FleetAllowances']
+
+# Longest time for a depot's reply; a request waits meanwhile.
+_CALL_SECONDS = 0.2
+# A depot that has not replied is asked again after this time.
+_AVOID_SECONDS = 1.0
+
+
+class FleetAllowances:
+    """Implements `forward.Allowances` with tokens that nodes move.
+
+    Without tenants in the configuration it sends no message.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Knows the live nodes.
+    peers : Peers
+        Connections to the other nodes.
+    pools : PoolTable
+        Knows the configuration in force and the regions.
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    ledger : AllowanceLedger
+        The tokens of this node.
+
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        peers: Peers,
+        pools: PoolTable,
+        clock: Clock,
+    ) -> None:
+        """Start without tokens."""
+        self.fleet = fleet
+        self.peers = peers
+        self.pools = pools
+        self.clock = clock
+        self.ledger = AllowanceLedger(
+            QuotaBounds(), fleet.own_state.address, uuid.uuid4().hex
+        )
+        self._census = RegionCensus()
+        self._depots = _Depots(fleet.own_state.address)
+
+    def apply_bounds(self, bounds: Bounds) -> None:
+        """Apply the bounds of the settings."""
+        self.ledger.bounds = QuotaBounds(
+            bounds.quota_window, bounds.quota_excess, bounds.quota_slack
+        )
+
+    def take(self, tenant: Tenant) -> float | None:
+        """Count one request; return None if it is within the allowance.
+
+        Else return the seconds until there is probably room for it. Asks a
+        depot if this node has no token.
+        """
+        now = self.clock.read_monotonic()
+        seconds = self.ledger.take(tenant.name, now)
+        if seconds is None:
+            return None
+        depot = self._depots.find_usable(now)
+        ask = self.ledger.plan_ask(tenant.name, now) if depot else None
+        if ask is None:
+            return seconds
+        try:
+            grant = self.peers.call(depot, ask, _CALL_SECONDS)
+        except PeerError:
+            self._depots.avoid(depot, now + _AVOID_SECONDS)
+            return seconds
+        now = self.clock.read_monotonic()
+        if self.ledger.receive_grant(tenant.name, grant, now):
+            return None
+        return max(grant.wait, seconds)
+
+    def give_back(self, tenant: Tenant) -> None:
+        """Count a request as not sent after all."""
+        self.ledger.give_back(tenant.name, self.clock.read_monotonic())
+
+    def handle(self, sender: str, message: Any) -> Any:
+        """Handle a message of another node; return the reply if any."""
+        now = self.clock.read_monotonic()
+        if isinstance(message, AllowanceAsk):
+            return self.ledger.grant(message, now)
+        if isinstance(message, AllowanceTransfer):
+            self.ledger.receive(sender, message, now)
+        elif isinstance(message, AllowanceNeed):
+            transfer = self.ledger.answer_need(message, now)
+            if transfer.amounts:
+                self.peers.send_one_way(sender, transfer)
+        return None
+
+    def refresh(self) -> None:
+        """Issue tokens and move them to where they are needed."""
+        configuration = self.pools.active_configuration.configuration
+        tenants = configuration.tenants if configuration else ()
+        limited = [tenant for tenant in tenants if tenant.rate]
+        now = self.clock.read_monotonic()
+        self.ledger.refresh(limited, self._count_weight(now), now)
+        if limited:
+            self._find_depots()
+            self._exchange(now)
+
+    def _count_weight(self, now: float) -> float:
+        """Return the part of all allowances that this node issues."""
+        own_state = self.fleet.own_state
+        live = self.fleet.list_live()
+        weight = self._census.observe(
+            [each.address for each in live if each.region == own_state.region],
+            self.pools.list_regions(),
+            (len(live), self.fleet.count_known()),
+            self.ledger.bounds.minority_fraction,
+            now,
+        )
+        # One that has just started may not know all others yet.
+        has_started = own_state.is_ready or own_state.is_leaving
+        return weight if has_started else 0
+
+    def _find_depots(self) -> None:
+        able = [
+            state
+            for state in self.fleet.list_live()
+            if state.is_ready and state.keeps_allowances
+        ]
+        by_region: dict[str, list[str]] = {}
+        for state in able:
+            by_region.setdefault(state.region, []).append(state.address)
+        self._depots.replace(
+            {
+                region: min(addresses, key=hash_key)
+                for region, addresses in by_region.items()
+            },
+            self.fleet.own_state.region,
+        )
+
+    def _exchange(self, now: float) -> None:
+        own, others = self._depots.own, self._depots.others
+        if own == self.ledger.name and others:
+            need = self.ledger.plan_need(len(others))
+            for depot in others if need.amounts else ():
+                self.peers.send_one_way(depot, need)
+        transfer = self.ledger.plan_transfer(own, now) if own else None
+        if transfer is not None:
+            self.peers.send_one_way(own, transfer)
+
+
+class _Depots:
+    """Depots of the own and of other regions, and those without a reply."""
+
+    def __init__(self, own_name: str) -> None:
+        self.own_name = own_name
+        self.own = ''
+        self.others: tuple[str, ...] = ()
+        self._lock = threading.Lock()
+        self._avoided: dict[str, float] = {}
+
+    def replace(self, by_region: dict[str, str], own_region: str) -> None:
+        """Set the depot of each region that has one."""
+        with self._lock:
+            self.own = by_region.pop(own_region, '')
+            self.others = tuple(by_region.values())
+
+    def avoid(self, depot: str, until: float) -> None:
+        """Ask a depot no more until a time."""
+        with self._lock:
+            self._avoided[depot] = until
+
+    def find_usable(self, now: float) -> str:
+        """Return the depot to ask; empty if there is none."""
+        with self._lock:
+            for depot in (self.own, *self.others):
+                if not depot or self._avoided.get(depot, 0) > now:
+                    continue
+                return '' if depot == self.own_name else depot
+        return ''
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from sesameroute.mirror import HeldItems, MirrorCopyRequest, MirrorUpdate
+from sesameroute.node._allowances import FleetAllowances
 from sesameroute.node._announcement_exchange import (
     AnnouncementExchange,
     AnnouncementReport,
@@ -20,6 +21,11 @@
     PastLosses,
     TrialRequest,
 )
+from sesameroute.tenants import (
+    AllowanceAsk,
+    AllowanceNeed,
+    AllowanceTransfer,
+)
 
 __all__ = ['MessageDispatch']
 
@@ -40,6 +46,11 @@
     announcement_exchange : AnnouncementExchange
         Handles reports of what backend servers say of themselves.
 
+    Attributes
+    ----------
+    allowances : FleetAllowances
+        Handles the tokens of tenants.
+
     """
 
     def __init__(
@@ -52,6 +63,9 @@
     ) -> None:
         """Store the handlers by message type."""
         self.allocator = allocator
+        self.allowances = FleetAllowances(
+            fleet, fleet.peers, allocator.pools, allocator.clock
+        )
         self.fleet = fleet
         self.sync = store.sync
         self._catch_up = store.catch_up
@@ -59,6 +73,9 @@
         quarantine = loss_exchange.quarantine
         self._handlers: dict[type, Callable[[str, Any], Any]] = {
             NodeState: self._handle_state,
+            AllowanceAsk: self.allowances.handle,
+            AllowanceNeed: self.allowances.handle,
+            AllowanceTransfer: self.allowances.handle,
             HeldItems: store.sync.receive_held,
             MirrorUpdate: store.sync.receive,
             MirrorCopyRequest: store.sync.answer,
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -72,6 +72,7 @@
             relay=settings.relay_address,
             first_era=-1,
             is_answer=False,
+            keeps_allowances=True,
         )
         self.fleet = Fleet(own_state, self.peers, self.clock)
         self.active_configuration = ActiveConfiguration(is_held_back=True)
@@ -127,6 +128,9 @@
             self._node_servers.loss_exchange,
             self._announcement_exchange,
         )
+        self._dispatch.allowances.apply_bounds(settings.bounds)
+        gate = self._node_servers.forwarder.guards.tenants
+        gate.allowances_ = self._dispatch.allowances
         self.loops = LoopWatch(
             {
                 'tick': lambda: self._ticked_at + _IDLE_INTERVAL_SECONDS,
@@ -185,6 +189,7 @@
         """
         self.settings = settings
         self._node_servers.apply_settings(settings)
+        self._dispatch.allowances.apply_bounds(settings.bounds)
         self.allocator.pools.replace_regions(settings.zones)
         _add_seeds(self.fleet, self.settings)
 
@@ -261,6 +266,7 @@
                 gossip.share_with(found)
         self._connected = connected
         self.allocator.refresh()
+        self._dispatch.allowances.refresh()
         self._node_servers.apply_limits()
         self._update_own_state()
 
--- a/sesameroute/node/_settings.py
+++ b/sesameroute/node/_settings.py
@@ -52,12 +52,19 @@
 
 
 class Bounds(msgspec.Struct, forbid_unknown_fields=True):
-    """Bounds set by the operators; times in seconds."""
+    """Bounds set by the operators; times in seconds.
+
+    In any span of `quota_window` at most ``(rate * quota_window + burst) * (1
+    + quota_excess) + quota_slack`` requests of a tenant run.
+    """
 
     grace: Seconds = 6.0
     retry_ratio: Number = 0.2
     retry_slack: Number = 50
     longest_ttl: Seconds = 5.0
+    quota_window: Seconds = 5.0
+    quota_excess: Number = 0.1
+    quota_slack: Number = 20
 
 
 class Limits(msgspec.Struct, forbid_unknown_fields=True):
--- a/sesameroute/tenants/__init__.py
+++ b/sesameroute/tenants/__init__.py
@@ -1,10 +1,27 @@
 """Tenants: their keys, and their allowances over all nodes."""
 
+from sesameroute.tenants._bounds import Allowance, QuotaBounds
+from sesameroute.tenants._census import RegionCensus
 from sesameroute.tenants._keys import Denial, TenantIndex
+from sesameroute.tenants._ledger import AllowanceLedger
+from sesameroute.tenants._messages import (
+    AllowanceAsk,
+    AllowanceGrant,
+    AllowanceNeed,
+    AllowanceTransfer,
+)
 from sesameroute.tenants._model import Tenant
 
 __all__ = [
+    'Allowance',
+    'AllowanceAsk',
+    'AllowanceGrant',
+    'AllowanceLedger',
+    'AllowanceNeed',
+    'AllowanceTransfer',
     'Denial',
+    'QuotaBounds',
+    'RegionCensus',
     'Tenant',
     'TenantIndex',
 ]
--- /dev/null
+++ b/sesameroute/tenants/_stock.py
@@ -0,0 +1,154 @@
+"""Tokens of one tenant at one node."""
+
+from dataclasses import dataclass
+
+from sesameroute.tenants._bounds import Allowance
+
+__all__ = ['Part', 'Stock']
+
+_DEMAND_GAIN = 0.3  # of the newest interval in the average
+# What a node that gives tokens away keeps: its own demand for so long.
+_KEPT_SECONDS = 0.75
+# Least demand in requests per second at which a node keeps a token.
+_MIN_DEMAND = 0.2
+_MAX_WAIT_SECONDS = 1.0
+# Part of its tokens of a burst that a node holds itself, if these are as many
+# as the bound; else what it issues from one transfer to the next.
+_OWN_FRACTION = 0.5
+_MIN_OWN_BURST = 2
+_ISSUE_SECONDS = 0.35
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """Parts of all allowances that a node has.
+
+    Attributes
+    ----------
+    issued : float
+        Part that it issues itself.
+    kept : tuple of float
+        Parts of all nodes that use it as their depot.
+
+    """
+
+    issued: float = 0
+    kept: tuple[float, ...] = ()
+
+
+class Stock:
+    """Tokens that a node may let requests through with.
+
+    The tokens of a burst lie at the nodes that issue them and at depots; at
+    depots alone if there are too few for each node to have some.
+
+    Parameters
+    ----------
+    allowance : Allowance
+        What all nodes together let through.
+    now : float
+        Monotonic time in seconds.
+
+    Attributes
+    ----------
+    level_ : float
+        Tokens; none at first, so that a restart brings no second burst.
+    demand_ : float
+        Average of the tokens per second that were asked for here.
+    dry_until_ : float
+        Monotonic time in seconds until which no depot has tokens.
+
+    """
+
+    def __init__(self, allowance: Allowance, now: float) -> None:
+        """Start empty."""
+        self.allowance = allowance
+        self.part = Part()
+        self.level_: float = 0
+        self.demand_: float = 0
+        self.dry_until_: float = 0
+        self._refilled_at = now
+        self._asked: float = 0
+        self._counted_at = now
+
+    @property
+    def capacity(self) -> float:
+        """Tokens that may lie here."""
+        own = _compute_own_burst(self.allowance, self.part.issued)
+        return own + sum(
+            self.allowance.burst * part
+            - _compute_own_burst(self.allowance, part)
+            for part in self.part.kept
+        )
+
+    @property
+    def surplus(self) -> float:
+        """Tokens beyond those that are probably needed here soon."""
+        return self.level_ - self._needed
+
+    @property
+    def lack(self) -> float:
+        """Tokens that are needed here beyond those that are left."""
+        return max(self._needed - self.level_, 0)
+
+    @property
+    def wait(self) -> float:
+        """Seconds until a caller probably finds a token.
+
+        With more demand than tokens, callers are spread over a longer time.
+        """
+        inflow = self.allowance.rate * max(
+            self.part.issued, sum(self.part.kept)
+        )
+        if inflow <= 0:
+            return _MAX_WAIT_SECONDS
+        until_token = max(1 - self.level_, 0) / inflow
+        spread = self.demand_ / inflow - 1
+        return min(max(until_token, spread), _MAX_WAIT_SECONDS)
+
+    def refill(self, now: float) -> None:
+        """Issue tokens for the time since the last refill."""
+        seconds = now - self._refilled_at
+        self._refilled_at = now
+        self.add(self.allowance.rate * self.part.issued * seconds)
+
+    def add(self, amount: float) -> None:
+        """Add tokens, up to the capacity."""
+        self.level_ = min(self.level_ + amount, self.capacity)
+
+    def count(self, amount: float) -> None:
+        """Count tokens as asked for."""
+        self._asked += amount
+
+    def update_demand(self, now: float) -> None:
+        """Bring the average up to date."""
+        seconds = now - self._counted_at
+        if seconds > 0:
+            newest = self._asked / seconds
+            self.demand_ += _DEMAND_GAIN * (newest - self.demand_)
+            self._asked = 0
+            self._counted_at = now
+
+    def remove(self, amount: float) -> float:
+        """Take up to an amount; return what there was."""
+        taken = max(min(amount, self.level_), 0)
+        self.level_ -= taken
+        return taken
+
+    def remove_least(self, amount: float, least: float) -> float:
+        """Take up to an amount, or nothing if there is not the least one."""
+        return self.remove(amount) if self.level_ >= least else 0
+
+    @property
+    def _needed(self) -> float:
+        if self.capacity < 1 or self.demand_ < _MIN_DEMAND:
+            return 0
+        return min(self.demand_ * _KEPT_SECONDS + 1, self.capacity)
+
+
+def _compute_own_burst(allowance: Allowance, part: float) -> float:
+    """Return the tokens of a burst that a node holds that issues a part."""
+    burst = allowance.burst * part
+    if burst * _OWN_FRACTION >= _MIN_OWN_BURST:
+        return burst * _OWN_FRACTION
+    return min(allowance.rate * part * _ISSUE_SECONDS, burst * _OWN_FRACTION)
