--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -13,6 +13,7 @@
 from sesameroute.node._address import parse_address
 from sesameroute.node._placement_page import PLACEMENT_PATH, PlacementPage
 from sesameroute.node._slot_allocator import FleetSlotAllocator
+from sesameroute.node._tenant_meter import TenantMeter
 from sesameroute.placement import Outcome
 from sesameroute.ports import Answer
 from sesameroute.quarantine import Quarantine
@@ -49,6 +50,8 @@
 
     Attributes
     ----------
+    tenants_ : TenantMeter
+        Counts by tenant.
     read_load_ : callable
         Returns how busy the server for callers is; None without one.
 
@@ -71,6 +74,7 @@
         self.meter_ = Meter()
         self.read_load_: Callable[[], FrontLoad | None] = _read_no_load
         self._leaving: set[tuple[str, str]] = set()
+        self.tenants_ = TenantMeter(self.meter_, active_configuration)
 
     def __call__(self, _request: Any) -> Answer:
         """Return all metrics in the Prometheus text format."""
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -71,6 +71,7 @@
             relay=settings.relay_address,
             first_era=-1,
             is_answer=False,
+            keeps_allowances=True,
         )
         self.fleet = Fleet(own_state, self.peers, self.clock)
         self.active_configuration = ActiveConfiguration(is_held_back=True)
@@ -126,6 +127,9 @@
             self._node_servers.loss_exchange,
             self._announcement_exchange,
         )
+        self._dispatch.allowances.apply_bounds(settings.bounds)
+        gate = self._node_servers.forwarder.guards.tenants
+        gate.allowances_ = self._dispatch.allowances
         self.loops = LoopWatch(
             {
                 'tick': lambda: self._ticked_at + _IDLE_INTERVAL_SECONDS,
@@ -185,6 +189,7 @@
         """
         self.settings = settings
         self._node_servers.apply_settings(settings)
+        self._dispatch.allowances.apply_bounds(settings.bounds)
         self.allocator.pools.replace_regions(settings.zones)
         _add_seeds(self.fleet, self.settings)
 
@@ -212,12 +217,14 @@
             self._node_servers.quarantine,
         )
         meter.read_load_ = self._servers[0].read_load
-        self._node_servers.forwarder.observer_ = meter.observe
-        self._node_servers.forwarder.refusals_.observer_ = (
-            lambda status, reason: meter.count(
-                Metric.REFUSALS, status=str(status), reason=reason
-            )
+        forwarder = self._node_servers.forwarder
+        forwarder.observer_ = meter.observe
+        gate = forwarder.guards.tenants
+        gate.tenant_observer_ = meter.tenants_.observe
+        forwarder.refusals_.observer_ = lambda status, reason: meter.count(
+            Metric.REFUSALS, status=str(status), reason=reason
         )
+        gate.observer_ = forwarder.refusals_.observer_
         self.allocator.observer_ = meter.observe_try
         self._node_servers.quarantine.evidence.observer_ = lambda result: (
             meter.count(Metric.LOSSES, result=result)
@@ -259,6 +266,7 @@
                 gossip.share_with(found)
         self._connected = connected
         self.allocator.refresh()
+        self._dispatch.allowances.refresh()
         self._node_servers.apply_limits()
         self._update_own_state()
 
