Read configurations with odd parts in the tests of odd entries; wire the meter in its own module

Change: list_odd_configurations has the documents that are odd as a whole; those with one odd part have tests of their own: one short line with the path, the rest in force, a stamp by the version. build_metrics_server holds the wiring.

--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -1,17 +1,14 @@
-"""Metrics of a node and the server that exposes them."""
+"""Metrics of a node."""
 
-import logging
 import resource
 import threading
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import Any
 
-from sesameroute.adapters import FrontLoad, FrontServer
+from sesameroute.adapters import FrontLoad
 from sesameroute.forward import RequestRecord
 from sesameroute.mirror import Mirror
-from sesameroute.node._address import parse_address
-from sesameroute.node._placement_page import PLACEMENT_PATH, PlacementPage
 from sesameroute.node._slot_allocator import FleetSlotAllocator
 from sesameroute.node._tenant_meter import TenantMeter
 from sesameroute.placement import Outcome
@@ -21,16 +18,13 @@
 from sesameroute.routes import ActiveConfiguration
 from sesameroute.telemetry import Meter, Metric
 
-__all__ = ['MetricsServer', 'NodeMeter']
+__all__ = ['NodeMeter']
 
 _BYTES_PER_KIBIBYTE = 1024  # the kernel reports peak memory in kibibytes
 _TEXT_HEADERS = (('Content-Type', 'text/plain; version=0.0.4'),)
-_THREADS = 2
 _ON_TIME = 'answered'
 _LATE = 'late'
 
-_logger = logging.getLogger(__name__)
-
 
 class NodeMeter:
     """Collects the metrics of one node and answers requests for them.
@@ -180,47 +174,6 @@
         yield Metric.CONFIGURATION_AGE, age
 
 
-class MetricsServer(FrontServer):
-    """Serves the operators' pages; a failure to listen stops no node.
-
-    Parameters
-    ----------
-    address : str
-        Address to listen on, ``IP:PORT``.
-    meter : NodeMeter
-        Renders the metrics.
-
-    """
-
-    def __init__(self, address: str, meter: NodeMeter) -> None:
-        """Build the server without listening."""
-        placement_page = PlacementPage(meter.allocator)
-        super().__init__(
-            parse_address(address),
-            lambda request: (
-                placement_page(request)
-                if request.path == PLACEMENT_PATH
-                else meter(request)
-            ),
-            threads=_THREADS,
-        )
-        self._is_started = False
-
-    def start(self) -> None:
-        """Start listening, or log why that failed."""
-        try:
-            super().start()
-        except OSError as error:
-            _logger.warning('metrics not served', extra={'why': str(error)})
-        else:
-            self._is_started = True
-
-    def stop(self) -> None:
-        """Stop listening."""
-        if self._is_started:
-            super().stop()
-
-
 def _name_outcome(record: RequestRecord) -> str:
     if record.status >= HTTPStatus.BAD_REQUEST:
         return str(record.status)
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -8,7 +8,10 @@
 from sesameroute.node._announcement_exchange import AnnouncementExchange
 from sesameroute.node._dispatch import MessageDispatch
 from sesameroute.node._fleet import Fleet, NodeState
-from sesameroute.node._metrics import MetricsServer, NodeMeter
+from sesameroute.node._metrics_server import (
+    MetricsServer,
+    build_metrics_server,
+)
 from sesameroute.node._pools import PoolTable
 from sesameroute.node._receiver import NodeReceiver
 from sesameroute.node._servers import NodeServers
@@ -18,7 +21,7 @@
 from sesameroute.ports import PeerIdentity, SystemClock, TcpWire, Wire
 from sesameroute.registry import Registry
 from sesameroute.routes import ActiveConfiguration
-from sesameroute.telemetry import LoopWatch, Metric, survive
+from sesameroute.telemetry import LoopWatch, survive
 
 __all__ = ['FleetNode']
 
@@ -110,7 +113,14 @@
         )
         self._servers = list(self._node_servers.servers)
         if settings.listen.metrics:
-            self._add_metrics_server(settings.listen.metrics)
+            self._servers.append(
+                build_metrics_server(
+                    settings.listen.metrics,
+                    self.allocator,
+                    self._store,
+                    self._node_servers,
+                )
+            )
         self._announcement_exchange = AnnouncementExchange(
             node_settings.address,
             self.peers,
@@ -208,33 +218,6 @@
         self.peers.stop()
         _stop_servers(self._servers)
 
-    def _add_metrics_server(self, address: str) -> None:
-        meter = NodeMeter(
-            self.active_configuration,
-            self.registry,
-            self.allocator,
-            self._store.mirror,
-            self._node_servers.quarantine,
-        )
-        meter.read_load_ = self._servers[0].read_load
-        forwarder = self._node_servers.forwarder
-        forwarder.observer_ = meter.observe
-        gate = forwarder.guards.tenants
-        gate.tenant_observer_ = meter.tenants_.observe
-        forwarder.refusals_.observer_ = lambda status, reason: meter.count(
-            Metric.REFUSALS, status=str(status), reason=reason
-        )
-        gate.observer_ = forwarder.refusals_.observer_
-        self.allocator.observer_ = meter.observe_try
-        self._node_servers.quarantine.evidence.observer_ = lambda result: (
-            meter.count(Metric.LOSSES, result=result)
-        )
-        self._store.observe_calls(meter.observe_call)
-        self._store.ignored_items.observer_ = lambda kind: meter.count(
-            Metric.IGNORED_ITEMS, kind=kind
-        )
-        self._servers.append(MetricsServer(address, meter))
-
     def _run_pool_loop(self) -> None:
         refreshed_at = 0
         is_waiting = False
--- a/sesameroute/platform/tests/odd_entries.py
+++ b/sesameroute/platform/tests/odd_entries.py
@@ -117,13 +117,17 @@
     """Yield contents that are no configuration."""
     versions = ['xyz', '', '-1', '0_1', ' 1', 'f' * 200_000, 12]
     yield from _list_changed(CONFIGURATION, {'version': versions})
+    yield from _list_junk(CONFIGURATION)
+
+
+def list_configurations_with_odd_parts():
+    """Yield contents of which one part can't be read."""
     limits = CONFIGURATION['limits']
     for content in _list_changed(limits, dict.fromkeys(limits, _LIMIT_VALUES)):
         yield write_json(CONFIGURATION).replace(write_json(limits), content)
     service = CONFIGURATION['services'][0]
     for content in _list_changed(service, _SERVICE_VALUES):
         yield write_json(CONFIGURATION).replace(write_json(service), content)
-    yield from _list_junk(CONFIGURATION)
 
 
 def _list_changed(document, values):
--- a/sesameroute/platform/tests/test_document_order.py
+++ b/sesameroute/platform/tests/test_document_order.py
@@ -8,6 +8,7 @@
 from sesameroute.platform.tests.odd_entries import (
     BACKEND,
     CONFIGURATION,
+    list_configurations_with_odd_parts,
     list_odd_backends,
     list_odd_configurations,
     write_json,
@@ -69,6 +70,16 @@
     assert stamps == {None}
 
 
+def test_odd_parts_leave_the_stamp():
+    """The rest of such a configuration is in force by its version."""
+    order = PlatformDocumentOrder()
+    stamps = {
+        order.read_stamp(MirrorItem('op/config', 1, content))
+        for content in list_configurations_with_odd_parts()
+    }
+    assert stamps == {(12,)}
+
+
 @pytest.mark.parametrize(
     ('key', 'document', 'expected'),
     [
--- a/sesameroute/platform/tests/test_odd_entries.py
+++ b/sesameroute/platform/tests/test_odd_entries.py
@@ -26,6 +26,7 @@
     DEEP,
     MEMBER,
     NO_TEXT,
+    list_configurations_with_odd_parts,
     list_lines,
     list_odd_backends,
     list_odd_configurations,
@@ -112,6 +113,25 @@
     assert len(receiver.registry) == 1
 
 
+def test_odd_parts_are_left_out_with_one_short_line(log):
+    """Each line has the path of the part; the rest is in force."""
+    receiver = RecordingReceiver()
+    ignored_items = IgnoredItems()
+    kinds = []
+    ignored_items.observer_ = kinds.append
+    dispatcher = StoreItemDispatcher(receiver, ignored_items)
+    documents = list(list_configurations_with_odd_parts())
+    for number, content in enumerate(documents, 1):
+        dispatcher.dispatch(MirrorItem('op/config', number, content))
+        lines = list_lines(log)
+        assert len(lines) == number, content[:200]
+        assert ' event=configuration-part-not-understood ' in lines[-1]
+        assert ' part=limits ' in lines[-1] or ' part=services[0] ' in lines[-1]
+        assert len(receiver.configurations) == number
+        assert len(receiver.configurations[-1].unreadable) == 1
+    assert kinds == ['part'] * len(documents)
+
+
 def test_failed_handler_hides_no_later_item(log):
     """An unexpected error for one item hid the items after it."""
     receiver = RecordingReceiver()
