--- a/sesameroute/adapters/_peer_stream.py
+++ b/sesameroute/adapters/_peer_stream.py
@@ -17,9 +17,6 @@
 
 __all__ = ['PeerStream', 'StreamOwner', 'pack_or_log']
 
-# A stream is closed when the peer sends nothing, or reads nothing of what
-# waits for it, for this long.
-STALL_SECONDS = 2.8
 MAX_UNANSWERED_CALLS = 2  # in a row, with nothing received meanwhile
 
 _logger = logging.getLogger(__name__)
@@ -92,6 +89,7 @@
         self._sender = FrameSender(connection, session.sending_key)
         self._receiver = FrameReceiver(connection, session.receiving_key, clock)
         self._has_ended = False
+        self._events = 0
 
     @property
     def peer(self) -> PeerIdentity:
@@ -124,27 +122,43 @@
         events = 0 if self.mailbox.is_full else selectors.EVENT_READ
         if self._sender.has_pending:
             events |= selectors.EVENT_WRITE
-        self.owner.loop.watch(self.connection, events, self._handle_events)
+        if events != self._events:
+            self._events = events
+            self.owner.loop.watch(self.connection, events, self._handle_events)
 
     def resume(self) -> None:
         """Read again after the mailbox was full; for any thread."""
         self.owner.loop.call_soon(self.watch)
 
-    def maintain(self, now: float, heartbeat_interval: float) -> None:
-        """Send a due heartbeat; close a stream that is silent or stalled."""
+    def maintain(
+        self, now: float, heartbeat_interval: float, silence_limit: float
+    ) -> None:
+        """Send a due heartbeat; close a stream that is silent or stalled.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        heartbeat_interval : float
+            Seconds without any frame after which one is sent.
+        silence_limit : float
+            Seconds for which the peer may send nothing, or read nothing of
+            what waits for it.
+
+        """
         if self.mailbox.is_full:
             self._receiver.skip(now)
-        if self._receiver.measure_silence(now) > STALL_SECONDS:
+        if self._receiver.measure_silence(now) > silence_limit:
             # What waits to be read tells that the peer is not silent.
             self._handle_events(selectors.EVENT_READ)
         silence = self._receiver.measure_silence(now)
-        if max(silence, self._sender.measure_stall(now)) > STALL_SECONDS:
+        if max(silence, self._sender.measure_stall(now)) > silence_limit:
             self.close()
         if now - self._sender.last_sent >= heartbeat_interval:
             self.send(Frame(FrameKind.HEARTBEAT))
         self.due = min(
             self._sender.last_sent + heartbeat_interval,
-            now + STALL_SECONDS - silence,
+            now + silence_limit - silence,
         )
 
     def record_unanswered_call(self, sent_at: float) -> None:
--- a/sesameroute/adapters/_peer_table.py
+++ b/sesameroute/adapters/_peer_table.py
@@ -9,7 +9,10 @@
 from sesameroute.adapters._peer_frames import Frame, FrameKind
 from sesameroute.adapters._peer_stream import PeerStream
 from sesameroute.exceptions import PeerError
-from sesameroute.gossip import choose_heartbeat_interval
+from sesameroute.gossip import (
+    choose_heartbeat_interval,
+    choose_silence_limit,
+)
 from sesameroute.telemetry import survive
 
 __all__ = ['CallTable', 'PendingCall', 'StreamTable']
@@ -72,11 +75,13 @@
             Monotonic time in seconds.
 
         """
-        interval = _HEARTBEAT_MARGIN * choose_heartbeat_interval(self.count())
+        peers = self.count()
+        interval = _HEARTBEAT_MARGIN * choose_heartbeat_interval(peers)
+        silence = choose_silence_limit(peers)
         due = (each for each in self.list_streams() if each.due <= now)
         for stream in due:
             with survive('peer stream'):
-                stream.maintain(now, interval)
+                stream.maintain(now, interval, silence)
         for duplicate in self.list_duplicates(own):
             duplicate.close()
 
--- a/sesameroute/gossip/__init__.py
+++ b/sesameroute/gossip/__init__.py
@@ -4,6 +4,7 @@
 from sesameroute.gossip._intervals import (
     choose_heartbeat_interval,
     choose_list_interval,
+    choose_silence_limit,
 )
 
 __all__ = [
@@ -11,4 +12,5 @@
     'broadcast',
     'choose_heartbeat_interval',
     'choose_list_interval',
+    'choose_silence_limit',
 ]
--- a/sesameroute/gossip/_intervals.py
+++ b/sesameroute/gossip/_intervals.py
@@ -4,11 +4,16 @@
 grow with the square of its size, and take the processor from requests.
 """
 
-__all__ = ['choose_heartbeat_interval', 'choose_list_interval']
+__all__ = [
+    'choose_heartbeat_interval',
+    'choose_list_interval',
+    'choose_silence_limit',
+]
 
 _MIN_SECONDS = 1.0
-# Peers count a VM as lost after 2.8 s: two heartbeats come before that.
 _MAX_SECONDS = 1.4
+# How late a heartbeat may be. A lost VM has to be known within 4 s.
+_MAX_LATENESS_SECONDS = 1.8
 _SECONDS_PER_PEER = 0.0125
 _MIN_LIST_INTERVAL = 5
 _VMS_PER_LIST = 6
@@ -31,6 +36,23 @@
     return min(max(_SECONDS_PER_PEER * peers, _MIN_SECONDS), _MAX_SECONDS)
 
 
+def choose_silence_limit(peers: int) -> float:
+    """Return the silence in seconds after which a stream counts as dead.
+
+    Parameters
+    ----------
+    peers : int
+        Number of peers that are heard.
+
+    Examples
+    --------
+    >>> [choose_silence_limit(peers) for peers in (6, 100, 299)]
+    [2.8, 3.05, 3.2]
+
+    """
+    return choose_heartbeat_interval(peers) + _MAX_LATENESS_SECONDS
+
+
 def choose_list_interval(vms: int) -> int:
     """Return how many heartbeats pass between two with the list of all VMs.
 
