--- a/sesameroute/adapters/_peer_loop.py
+++ b/sesameroute/adapters/_peer_loop.py
@@ -12,9 +12,9 @@
 
 from sesameroute.telemetry import survive
 
-__all__ = ['PeerLoop', 'call_safely']
+__all__ = ['TURN_SECONDS', 'PeerLoop', 'call_safely']
 
-_MAX_TURN_SECONDS = 0.25
+TURN_SECONDS = 0.25  # longest pause between two turns
 _ERROR_PAUSE_SECONDS = 0.05
 _STOP_SECONDS = 0.5
 _WAKE_BYTES = 64
@@ -28,10 +28,17 @@
 
     Any thread may use `call_soon` and `call_later`; all else is for
     callbacks, which run on the loop's thread and must not block.
+
+    Attributes
+    ----------
+    turned_at_ : float
+        Monotonic time in seconds at which the last turn began.
+
     """
 
     def __init__(self) -> None:
         """Open the selector; the thread does not run yet."""
+        self.turned_at_ = time.monotonic()
         self._selector = selectors.DefaultSelector()
         self._soon: deque[Callback] = deque()
         self._timers: list[tuple[float, int, Callback]] = []
@@ -112,6 +119,7 @@
         self._woken.close()
 
     def _turn(self) -> None:
+        self.turned_at_ = time.monotonic()
         for key, events in self._selector.select(self._find_pause()):
             call_safely(key.data, events)
         self._run_soon()
@@ -124,9 +132,9 @@
         if self._soon:
             return 0
         if not self._timers:
-            return _MAX_TURN_SECONDS
+            return TURN_SECONDS
         left = self._timers[0][0] - time.monotonic()
-        return min(max(left, 0), _MAX_TURN_SECONDS)
+        return min(max(left, 0), TURN_SECONDS)
 
     def _run_soon(self) -> None:
         """Run the callbacks that wait now, not those that they add."""
--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -13,6 +13,7 @@
 from sesameroute.adapters._peer_frames import Frame, FrameKind
 from sesameroute.adapters._peer_handshake import MIN_KEY_BYTES
 from sesameroute.adapters._peer_listener import PeerListener
+from sesameroute.adapters._peer_loop import TURN_SECONDS
 from sesameroute.adapters._peer_stream import pack_or_log
 from sesameroute.adapters._peer_workers import PeerWorkers
 from sesameroute.exceptions import InputError, PeerError
@@ -215,6 +216,10 @@
                 stream.record_unanswered_call(sent_at)
             return _read_reply(vm, call.reply)
 
+    def read_turn(self) -> float:
+        """Return until when the loop's last turn and pause may last."""
+        return self.carrier.loop.turned_at_ + TURN_SECONDS
+
     def _replace_stream(self, sender: str) -> None:
         dialer = self._dialers.get(sender)
         if dialer:
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -130,6 +130,7 @@
             {
                 'tick': lambda: self._ticked_at + _IDLE_INTERVAL_SECONDS,
                 'beat': lambda: self._beat_at + self._beat_seconds,
+                'peer-loop': self.peers.read_turn,
                 **{
                     each.name: each.read_turn
                     for each in self._node_servers.servers
--- a/sesameroute/node/tests/test_stalled_loops.py
+++ b/sesameroute/node/tests/test_stalled_loops.py
@@ -18,11 +18,15 @@
         return node.allocator, 'process_waiting'
     if name == 'beat':
         return node.fleet, 'list_dial_addresses'
+    if name == 'peer-loop':
+        return node.peers.streams, 'maintain'
     front = node._node_servers.servers[0]
     return front._idle.watched, 'select'
 
 
-@pytest.mark.parametrize('name', ['tick', 'beat', f'front-{FRONT_PORT}'])
+@pytest.mark.parametrize(
+    'name', ['tick', 'beat', 'peer-loop', f'front-{FRONT_PORT}']
+)
 def test_stalled_loop_is_found_and_logged(cluster, monkeypatch, caplog, name):
     """A loop that stood still was noticed by nobody."""
     node = cluster.add_node(1)
