Leave out states that peers know, where the fleet is large

Load: 6,500 pairs of 140 nodes in three regions told each other the same state each second.

Change: from 24 peers on, states name a TTL of 7 s, and two heartbeats in three go without the state to peers that name one, too. Changes, states while the store is not read, and states to earlier builds go out as before.

--- a/benchmarks/_idle_node.py
+++ b/benchmarks/_idle_node.py
@@ -12,9 +12,10 @@
 import sys
 import threading
 import time
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from pathlib import Path
 
+from sesameroute import gossip
 from sesameroute.adapters import PeerNetwork
 from sesameroute.node import FleetNode, parse_node_settings
 from sesameroute.node._fleet import NodeState
@@ -28,7 +29,9 @@
 _KEY = b'key of this test 0123456789'
 _MAX_SECONDS = 90
 _SETTLE_SECONDS = 6
-_HEARTBEAT_SECONDS = 1.0
+_POLL_SECONDS = 1.0
+_MIN_PEERS_OF_TTL = 24
+_TTL_SECONDS = 7
 _ADDRESSES = 200  # of each third part of an IP address
 _REGIONS = ('north', 'south', 'east')
 _TCP_INFO_BYTES = 232
@@ -37,6 +40,35 @@
 _PAGE_BYTES = 4096
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How often the peers of a source tree send which states.
+
+    Attributes
+    ----------
+    interval : float
+        Seconds between two heartbeats.
+    beats_per_state, beats_per_list : int
+        Heartbeats for one with a state, and for one with a list of all nodes.
+
+    """
+
+    interval: float = 1.0
+    beats_per_state: int = 1
+    beats_per_list: int = 5
+
+
+def choose_pace(count: int) -> Pace:
+    """Return the pace of a fleet of the source tree that is measured."""
+    if not hasattr(gossip, 'choose_heartbeat_interval'):
+        return Pace()
+    return Pace(
+        gossip.choose_heartbeat_interval(count),
+        3 if count >= _MIN_PEERS_OF_TTL else 1,
+        gossip.choose_list_interval(count),
+    )
+
+
 def run_peers(count: int) -> None:
     """Print the node's settings, then tell it the states of its peers."""
     cluster = Cluster()
@@ -59,14 +91,22 @@
         )
         network.start(lambda _sender, _message: None)
         network.set_targets(target)
-        playing.append((network, _make_state(address, number)))
+        playing.append((network, _make_state(address, number, count)))
+    _send_states(playing, choose_pace(count), next(iter(target)))
+
+
+def _send_states(
+    playing: list[tuple[PeerNetwork, NodeState]], pace: Pace, target: str
+) -> None:
+    """Send states until the process ends, those of the peers at any time."""
     known = tuple(state.address for _network, state in playing)
-    for beat in itertools.count(1):
-        for network, state in playing:
-            is_complete = beat % 5 == 0
+    for beat in itertools.count():
+        for number, (network, state) in enumerate(playing):
+            time.sleep(pace.interval / len(playing))
+            is_complete = (beat + number) % pace.beats_per_list == 0
             sent = replace(state, known=known if is_complete else ())
-            network.send_one_way(next(iter(target)), sent)
-        time.sleep(_HEARTBEAT_SECONDS)
+            if is_complete or not (beat + number) % pace.beats_per_state:
+                network.send_one_way(target, sent)
 
 
 def measure_node(count: int, seconds: float) -> dict[str, float]:
@@ -75,7 +115,7 @@
     node.start()
     until = time.monotonic() + _MAX_SECONDS
     while len(node.fleet.list_live()) <= count and time.monotonic() < until:
-        time.sleep(_HEARTBEAT_SECONDS)
+        time.sleep(_POLL_SECONDS)
     live = len(node.fleet.list_live()) - 1
     time.sleep(_SETTLE_SECONDS)
     used, transferred = time.process_time(), _sum_bytes(node.peers)
@@ -89,11 +129,14 @@
     }
 
 
-def _make_state(address: str, number: int) -> NodeState:
+def _make_state(address: str, number: int, count: int) -> NodeState:
     region = _REGIONS[number % len(_REGIONS)]
-    return NodeState(
+    state = NodeState(
         address, f'{region}-a', region, f'{address}:1', is_ready=True
     )
+    if count >= _MIN_PEERS_OF_TTL and hasattr(state, 'ttl'):
+        return replace(state, ttl=_TTL_SECONDS)
+    return state
 
 
 def _sum_bytes(network: PeerNetwork) -> int:
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -3,10 +3,8 @@
 import threading
 from dataclasses import dataclass, replace
 
-from sesameroute.gossip import (
-    choose_heartbeat_interval,
-    choose_list_interval,
-)
+from sesameroute.gossip import choose_list_interval
+from sesameroute.node._heartbeats import HeartbeatPlan
 from sesameroute.node._live_view import LiveStates
 from sesameroute.placement import hash_key
 from sesameroute.ports import Clock, Peers, register_message
@@ -55,6 +53,10 @@
         Whether this is such an answer; None for builds that give none.
     answers_callers : bool
         Whether its server for callers has answered lately.
+    ttl : int
+        Seconds for which the state is valid while no other comes; 0 for 3.5,
+        and for builds that give none. A node that names a TTL heeds those of
+        others.
 
     """
 
@@ -72,6 +74,7 @@
     wants_answer: bool = False
     is_answer: bool | None = None
     answers_callers: bool = True
+    ttl: int = 0
 
 
 class _KnownList:
@@ -114,6 +117,11 @@
     clock : Clock
         Source of time.
 
+    Attributes
+    ----------
+    heartbeats : HeartbeatPlan
+        Decides which peers hear this node's state.
+
     """
 
     def __init__(
@@ -125,6 +133,7 @@
         self.clock = clock
         self._lock = threading.Lock()
         self._states = LiveStates(peers, clock)
+        self.heartbeats = HeartbeatPlan(self._states)
         self._addresses: dict[str, float] = {}
         self._known_list = _KnownList(own_state.address)
 
@@ -167,7 +176,12 @@
         known = tuple(state.address for state in self.list_live())
         if not is_complete:
             known = self._known_list.select(known)
-        return replace(self.own_state, known=known, revision=revision)
+        return replace(
+            self.own_state,
+            known=known,
+            revision=revision,
+            ttl=self.heartbeats.choose_ttl(),
+        )
 
     def list_live(self) -> list[NodeState]:
         """Return the states of the live nodes, this node first."""
@@ -223,10 +237,6 @@
             return [state.front for state in near]
         return [state.front for state in ready]
 
-    def choose_heartbeat_interval(self) -> float:
-        """Return the seconds between two state messages to all peers."""
-        return choose_heartbeat_interval(len(self.peers.list_connected()))
-
     def count_known(self) -> int:
         """Return the number of nodes, live or not yet forgotten."""
         return max(len(self._addresses) + 1, 1)
--- a/sesameroute/node/_live_view.py
+++ b/sesameroute/node/_live_view.py
@@ -17,8 +17,10 @@
 
 __all__ = ['LiveStates', 'LiveView']
 
-# A node counts as live until its last state message is this old.
+# A node counts as live until its last state message is this old, if the message
+# doesn't name a time itself.
 _STATE_MAX_AGE_SECONDS = 3.5
+_LONGEST_TTL_SECONDS = 10
 
 
 @dataclass(slots=True)
@@ -28,6 +30,12 @@
     state: 'NodeState'
     received_at: float
 
+    @property
+    def valid_until(self) -> float:
+        """Monotonic time in seconds until which the state counts."""
+        ttl = min(self.state.ttl, _LONGEST_TTL_SECONDS)
+        return self.received_at + max(ttl, _STATE_MAX_AGE_SECONDS)
+
 
 @dataclass(slots=True)
 class LiveView:
@@ -144,6 +152,11 @@
                 self._view = view
         return view
 
+    def heeds_ttl(self, address: str) -> bool:
+        """Whether a node names a TTL, so that it heeds those of others."""
+        entry = self._received.get(address)
+        return entry is not None and entry.state.ttl > 0
+
     def _keeps_view(self, known: 'NodeState', state: 'NodeState') -> bool:
         view = self._view
         if view is None or state.address not in view.entries:
@@ -153,23 +166,24 @@
     def _build_view(
         self, own_state: 'NodeState', connected: tuple[str, ...], now: float
     ) -> LiveView:
-        oldest = now - _STATE_MAX_AGE_SECONDS
         known = (
             (address, self._received.get(address)) for address in connected
         )
         live = {
             address: entry
             for address, entry in known
-            if entry is not None and entry.received_at >= oldest
+            if entry is not None and entry.valid_until >= now
         }
-        received = (entry.received_at for entry in live.values())
-        valid_until = min(received, default=now) + _STATE_MAX_AGE_SECONDS
+        valid_until = min(
+            (entry.valid_until for entry in live.values()),
+            default=now + _STATE_MAX_AGE_SECONDS,
+        )
         return LiveView(own_state, connected, live, valid_until)
 
 
-def _get_candidacy(state: 'NodeState') -> tuple[str, bool, bool]:
-    """Return what decides whether a node may lead."""
-    return state.region, state.is_ready, state.is_leaving
+def _get_candidacy(state: 'NodeState') -> tuple[str, bool, bool, int]:
+    """Return what decides whether a node may lead, and for how long."""
+    return state.region, state.is_ready, state.is_leaving, state.ttl
 
 
 def _build_rank_key(topic: str) -> Callable[[str], int]:
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -139,7 +139,7 @@
         )
         self._ticked_at = self.clock.read_monotonic()
         self._beat_at = self._ticked_at
-        self._beat_seconds = self.fleet.choose_heartbeat_interval()
+        self._beat_seconds = self.fleet.heartbeats.choose_interval()
         self._is_stopped = threading.Event()
         self._broadcast_lock = threading.Lock()
         self._connected: frozenset[str] = frozenset()
@@ -277,16 +277,19 @@
     def _run_heartbeat_loop(self) -> None:
         while not self._is_stopped.wait(self._beat_seconds):
             self._beat_at = self.clock.read_monotonic()
-            self._beat_seconds = self.fleet.choose_heartbeat_interval()
+            self._beat_seconds = self.fleet.heartbeats.choose_interval()
             with survive('heartbeat'):
-                self._broadcast_state()
+                self._broadcast_state(is_heartbeat=True)
                 for gossip in self._dispatch.gossips:
                     gossip.share_with_next()
                 _dial(self.fleet, self.peers, self.settings)
                 self._store.sync.fetch_if_empty()
 
-    def _broadcast_state(self) -> None:
-        """Send this node's state to its peers; later states are sent later."""
+    def _broadcast_state(self, *, is_heartbeat: bool = False) -> None:
+        """Send this node's state to its peers; later states are sent later.
+
+        A heartbeat leaves out peers that know the state.
+        """
         with self._broadcast_lock:
             if self._node_servers.shutdown.has_begun():
                 self.fleet.update_own_state(is_ready=False, is_leaving=True)
@@ -294,7 +297,10 @@
             state = self.fleet.build_state(
                 self._store.mirror.revision_, is_complete=False
             )
-            for peer in self.peers.list_connected():
+            is_current = is_heartbeat and self._store.is_current()
+            for peer in self.fleet.heartbeats.select_receivers(
+                state, is_current=is_current
+            ):
                 self.peers.send_one_way(peer, state)
 
 
--- a/sesameroute/node/_store_connection.py
+++ b/sesameroute/node/_store_connection.py
@@ -21,6 +21,9 @@
 
 __all__ = ['StoreConnection']
 
+# Updates come more often than this while any node reads the store.
+_CURRENT_SECONDS = 1.3
+
 
 class StoreConnection:
     """A node's copy of the store, its watch on it and its own entry.
@@ -92,6 +95,11 @@
             ),
         )
 
+    def is_current(self) -> bool:
+        """Whether the copy of the store was up to date a moment ago."""
+        age = self.clock.read_monotonic() - self.mirror.verified_at_
+        return age <= _CURRENT_SECONDS
+
     def start(self) -> None:
         """Start watching the store and keeping this node's entry."""
         self._watcher.start()
--- a/sesameroute/node/tests/test_live_view.py
+++ b/sesameroute/node/tests/test_live_view.py
@@ -158,3 +158,84 @@
             observer.find_leader()
             observer.fleet.find_rank(_SERVICE)
     assert 0 < len(hashed) < 10 * _NODES
+
+
+@pytest.mark.parametrize(
+    ('ttl', 'seconds', 'is_live'),
+    [
+        (0, 3, True),
+        (0, 4, False),
+        (7, 6, True),
+        (7, 8, False),
+        (10**9, 11, False),
+        (-5, 3, True),
+    ],
+)
+def test_states_are_valid_for_their_time(ttl, seconds, is_live):
+    """A node whose states end is lost, though its stream stays open."""
+    observer = Observer()
+    address = observer.connected[0]
+    observer.change(address, ttl=ttl)
+    for _ in range(seconds):
+        observer.beat(silent=(address,))
+    live = {state.address for state in observer.fleet.list_live()}
+    assert (address in live) is is_live
+
+
+def tell(observer, beats, *, is_current=True, **changes):
+    """Return the receivers of each heartbeat after the first one."""
+    told = []
+    for beat in range(beats + 1):
+        observer.beat()
+        if beat == 1:
+            observer.fleet.update_own_state(**changes)
+        state = observer.fleet.build_state(beat, is_complete=False)
+        told.append(
+            set(
+                observer.fleet.heartbeats.select_receivers(
+                    state, is_current=is_current
+                )
+            )
+        )
+    return told[1:]
+
+
+def test_unchanged_states_are_told_rarely_to_those_who_know():
+    """6,500 pairs of nodes told each other the same each second."""
+    observer = Observer()
+    everyone = set(observer.connected)
+    earlier = set(observer.connected[:9])
+    for address in everyone - earlier:
+        observer.change(address, ttl=7)
+    told = tell(observer, 12)
+    assert all(earlier <= each for each in told)
+    assert sum(each == everyone for each in told) <= 6
+    # At no time are three heartbeats in a row left out.
+    assert all(
+        everyone in told[first : first + 3] for first in range(len(told) - 2)
+    )
+
+
+@pytest.mark.parametrize(
+    ('nodes', 'options'),
+    [
+        pytest.param(9, {}, id='small fleet'),
+        pytest.param(_NODES, {'is_current': False}, id='store not read'),
+    ],
+)
+def test_states_are_told_at_each_heartbeat(nodes, options):
+    """Peers of a small fleet, or without the store, hear each state."""
+    observer = Observer()
+    observer.connected = observer.connected[:nodes]
+    for address in observer.connected:
+        observer.change(address, ttl=7)
+    told = tell(observer, 6, **options)
+    assert told == [set(observer.connected)] * 6
+
+
+def test_changes_are_told_to_all():
+    """A state that changes is told at the next heartbeat at the latest."""
+    observer = Observer()
+    for address in observer.connected:
+        observer.change(address, ttl=7)
+    assert tell(observer, 3, is_ready=False)[0] == set(observer.connected)
