--- a/sesameroute/adapters/_peer_table.py
+++ b/sesameroute/adapters/_peer_table.py
@@ -20,7 +20,7 @@
 _MAX_PENDING_CALLS = 4096
 # A stream sends heartbeats of its own only if its users send nothing; they
 # send something at the same interval.
-_HEARTBEAT_MARGIN = 1.25
+_HEARTBEAT_MARGIN = 1.1
 
 
 class StreamTable:
