--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -149,7 +149,7 @@
         if not self._may_use(state, slot_request, decision):
             self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
             return None
-        if self.clock.read_monotonic() >= state.deadline:
+        if not state.has_time_to_run(decision, self.clock.read_monotonic()):
             # The process may have been paused since the grant.
             self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
             return self._answer_refusal(state, Refusal(Reason.TOO_LATE, 0))
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -128,6 +128,10 @@
         """Whether enough time is left before the deadline for another try."""
         return self.deadline - now > _MIN_RETRY_SECONDS
 
+    def has_time_to_run(self, grant: Grant, now: float) -> bool:
+        """Whether a granted request can end before the deadline."""
+        return self.deadline - now > grant.run_seconds
+
     def compute_elapsed(self, now: float) -> float:
         """Return the seconds since the caller's first attempt."""
         return now - self.request.arrived + self.earlier_seconds
--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -13,6 +13,7 @@
 from sesameroute.placement._estimates import Estimates
 from sesameroute.placement._messages import Reason, SlotRequest
 from sesameroute.placement._queue import Waiter
+from sesameroute.placement._remaining_time import can_end
 from sesameroute.placement._upstream import UpstreamState
 
 __all__ = ['Admission', 'Decision', 'Verdict']
@@ -112,13 +113,13 @@
         """
         if not candidates.states:
             return self._refuse(candidates, waiter, Reason.NO_BACKEND)
-        unused = candidates.pick_unused()
-        if unused is not None:
-            return Decision(Verdict.GRANT, unused)
         warm_states = candidates.list_warm()
-        warm_state = candidates.pick_warm(warm_states)
-        if warm_state is not None:
-            return Decision(Verdict.GRANT, warm_state)
+        for chosen in (
+            candidates.pick_unused(),
+            candidates.pick_warm(warm_states),
+        ):
+            if self.can_end(candidates, waiter, chosen):
+                return Decision(Verdict.GRANT, chosen)
         wait_until = self._find_wait_end(waiter, candidates.now)
         if (
             warm_states
@@ -135,17 +136,29 @@
         warm_states: list[UpstreamState],
     ) -> Decision:
         """Decide on a request that can't wait for a warm backend server."""
+        chosen = None
         if (
             not warm_states
             or candidates.compute_utilization() < _MAX_SPILL_UTILIZATION
         ):
-            preferred = candidates.pick_by_hash()
-            if preferred is not None:
-                return Decision(Verdict.GRANT, preferred)
-        fallback = None if warm_states else candidates.pick_least_loaded()
-        if fallback is not None:
-            return Decision(Verdict.GRANT, fallback)
-        return self._refuse(candidates, waiter, Reason.NO_ROOM)
+            chosen = candidates.pick_by_hash()
+        if chosen is None and not warm_states:
+            chosen = candidates.pick_least_loaded()
+        if self.can_end(candidates, waiter, chosen):
+            return Decision(Verdict.GRANT, chosen)
+        reason = Reason.NO_ROOM if chosen is None else Reason.TOO_LATE
+        return self._refuse(candidates, waiter, reason)
+
+    def can_end(
+        self,
+        candidates: Candidates,
+        waiter: Waiter,
+        state: UpstreamState | None,
+    ) -> bool:
+        """Whether there is a server and its run would end in time."""
+        return state is not None and can_end(
+            self.estimates, candidates, waiter, state
+        )
 
     def _find_wait_end(self, waiter: Waiter, now: float) -> float:
         """Return the monotonic time until which the request should wait.
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -8,6 +8,10 @@
 from sesameroute.placement._candidates import Candidates, hash_key
 from sesameroute.placement._messages import Grant, Refusal, SlotRequest
 from sesameroute.placement._queue import Waiter, WaitingRequests
+from sesameroute.placement._remaining_time import (
+    find_needed_seconds,
+    is_fresh,
+)
 from sesameroute.placement._spillover import SpilloverPlan
 from sesameroute.placement._states import UpstreamStates
 from sesameroute.placement._upstream import UpstreamState
@@ -113,7 +117,9 @@
                 now,
                 (state,),
             )
-            if candidates.list_warm():
+            if candidates.list_warm() and self.admission.can_end(
+                candidates, waiter, state
+            ):
                 self.waiting.remove(waiter)
                 waiter.settle(self._grant(candidates, state, waiter))
                 free -= 1
@@ -174,4 +180,9 @@
             is_warm,
             now - waiter.arrived_at,
             self.node,
+            0
+            if is_fresh(waiter, now)
+            else find_needed_seconds(
+                self.admission.estimates, waiter, is_warm=is_warm
+            ),
         )
--- a/sesameroute/placement/_messages.py
+++ b/sesameroute/placement/_messages.py
@@ -75,6 +75,11 @@
         Requests per second that the tenant may send; 0 means no limit.
     body_bytes : int
         Size of the request's body; -1 if it is not known.
+    ticket : str
+        Identifies the message, so that it can be withdrawn; empty if not.
+    caller_time_left : float
+        Seconds that the caller still waits, over all its attempts; 0 if it
+        is not known.
 
     """
 
@@ -92,6 +97,8 @@
     tenant_priority: int = 0
     allowance: float = 0
     body_bytes: int = 0
+    ticket: str = ''
+    caller_time_left: float = 0
 
 
 @register_message('grant', is_nonblocking=True)
@@ -113,6 +120,9 @@
         Seconds that the request waited in the pool's queue.
     holder : str
         Address of the node whose pool granted the slot.
+    run_seconds : float
+        Time in seconds that the request must have left when it is sent; 0 if
+        any time will do.
 
     """
 
@@ -122,6 +132,7 @@
     is_warm: bool = False
     waited: float = 0
     holder: str = ''
+    run_seconds: float = 0
 
 
 @register_message('refusal', is_nonblocking=True)
@@ -176,6 +187,9 @@
         Bytes of the request's body and of the answer's.
     load : ServerLoad or None
         What the backend server said of its load in the answer.
+    ticket : str
+        Withdraws the slot request with this ticket, whether it waits or has
+        its slot; `number` is 0 then.
 
     """
 
@@ -185,6 +199,7 @@
     seconds: float
     byte_count: int = 0
     load: ServerLoad | None = None
+    ticket: str = ''
 
 
 @register_message('report', is_nonblocking=True)
