--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -238,6 +238,9 @@
                         self._reserve_retry,
                         self.guards.may_resend,
                         self.guards.observe_metadata,
+                        lambda running: self.guards.find_condition(
+                            running, is_cut_off=self.relay_.is_needed(running)
+                        ),
                     ),
                     started_at,
                 ),
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 
 from sesameroute.exceptions import RequestError
+from sesameroute.forward._answer_wait import ServerCondition
+from sesameroute.forward._ended_servers import find_condition
 from sesameroute.forward._local_answers import (
     build_answer,
     build_failure_answer,
@@ -99,6 +101,21 @@
             and self.retries.acquire(state.service)
         )
 
+    def find_condition(
+        self, state: RequestState, *, is_cut_off: bool
+    ) -> ServerCondition:
+        """Return the condition of the server that runs a request.
+
+        A node that is cut off from all servers can't tell. One that leaves
+        refuses connections, but ends the requests that it has.
+        """
+        server = state.sent_try.server
+        if is_cut_off or self.announcements.is_leaving(*server):
+            return ServerCondition.ALIVE
+        return find_condition(
+            state, self.end_detector, self.quarantine.evidence.unsettled_
+        )
+
     def observe_answer(self, state: RequestState, status: int) -> None:
         """Count an answer in full in favour of its request.
 
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from sesameroute.forward._answer_wait import ServerCondition
 from sesameroute.forward._message import (
     AnswerMetadata,
     CallerRequest,
@@ -100,6 +101,10 @@
         The last try, as the quarantine knows it.
     relayed_to : tuple of str
         Nodes that the request was passed on to.
+    checked_server_at : float
+        Monotonic time in seconds at which a silent server was last checked.
+    left_server : tuple of (str, int) or None
+        Server that was found to leave during its try.
 
     """
 
@@ -123,6 +128,8 @@
     fingerprint: str = ''
     sent_try: SentTry | None = None
     relayed_to: tuple[str, ...] = ()
+    checked_server_at: float = 0
+    left_server: tuple[str, int] | None = None
 
     def has_time_to_retry(self, now: float) -> bool:
         """Whether enough time is left before the deadline for another try."""
@@ -147,12 +154,14 @@
 
     `may_abandon` decides on a retry at another backend server instead of the
     running try, `may_resend` on sending to the same one on a new connection.
-    `observe_metadata` gets what the server says of itself in its answer.
+    `observe_metadata` gets what the server says of itself in its answer,
+    `find_condition` tells whether a silent server still runs.
     """
 
     may_abandon: Callable[[RequestState], bool]
     may_resend: Callable[[RequestState], bool]
     observe_metadata: Callable[[RequestState, AnswerMetadata], None]
+    find_condition: Callable[[RequestState], ServerCondition]
 
 
 class _StreamedBody:
@@ -252,6 +261,7 @@
         lambda: hooks.may_abandon(state),
         lambda: hooks.may_resend(state),
         lambda metadata: hooks.observe_metadata(state, metadata),
+        lambda: hooks.find_condition(state),
     )
 
 
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -11,13 +11,13 @@
 from urllib3.response import HTTPResponse
 
 from sesameroute.adapters import ConnectionPool, PooledConnection, ReadLimit
-from sesameroute.adapters import wait_for_first_byte as wait_for_bytes
 from sesameroute.exceptions import (
     InputError,
     RequestError,
     has_broken_off,
     has_refused,
 )
+from sesameroute.forward._answer_wait import AnswerWait, ServerCondition
 from sesameroute.forward._body import AnswerBody
 from sesameroute.forward._message import AnswerMetadata, HeaderCodec, TryError
 from sesameroute.placement import Outcome
@@ -61,6 +61,8 @@
         be sent to the same backend server on a new one.
     observe_metadata : callable
         Called with the metadata of each answer that the server itself gave.
+    find_condition : callable
+        Tells whether a server that is silent still runs.
 
     """
 
@@ -75,6 +77,9 @@
     may_abandon: Callable[[], bool] = bool
     may_resend: Callable[[], bool] = bool
     observe_metadata: Callable[[AnswerMetadata], None] = bool
+    find_condition: Callable[[], ServerCondition] = lambda: (
+        ServerCondition.ALIVE
+    )
 
 
 @dataclass(slots=True)
@@ -285,39 +290,20 @@
         pooled_connection: PooledConnection,
         outgoing: OutgoingRequest,
     ) -> HTTPResponse:
-        if outgoing.caller is not None:
-            self._wait_for_answer(
-                pooled_connection.http_connection.sock, outgoing
-            )
+        wait = AnswerWait(
+            outgoing.deadline,
+            outgoing.retry_at,
+            outgoing.may_abandon,
+            outgoing.find_condition,
+        )
+        wait.wait(
+            pooled_connection.http_connection.sock, outgoing.caller, self.clock
+        )
         pooled_connection.http_connection.read_limit = ReadLimit(
             self._compute_remaining(outgoing.deadline), outgoing.caller
         )
         return pooled_connection.http_connection.getresponse()
 
-    def _wait_for_answer(
-        self, sock: socket.socket, outgoing: OutgoingRequest
-    ) -> None:
-        """Wait for the answer.
-
-        Raises
-        ------
-        TimeoutError
-            The deadline passed, or the try is abandoned for a retry.
-        RequestError
-            The caller closed its connection.
-
-        """
-        retry_at = min(outgoing.retry_at, outgoing.deadline)
-        try:
-            wait_for_bytes(
-                sock, outgoing.caller, self._compute_remaining(retry_at)
-            )
-        except TimeoutError:
-            if retry_at == outgoing.deadline or outgoing.may_abandon():
-                raise
-            remaining = self._compute_remaining(outgoing.deadline)
-            wait_for_bytes(sock, outgoing.caller, remaining)
-
     def _compute_remaining(self, deadline: float) -> float:
         return max(deadline - self.clock.read_monotonic(), _MIN_WAIT_SECONDS)
 
--- a/sesameroute/reachability/_end_detector.py
+++ b/sesameroute/reachability/_end_detector.py
@@ -62,6 +62,7 @@
         self._is_stopped = False
         self._answered_at: dict[Server, float] = {}
         self._checked_at: dict[Server, float] = {}
+        self._unreached_at: dict[Server, float] = {}
 
     def start(self) -> None:
         """Start the thread that checks servers."""
@@ -94,6 +95,10 @@
                 extra={'backend': server[0], 'why': 'queue is full'},
             )
 
+    def is_unreached(self, server: Server, sent_at: float) -> bool:
+        """Whether a server has taken no connection since a time."""
+        return self._unreached_at.get(server, -math.inf) >= sent_at
+
     def check(self, server: Server) -> None:
         """Check one server."""
         name, incarnation = server
@@ -118,7 +123,11 @@
             )
             if has_ended:
                 self.observe_end(server)
+            if len(self._unreached_at) >= _MAX_SERVERS:
+                self._unreached_at.clear()
+            self._unreached_at[server] = self.connections.clock.read_monotonic()
             return
+        self._unreached_at.pop(server, None)
         self.connections.put_back(connection)
 
     def _run(self) -> None:
