--- a/sesameroute/placement/_active_grants.py
+++ b/sesameroute/placement/_active_grants.py
@@ -72,6 +72,13 @@
         ]
         return [self.pop(number) for number in lost]
 
+    def pop_ticket(self, ticket: str) -> ActiveGrant | None:
+        """Remove the grant of a slot request that is withdrawn."""
+        for number, grant in self._grants.items():
+            if grant.slot_request.ticket == ticket:
+                return self.pop(number)
+        return None
+
     def expire(self, now: float) -> list[ActiveGrant]:
         """Remove the grants that are considered lost."""
         lost = [
--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -5,7 +5,9 @@
 not queued, because all requests behind them would be late, too.
 """
 
+import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -15,12 +17,16 @@
 from sesameroute.placement._queue import Waiter
 from sesameroute.placement._remaining_time import can_end
 from sesameroute.placement._upstream import UpstreamState
+from sesameroute.placement._wait_forecasts import WaitForecasts
 
-__all__ = ['Admission', 'Decision', 'Verdict']
+__all__ = ['Admission', 'Decision', 'Verdict', 'is_full']
 
 # From this utilization on, a request for a cached object starts on no server
 # that does not have the object cached.
 _MAX_SPILL_UTILIZATION = 0.75
+# From this utilization on, no slot is free for requests that are late, or back
+# early.
+_FULL_UTILIZATION = 0.9
 _MIN_RETRY_SECONDS = 0.05
 # The longest retry delay as a fraction of the time left; callers don't wait
 # longer than that.
@@ -70,6 +76,11 @@
     retry_after: float = 0
 
 
+def is_full(candidates: Candidates) -> bool:
+    """Whether requests that can be on time need all slots."""
+    return candidates.compute_utilization() >= _FULL_UTILIZATION
+
+
 class Admission:
     """Decides on one request at a time, from the state at that time.
 
@@ -78,11 +89,17 @@
     estimates : Estimates
         Typical run times.
 
+    Attributes
+    ----------
+    wait_forecasts : WaitForecasts
+        Corrects forecast waits by how the recent ones ended.
+
     """
 
     def __init__(self, estimates: Estimates) -> None:
         """Store the estimates."""
         self.estimates = estimates
+        self.wait_forecasts = WaitForecasts()
         self._random = random.Random()
 
     def estimate_response_time(self, slot_request: SlotRequest) -> float:
@@ -96,7 +113,10 @@
         return run + _TRAVEL_FRACTION * slot_request.objective
 
     def decide(
-        self, candidates: Candidates, waiter: Waiter, ahead: int
+        self,
+        candidates: Candidates,
+        waiter: Waiter,
+        count_ahead: Callable[[Waiter], int],
     ) -> Decision:
         """Return the decision on a request that has just arrived.
 
@@ -106,9 +126,9 @@
             Backend servers that may get the request.
         waiter : Waiter
             The request.
-        ahead : int
-            Number of waiting requests of the same region that are served
-            before it.
+        count_ahead : callable
+            Returns the number of waiting requests of the same region that
+            are served before a request.
 
         """
         if not candidates.states:
@@ -121,14 +141,34 @@
             if self.can_end(candidates, waiter, chosen):
                 return Decision(Verdict.GRANT, chosen)
         wait_until = self._find_wait_end(waiter, candidates.now)
-        if (
-            warm_states
-            and self._estimate_start(candidates, waiter, warm_states, ahead)
-            <= wait_until
+        for is_late, limit in (
+            (waiter.is_late, waiter.latest_start),
+            (True, wait_until),
         ):
-            return Decision(Verdict.WAIT, wait_until=wait_until)
+            # Among those on time it would be late, and make others late.
+            waiter.is_late = is_late
+            start = self._estimate_start(
+                candidates, waiter, warm_states, count_ahead(waiter)
+            )
+            if start <= limit:
+                return Decision(Verdict.WAIT, wait_until=wait_until)
         return self.decide_without_wait(candidates, waiter, warm_states)
 
+    def decide_early(
+        self, candidates: Candidates, waiter: Waiter, due: float
+    ) -> Decision:
+        """Decide on a caller that comes back before it was told to.
+
+        It gets a slot while there is room for all, or is told the same time
+        again: each of its attempts would be one more chance of a slot.
+        """
+        chosen = None
+        if not is_full(candidates):
+            chosen = candidates.pick_warm(candidates.list_warm())
+        if self.can_end(candidates, waiter, chosen):
+            return Decision(Verdict.GRANT, chosen)
+        return Decision(Verdict.REFUSE, retry_after=due - candidates.now)
+
     def decide_without_wait(
         self,
         candidates: Candidates,
@@ -166,7 +206,7 @@
         A retry may wait until it is late, as long as it meets its deadline.
         """
         slot_request = waiter.slot_request
-        if not slot_request.is_returning:
+        if not waiter.is_returning:
             return waiter.latest_start
         late_start = now + _LATE_WAIT_FRACTION * slot_request.objective
         deadline_start = waiter.deadline - self.estimate_response_time(
@@ -182,6 +222,8 @@
         ahead: int,
     ) -> float:
         """Return when a slot of a warm server will probably be free."""
+        if not warm_states:
+            return math.inf
         slot_request = waiter.slot_request
         run = self.estimates.find_hit(
             slot_request.flow, slot_request.objective
@@ -189,7 +231,13 @@
         slots = sum(state.slots for state in candidates.states)
         warm_slots = sum(server.slots for server in warm_states)
         first_wait = run / max(warm_slots, 1)
-        return candidates.now + first_wait + run * ahead / max(slots, 1)
+        return (
+            candidates.now
+            + first_wait
+            + self.wait_forecasts.correct(
+                waiter.flow_class, run * ahead / max(slots, 1)
+            )
+        )
 
     def _refuse(
         self,
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -4,9 +4,20 @@
 """
 
 from sesameroute.placement._active_grants import ActiveGrant, ActiveGrants
-from sesameroute.placement._admission import Admission, Decision, Verdict
+from sesameroute.placement._admission import (
+    Admission,
+    Decision,
+    Verdict,
+    is_full,
+)
+from sesameroute.placement._appointments import Appointments, Return
 from sesameroute.placement._candidates import Candidates, hash_key
-from sesameroute.placement._messages import Grant, Refusal, SlotRequest
+from sesameroute.placement._messages import (
+    Grant,
+    Reason,
+    Refusal,
+    SlotRequest,
+)
 from sesameroute.placement._queue import Waiter, WaitingRequests
 from sesameroute.placement._remaining_time import (
     find_needed_seconds,
@@ -14,12 +25,15 @@
 )
 from sesameroute.placement._spillover import SpilloverPlan
 from sesameroute.placement._states import UpstreamStates
+from sesameroute.placement._tenant_shares import TenantShares
 from sesameroute.placement._upstream import UpstreamState
 
 __all__ = ['Granter']
 
 # A grant is considered lost at this time after the deadline of its request.
 _GRANT_EXPIRY_SLACK_SECONDS = 1.0
+# Below the time after which a node gives up its call to the leader.
+_MAX_REMOTE_WAIT_SECONDS = 0.3
 
 
 class Granter:
@@ -40,6 +54,10 @@
     ----------
     waiting : WaitingRequests
         Requests that wait for a slot.
+    appointments : Appointments
+        When the callers of refused requests may come back.
+    tenant_shares : TenantShares
+        Recent grants of each tenant.
     active_grants : ActiveGrants
         Grants whose slots are in use.
 
@@ -58,6 +76,8 @@
         self.plan = plan
         self.admission = admission
         self.waiting = WaitingRequests()
+        self.appointments = Appointments()
+        self.tenant_shares = TenantShares()
         self.active_grants = ActiveGrants()
 
     def choose_region(self, slot_request: SlotRequest, now: float) -> str:
@@ -81,19 +101,54 @@
 
     def decide(self, waiter: Waiter, now: float) -> Grant | Refusal | None:
         """Decide on a request that has just arrived; None if it waits."""
+        slot_request = waiter.slot_request
         candidates = self._list_candidates(waiter, now)
-        ahead = self.waiting.count_ahead(waiter.region, waiter.sort_key)
-        decision = self.admission.decide(candidates, waiter, ahead)
+        appointment = self.appointments.find(slot_request, now)
+        if appointment.kept is Return.EARLY:
+            early = self.admission.decide_early(
+                candidates, waiter, appointment.due
+            )
+            return self._apply(candidates, waiter, early)
+        waiter.is_returning = (
+            slot_request.is_returning or appointment.kept is Return.KEPT
+        )
+        waiter.advance_latest_start(
+            appointment.on_time_until
+            - self.admission.estimate_response_time(slot_request)
+        )
+        waiter.tenant_level = self.tenant_shares.find_level(
+            slot_request.tenant, now
+        )
+        decision = self.admission.decide(
+            candidates, waiter, self.waiting.count_ahead
+        )
         if decision.verdict is Verdict.WAIT:
-            waiter.wait_until = decision.wait_until
+            waiter.wait_until = _limit_wait(
+                waiter, self.node, decision.wait_until
+            )
             self.waiting.add(waiter)
             return None
         return self._apply(candidates, waiter, decision)
 
+    def withdraw(self, ticket: str, now: float) -> None:
+        """Drop a slot request that waits, or free its slot."""
+        waiter = self.waiting.find(ticket)
+        if waiter is not None:
+            self.waiting.remove(waiter)
+            waiter.settle(Refusal(Reason.TOO_LATE, 0))
+            return
+        grant = self.active_grants.pop_ticket(ticket)
+        if grant is not None:
+            self.grant_waiting(grant.state, now)
+
     def settle_expired(self, now: float) -> None:
         """Settle the requests whose wait has ended without a slot."""
+        self.waiting.move_late(now)
         for waiter in self.waiting:
             if waiter.wait_until <= now:
+                self.admission.wait_forecasts.observe(
+                    waiter.flow_class, was_served=False
+                )
                 self._settle(waiter, self._list_candidates(waiter, now))
 
     def settle_stranded(self, now: float) -> None:
@@ -117,13 +172,26 @@
                 now,
                 (state,),
             )
-            if candidates.list_warm() and self.admission.can_end(
-                candidates, waiter, state
-            ):
+            if self._may_take(candidates, waiter, state):
                 self.waiting.remove(waiter)
+                self.admission.wait_forecasts.observe(
+                    waiter.flow_class, was_served=True
+                )
                 waiter.settle(self._grant(candidates, state, waiter))
                 free -= 1
 
+    def _may_take(
+        self, candidates: Candidates, waiter: Waiter, state: UpstreamState
+    ) -> bool:
+        """Whether a waiting request gets a free slot of a server."""
+        if not candidates.list_warm():
+            return False
+        if waiter.is_late and is_full(
+            self._list_candidates(waiter, candidates.now)
+        ):
+            return False
+        return self.admission.can_end(candidates, waiter, state)
+
     def _list_candidates(self, waiter: Waiter, now: float) -> Candidates:
         return self.states.list_candidates(
             waiter.slot_request, waiter.region, now
@@ -147,6 +215,11 @@
             decision.state
         ):
             return self._grant(candidates, decision.state, waiter)
+        now = candidates.now
+        if decision.reason is not Reason.NO_BACKEND:
+            self.appointments.add(
+                waiter.slot_request, now + decision.retry_after, now
+            )
         return Refusal(decision.reason, decision.retry_after)
 
     def _grant(
@@ -171,6 +244,9 @@
         if not slot_request.homes:
             self.plan.record_request(state.region, now)
         state.start_limit.count_start(now)
+        self.tenant_shares.record(
+            slot_request.tenant, slot_request.allowance, now
+        )
         if slot_request.key:
             state.recent.add(slot_request.key, now)
         return Grant(
@@ -186,3 +262,14 @@
                 self.admission.estimates, waiter, is_warm=is_warm
             ),
         )
+
+
+def _limit_wait(waiter: Waiter, node: str, wait_until: float) -> float:
+    """Return until when a request waits in the pool of a node.
+
+    Another node stops waiting for the reply to a first request, and uses a
+    slot of its own pool then.
+    """
+    if waiter.node == node or waiter.slot_request.is_returning:
+        return wait_until
+    return min(wait_until, waiter.arrived_at + _MAX_REMOTE_WAIT_SECONDS)
--- a/sesameroute/placement/_pool.py
+++ b/sesameroute/placement/_pool.py
@@ -157,8 +157,14 @@
             return self._granter.decide(waiter, now)
 
     def release(self, release: Release, now: float) -> None:
-        """Free a slot and update the estimates from the run."""
+        """Free a slot and update the estimates from the run.
+
+        With a ticket, withdraw the slot request instead.
+        """
         with self._lock:
+            if release.ticket:
+                self._granter.withdraw(release.ticket, now)
+                return
             grant = self._granter.active_grants.pop(release.number)
             if grant is not None:
                 self._learner.observe(grant, release, now)
--- a/sesameroute/placement/_queue.py
+++ b/sesameroute/placement/_queue.py
@@ -1,15 +1,25 @@
-"""Priority queue of the requests that wait for a slot."""
+"""Priority queue of the requests that wait for a slot.
 
+Load: two to five times the room for some seconds. Requests that had come
+back went first, also when they were late by then, and new ones that could be
+on time were refused for them.
+"""
+
+import bisect
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from operator import attrgetter
 
 from sesameroute.placement._messages import Grant, Refusal, SlotRequest
 
 __all__ = ['SettleCallback', 'WaitingRequests', 'Waiter']
 
-SortKey = tuple[int, bool, bool, float]
+# Urgency; reasons to come after others of the same urgency; latest start.
+SortKey = tuple[tuple[int, int], tuple[bool, bool, int], float]
 SettleCallback = Callable[[Grant | Refusal], None]
 
+_BY_SORT_KEY = attrgetter('sort_key')
+
 
 @dataclass(slots=True)
 class Waiter:
@@ -34,6 +44,12 @@
         Monotonic time of the deadline in seconds.
     wait_until : float
         Monotonic time in seconds at which the wait ends.
+    is_returning : bool
+        Whether it has come back as it was told.
+    tenant_level : int
+        How far its tenant is above its fair share; 0 if it is not.
+    is_late : bool
+        Whether it was found too late for its objective.
 
     """
 
@@ -45,22 +61,38 @@
     latest_start: float
     deadline: float
     wait_until: float = 0
+    is_returning: bool = False
+    tenant_level: int = 0
+    is_late: bool = False
+
+    def __post_init__(self) -> None:
+        """Compute whether it is late from the start."""
+        self.is_late = self.latest_start < self.arrived_at
+
+    def advance_latest_start(self, latest_start: float) -> None:
+        """Use an earlier latest start; a later one has no effect."""
+        self.latest_start = min(self.latest_start, latest_start)
+        self.is_late = self.latest_start < self.arrived_at
+
+    @property
+    def flow_class(self) -> tuple[str, bool]:
+        """Route, and whether it was too late on its arrival."""
+        return self.slot_request.flow, self.latest_start < self.arrived_at
 
     @property
     def sort_key(self) -> SortKey:
-        """Sort key: priority, can be on time, is a retry, latest start.
+        """Sort key; the request with the lowest key is served first.
 
-        The request with the lowest key is served first. Requests without
-        enough time left for the run come after the others. Otherwise, during
-        a surge of retries, requests with slightly too little time would
-        occupy every slot and be late, and all new requests be refused.
+        Urgency of the tenant and of the route, can be on time, has come back,
+        fair share of the tenant, latest start. Requests without enough time
+        left for the run come after the others. Otherwise, during a surge of
+        retries, requests with slightly too little time would occupy every
+        slot and be late, and all new requests be refused.
         """
         slot_request = self.slot_request
-        is_late = self.latest_start < self.arrived_at
         return (
-            slot_request.priority,
-            is_late,
-            not slot_request.is_returning,
+            (slot_request.tenant_priority, slot_request.priority),
+            (self.is_late, not self.is_returning, self.tenant_level),
             self.latest_start,
         )
 
@@ -74,12 +106,11 @@
 
     def add(self, waiter: Waiter) -> None:
         """Add a request."""
-        self._waiters.append(waiter)
-        self._waiters.sort(key=lambda waiting: waiting.sort_key)
+        bisect.insort(self._waiters, waiter, key=_BY_SORT_KEY)
 
     def remove(self, waiter: Waiter) -> None:
         """Remove a request."""
-        self._waiters.remove(waiter)
+        self._waiters = [each for each in self._waiters if each is not waiter]
 
     def remove_node(self, node: str) -> None:
         """Remove all requests of a node."""
@@ -87,12 +118,31 @@
             waiter for waiter in self._waiters if waiter.node != node
         ]
 
-    def count_ahead(self, region: str, sort_key: SortKey) -> int:
-        """Return how many requests of a region come before a sort key."""
-        return sum(
-            waiter.region == region and waiter.sort_key <= sort_key
+    def find(self, ticket: str) -> Waiter | None:
+        """Return the request with a ticket, if it waits."""
+        for waiter in self._waiters:
+            if waiter.slot_request.ticket == ticket:
+                return waiter
+        return None
+
+    def move_late(self, now: float) -> None:
+        """Move the requests that can't be on time any more to their place."""
+        late = [
+            waiter
             for waiter in self._waiters
+            if waiter.latest_start < now and not waiter.is_late
+        ]
+        for waiter in late:
+            waiter.is_late = True
+        if late:
+            self._waiters.sort(key=_BY_SORT_KEY)
+
+    def count_ahead(self, waiter: Waiter) -> int:
+        """Return how many requests of its region come before another."""
+        end = bisect.bisect_right(
+            self._waiters, waiter.sort_key, key=_BY_SORT_KEY
         )
+        return sum(each.region == waiter.region for each in self._waiters[:end])
 
     def __iter__(self) -> Iterator[Waiter]:
         """Iterate over a copy in the order of service."""
