--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -37,6 +37,8 @@
 # Longest wait of a retry that misses its objective anyway, as a fraction of
 # the objective.
 _LATE_WAIT_FRACTION = 0.5
+# A wait for longer than this part of the objective is long.
+_LONG_WAIT_FRACTION = 1 / 8
 # Time for the answer to reach the caller, as a fraction of the objective.
 _TRAVEL_FRACTION = 0.1
 
@@ -140,19 +142,18 @@
         ):
             if self.can_end(candidates, waiter, chosen):
                 return Decision(Verdict.GRANT, chosen)
-        wait_until = self._find_wait_end(waiter, candidates.now)
-        for is_late, limit in (
-            (waiter.is_late, waiter.latest_start),
-            (True, wait_until),
-        ):
-            # Among those on time it would be late, and make others late.
-            waiter.is_late = is_late
-            start = self._estimate_start(
-                candidates, waiter, warm_states, count_ahead(waiter)
+        wait = self._find_wait(candidates, waiter, warm_states, count_ahead)
+        return wait or self.decide_without_wait(candidates, waiter, warm_states)
+
+    def observe_wait(
+        self, waiter: Waiter, now: float, *, was_served: bool
+    ) -> None:
+        """Count the end of a long wait; short ones do callers no harm."""
+        waited = now - waiter.arrived_at
+        if waited > _LONG_WAIT_FRACTION * waiter.slot_request.objective:
+            self.wait_forecasts.observe(
+                waiter.flow_class, now, was_served=was_served
             )
-            if start <= limit:
-                return Decision(Verdict.WAIT, wait_until=wait_until)
-        return self.decide_without_wait(candidates, waiter, warm_states)
 
     def decide_early(
         self, candidates: Candidates, waiter: Waiter, due: float
@@ -200,6 +201,33 @@
             self.estimates, candidates, waiter, state
         )
 
+    def _find_wait(
+        self,
+        candidates: Candidates,
+        waiter: Waiter,
+        warm_states: list[UpstreamState],
+        count_ahead: Callable[[Waiter], int],
+    ) -> Decision | None:
+        """Let a request wait if it will probably get a slot in time.
+
+        One that would be late among those on time, and make others late,
+        waits behind them instead.
+        """
+        wait_until = self._find_wait_end(waiter, candidates.now)
+        for is_late, limit in (
+            (waiter.is_late, waiter.latest_start),
+            (True, wait_until),
+        ):
+            waiter.is_late = is_late
+            if is_late and is_full(candidates):
+                return None
+            start = self._estimate_start(
+                candidates, waiter, warm_states, count_ahead(waiter)
+            )
+            if start <= limit:
+                return Decision(Verdict.WAIT, wait_until=wait_until)
+        return None
+
     def _find_wait_end(self, waiter: Waiter, now: float) -> float:
         """Return the monotonic time until which the request should wait.
 
@@ -231,12 +259,9 @@
         slots = sum(state.slots for state in candidates.states)
         warm_slots = sum(server.slots for server in warm_states)
         first_wait = run / max(warm_slots, 1)
-        return (
-            candidates.now
-            + first_wait
-            + self.wait_forecasts.correct(
-                waiter.flow_class, run * ahead / max(slots, 1)
-            )
+        wait = first_wait + run * ahead / max(slots, 1)
+        return candidates.now + self.wait_forecasts.correct(
+            waiter.flow_class, wait, candidates.now
         )
 
     def _refuse(
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -146,9 +146,7 @@
         self.waiting.move_late(now)
         for waiter in self.waiting:
             if waiter.wait_until <= now:
-                self.admission.wait_forecasts.observe(
-                    waiter.flow_class, was_served=False
-                )
+                self.admission.observe_wait(waiter, now, was_served=False)
                 self._settle(waiter, self._list_candidates(waiter, now))
 
     def settle_stranded(self, now: float) -> None:
@@ -174,9 +172,7 @@
             )
             if self._may_take(candidates, waiter, state):
                 self.waiting.remove(waiter)
-                self.admission.wait_forecasts.observe(
-                    waiter.flow_class, was_served=True
-                )
+                self.admission.observe_wait(waiter, now, was_served=True)
                 waiter.settle(self._grant(candidates, state, waiter))
                 free -= 1
 
