--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -2,7 +2,6 @@
 
 from http import HTTPStatus
 
-from sesameroute.adapters import has_disconnected
 from sesameroute.forward._allocator import SlotAllocator
 from sesameroute.forward._answers import pass_on
 from sesameroute.forward._caller_retries import CallerRetryDetector
@@ -35,6 +34,7 @@
     may_run_again,
 )
 from sesameroute.forward._sender import ReceivedAnswer, Sender
+from sesameroute.forward._waiting_callers import WaitingCallers, raise_if_left
 from sesameroute.placement import Grant, Outcome, Reason, Refusal, SlotRequest
 from sesameroute.ports import Answer, Clock
 from sesameroute.registry import Backend, Registry
@@ -51,7 +51,8 @@
     requests to them, `guards` limit or stop tries, `clock` is the source of
     time. `observer_` is called with the record of each answered request,
     `relay_` passes requests on while this node reaches no backend server,
-    `refusals_` records the requests that have no route.
+    `refusals_` records the requests that have no route, `waiting_callers_` the
+    callers whose requests wait for a slot.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.refusals_ = Refusals(
             active_configuration, sender.header_codec, clock
         )
+        self.waiting_callers_ = WaitingCallers()
         self._caller_retries = CallerRetryDetector()
 
     def forward(self, request: CallerRequest) -> Answer:
@@ -137,21 +139,20 @@
             _release_reserved(self.allocator, state)
             return self.relay_.forward(state)
         slot_request, decision = self._get_slot(state)
+        try:
+            raise_if_left(state)
+        except CallerClosedError:
+            _cancel(self.allocator, slot_request, decision)
+            raise
         if isinstance(decision, Refusal):
             return self._answer_refusal(state, decision)
-        if has_disconnected(state.request.caller):
-            self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
-            log_event(state, 'request dropped', 'caller-left', '')
-            raise CallerClosedError(
-                'caller closed its connection before the request was sent'
-            )
         entry = self.registry.find(decision.backend)
         if not self._may_use(state, slot_request, decision):
-            self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
+            _cancel(self.allocator, slot_request, decision)
             return None
         if not state.has_time_to_run(decision, self.clock.read_monotonic()):
             # The process may have been paused since the grant.
-            self.allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
+            _cancel(self.allocator, slot_request, decision)
             return self._answer_refusal(state, Refusal(Reason.TOO_LATE, 0))
         return self._send_once(state, slot_request, decision, entry.backend)
 
@@ -185,7 +186,8 @@
             state, may_wait=state.earlier_seconds > 0 or state.tries > 0
         )
         asked_at = self.clock.read_monotonic()
-        decision = self.allocator.place(slot_request)
+        with self.waiting_callers_.watch(slot_request, state.request.caller):
+            decision = self.allocator.place(slot_request)
         state.decided_at = self.clock.read_monotonic()
         state.waited += state.decided_at - asked_at
         return slot_request, decision
@@ -208,6 +210,11 @@
             may_wait,
             tuple(sorted(route.homes)),
             state.excluded,
+            ticket=self.waiting_callers_.make_ticket(),
+            # What the running try's caller is not told is no appointment.
+            caller_time_left=state.compute_caller_time_left(now)
+            if state.tries == 0
+            else 0,
         )
 
     def _send_once(
@@ -352,5 +359,15 @@
         state.reserved = None
 
 
+def _cancel(
+    allocator: SlotAllocator,
+    slot_request: SlotRequest,
+    decision: Grant | Refusal,
+) -> None:
+    """Release a slot that is not used."""
+    if isinstance(decision, Grant):
+        allocator.release(slot_request, decision, Outcome.CANCELLED, 0)
+
+
 def _discard_record(_record: RequestRecord) -> None:
     """Discard the record; the default observer."""
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -143,6 +143,17 @@
         """Return the seconds since the caller's first attempt."""
         return now - self.request.arrived + self.earlier_seconds
 
+    def compute_caller_time_left(self, now: float) -> float:
+        """Return the seconds that the caller still waits; 0 if not known.
+
+        The route's time-out counts for each attempt, the caller's time for
+        all of them.
+        """
+        seconds = self.request_metadata.timeout_seconds
+        if seconds is None or self.request.relayed is not None:
+            return 0
+        return max(self.request.arrived + seconds - now, 0)
+
     def compute_retry_after(self, now: float) -> float:
         """Return the Retry-After for a failed request, in seconds."""
         remaining = max(self.deadline - now, 0)
--- a/sesameroute/node/_releases.py
+++ b/sesameroute/node/_releases.py
@@ -63,6 +63,23 @@
             self.reachability.observe_answer()
         settle(is_server_at_fault=True)
 
+    def withdraw(self, slot_request: SlotRequest, leader: str) -> None:
+        """Withdraw a slot request from the leader's pool and this node's.
+
+        A leader of an older build knows no tickets, and keeps it to its end.
+        """
+        release = Release(
+            slot_request.service,
+            0,
+            Outcome.CANCELLED,
+            0,
+            ticket=slot_request.ticket,
+        )
+        now = self.clock.read_monotonic()
+        self.pools.find(release.service).release(release, now)
+        if leader != self.pools.fleet.own_state.address:
+            self.peers.send_one_way(leader, release)
+
     def _send(self, grant: Grant, release: Release) -> None:
         if grant.holder == self.pools.fleet.own_state.address:
             now = self.clock.read_monotonic()
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -132,6 +132,7 @@
             ),
             self.clock,
         )
+        allocator.list_left_ = self.forwarder.waiting_callers_.list_left
         self.directory = DirectoryHandler(fleet, settings.bounds.longest_ttl)
         self._front = FrontServer(
             parse_address(settings.listen.front),
--- a/sesameroute/node/_slot_allocator.py
+++ b/sesameroute/node/_slot_allocator.py
@@ -57,6 +57,8 @@
     ----------
     observer_ : callable
         Called with the service and the outcome of each try that has ended.
+    list_left_ : callable
+        Returns the slot requests whose callers have left.
     reachability : Reachability
         Tells whether backend servers are at fault for failed tries.
 
@@ -75,6 +77,7 @@
         self.pools = pools
         self.clock = clock
         self.observer_: TryObserver = _discard_outcome
+        self.list_left_: Callable[[], list[SlotRequest]] = list
         self.reachability = Reachability(clock, RelayPeers(fleet).has_any)
         self._running = RunningGrants()
         self._releases = ReleaseSender(pools, peers, self.reachability, clock)
@@ -131,8 +134,16 @@
             pool.release_node(node, now)
 
     def process_waiting(self) -> bool:
-        """Grant or refuse waiting requests; return whether some still wait."""
+        """Grant or refuse waiting requests; return whether some still wait.
+
+        Those whose callers have left are withdrawn.
+        """
         now = self.clock.read_monotonic()
+        for left in self.list_left_():
+            leader = self.fleet.find_leader(
+                left.service, self.fleet.own_state.region
+            )
+            self._releases.withdraw(left, leader)
         busy_pools = [pool for pool in self.pools if pool.has_waiting]
         for busy_pool in busy_pools:
             busy_pool.tick(now)
@@ -193,6 +204,8 @@
         try:
             return self.peers.call(leader, slot_request, limit)
         except PeerError as error:
+            # The leader may have queued it, or granted a slot by now.
+            self._releases.withdraw(slot_request, leader)
             _logger.info(
                 'pool leader not reached',
                 extra={
--- a/sesameroute/placement/_wait_forecasts.py
+++ b/sesameroute/placement/_wait_forecasts.py
@@ -11,8 +11,8 @@
 __all__ = ['FlowClass', 'WaitForecasts']
 
 # A correction grows with each wait in vain and shrinks with each that ends
-# with a slot. They balance when two waits in five are in vain.
-_GROWTH = 1.03
+# with a slot. They balance when about half of the waits are in vain.
+_GROWTH = 1.025
 _SHRINKAGE = 0.98
 _MAX_CORRECTION = 32.0
 # Time constant with which a correction is forgotten.
