--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from sesameroute.forward._answer_wait import ServerCondition
 from sesameroute.forward._message import (
     AnswerMetadata,
     CallerRequest,
@@ -107,6 +108,10 @@
         Why it is not let through by its key.
     charged : Tenant or None
         Tenant in whose allowance the next try is counted already.
+    checked_server_at : float
+        Monotonic time in seconds at which a silent server was last checked.
+    left_server : tuple of (str, int) or None
+        Server that was found to leave during its try.
 
     """
 
@@ -152,14 +157,32 @@
             'allowance': tenant.rate,
         }
 
+    checked_server_at: float = 0
+    left_server: tuple[str, int] | None = None
+
     def has_time_to_retry(self, now: float) -> bool:
         """Whether enough time is left before the deadline for another try."""
         return self.deadline - now > _MIN_RETRY_SECONDS
 
+    def has_time_to_run(self, grant: Grant, now: float) -> bool:
+        """Whether a granted request can end before the deadline."""
+        return self.deadline - now > grant.run_seconds
+
     def compute_elapsed(self, now: float) -> float:
         """Return the seconds since the caller's first attempt."""
         return now - self.request.arrived + self.earlier_seconds
 
+    def compute_caller_time_left(self, now: float) -> float:
+        """Return the seconds that the caller still waits; 0 if not known.
+
+        The route's time-out counts for each attempt, the caller's time for
+        all of them.
+        """
+        seconds = self.request_metadata.timeout_seconds
+        if seconds is None or self.request.relayed is not None:
+            return 0
+        return max(self.request.arrived + seconds - now, 0)
+
     def compute_retry_after(self, now: float) -> float:
         """Return the Retry-After for a failed request, in seconds."""
         remaining = max(self.deadline - now, 0)
@@ -171,12 +194,14 @@
 
     `may_abandon` decides on a retry at another backend server instead of the
     running try, `may_resend` on sending to the same one on a new connection.
-    `observe_metadata` gets what the server says of itself in its answer.
+    `observe_metadata` gets what the server says of itself in its answer,
+    `find_condition` tells whether a silent server still runs.
     """
 
     may_abandon: Callable[[RequestState], bool]
     may_resend: Callable[[RequestState], bool]
     observe_metadata: Callable[[RequestState, AnswerMetadata], None]
+    find_condition: Callable[[RequestState], ServerCondition]
 
 
 class _StreamedBody:
@@ -280,6 +305,7 @@
         lambda: hooks.may_abandon(state),
         lambda: hooks.may_resend(state),
         lambda metadata: hooks.observe_metadata(state, metadata),
+        lambda: hooks.find_condition(state),
     )
 
 
--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -5,7 +5,9 @@
 not queued, because all requests behind them would be late, too.
 """
 
+import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -13,13 +15,18 @@
 from sesameroute.placement._estimates import Estimates
 from sesameroute.placement._messages import Reason, SlotRequest
 from sesameroute.placement._queue import Waiter
+from sesameroute.placement._remaining_time import can_end
 from sesameroute.placement._upstream import UpstreamState
+from sesameroute.placement._wait_forecasts import WaitForecasts
 
-__all__ = ['Admission', 'Decision', 'Verdict']
+__all__ = ['Admission', 'Decision', 'Verdict', 'is_full']
 
 # From this utilization on, a request for a cached object starts on no server
 # that does not have the object cached.
 _MAX_SPILL_UTILIZATION = 0.75
+# From this utilization on, no slot is free for requests that are late, or back
+# early.
+_FULL_UTILIZATION = 0.9
 _MIN_RETRY_SECONDS = 0.05
 # The longest retry delay as a fraction of the time left; callers don't wait
 # longer than that.
@@ -30,6 +37,8 @@
 # Longest wait of a retry that misses its objective anyway, as a fraction of
 # the objective.
 _LATE_WAIT_FRACTION = 0.5
+# A wait for longer than this part of the objective is long.
+_LONG_WAIT_FRACTION = 1 / 8
 # Time for the answer to reach the caller, as a fraction of the objective.
 _TRAVEL_FRACTION = 0.1
 
@@ -69,6 +78,11 @@
     retry_after: float = 0
 
 
+def is_full(candidates: Candidates) -> bool:
+    """Whether requests that can be on time need all slots."""
+    return candidates.compute_utilization() >= _FULL_UTILIZATION
+
+
 class Admission:
     """Decides on one request at a time, from the state at that time.
 
@@ -77,11 +91,17 @@
     estimates : Estimates
         Typical run times.
 
+    Attributes
+    ----------
+    wait_forecasts : WaitForecasts
+        Corrects forecast waits by how the recent ones ended.
+
     """
 
     def __init__(self, estimates: Estimates) -> None:
         """Store the estimates."""
         self.estimates = estimates
+        self.wait_forecasts = WaitForecasts()
         self._random = random.Random()
 
     def estimate_response_time(self, slot_request: SlotRequest) -> float:
@@ -95,7 +115,10 @@
         return run + _TRAVEL_FRACTION * slot_request.objective
 
     def decide(
-        self, candidates: Candidates, waiter: Waiter, ahead: int
+        self,
+        candidates: Candidates,
+        waiter: Waiter,
+        count_ahead: Callable[[Waiter], int],
     ) -> Decision:
         """Return the decision on a request that has just arrived.
 
@@ -105,28 +128,47 @@
             Backend servers that may get the request.
         waiter : Waiter
             The request.
-        ahead : int
-            Number of waiting requests of the same region that are served
-            before it.
+        count_ahead : callable
+            Returns the number of waiting requests of the same region that
+            are served before a request.
 
         """
         if not candidates.states:
             return self._refuse(candidates, waiter, Reason.NO_BACKEND)
-        unused = candidates.pick_unused()
-        if unused is not None:
-            return Decision(Verdict.GRANT, unused)
         warm_states = candidates.list_warm()
-        warm_state = candidates.pick_warm(warm_states)
-        if warm_state is not None:
-            return Decision(Verdict.GRANT, warm_state)
-        wait_until = self._find_wait_end(waiter, candidates.now)
-        if (
-            warm_states
-            and self._estimate_start(candidates, waiter, warm_states, ahead)
-            <= wait_until
+        for chosen in (
+            candidates.pick_unused(),
+            candidates.pick_warm(warm_states),
         ):
-            return Decision(Verdict.WAIT, wait_until=wait_until)
-        return self.decide_without_wait(candidates, waiter, warm_states)
+            if self.can_end(candidates, waiter, chosen):
+                return Decision(Verdict.GRANT, chosen)
+        wait = self._find_wait(candidates, waiter, warm_states, count_ahead)
+        return wait or self.decide_without_wait(candidates, waiter, warm_states)
+
+    def observe_wait(
+        self, waiter: Waiter, now: float, *, was_served: bool
+    ) -> None:
+        """Count the end of a long wait; short ones do callers no harm."""
+        waited = now - waiter.arrived_at
+        if waited > _LONG_WAIT_FRACTION * waiter.slot_request.objective:
+            self.wait_forecasts.observe(
+                waiter.flow_class, now, was_served=was_served
+            )
+
+    def decide_early(
+        self, candidates: Candidates, waiter: Waiter, due: float
+    ) -> Decision:
+        """Decide on a caller that comes back before it was told to.
+
+        It gets a slot while there is room for all, or is told the same time
+        again: each of its attempts would be one more chance of a slot.
+        """
+        chosen = None
+        if not is_full(candidates):
+            chosen = candidates.pick_warm(candidates.list_warm())
+        if self.can_end(candidates, waiter, chosen):
+            return Decision(Verdict.GRANT, chosen)
+        return Decision(Verdict.REFUSE, retry_after=due - candidates.now)
 
     def decide_without_wait(
         self,
@@ -135,17 +177,56 @@
         warm_states: list[UpstreamState],
     ) -> Decision:
         """Decide on a request that can't wait for a warm backend server."""
+        chosen = None
         if (
             not warm_states
             or candidates.compute_utilization() < _MAX_SPILL_UTILIZATION
         ):
-            preferred = candidates.pick_by_hash()
-            if preferred is not None:
-                return Decision(Verdict.GRANT, preferred)
-        fallback = None if warm_states else candidates.pick_least_loaded()
-        if fallback is not None:
-            return Decision(Verdict.GRANT, fallback)
-        return self._refuse(candidates, waiter, Reason.NO_ROOM)
+            chosen = candidates.pick_by_hash()
+        if chosen is None and not warm_states:
+            chosen = candidates.pick_least_loaded()
+        if self.can_end(candidates, waiter, chosen):
+            return Decision(Verdict.GRANT, chosen)
+        reason = Reason.NO_ROOM if chosen is None else Reason.TOO_LATE
+        return self._refuse(candidates, waiter, reason)
+
+    def can_end(
+        self,
+        candidates: Candidates,
+        waiter: Waiter,
+        state: UpstreamState | None,
+    ) -> bool:
+        """Whether there is a server and its run would end in time."""
+        return state is not None and can_end(
+            self.estimates, candidates, waiter, state
+        )
+
+    def _find_wait(
+        self,
+        candidates: Candidates,
+        waiter: Waiter,
+        warm_states: list[UpstreamState],
+        count_ahead: Callable[[Waiter], int],
+    ) -> Decision | None:
+        """Let a request wait if it will probably get a slot in time.
+
+        One that would be late among those on time, and make others late,
+        waits behind them instead.
+        """
+        wait_until = self._find_wait_end(waiter, candidates.now)
+        for is_late, limit in (
+            (waiter.is_late, waiter.latest_start),
+            (True, wait_until),
+        ):
+            waiter.is_late = is_late
+            if is_late and is_full(candidates):
+                return None
+            start = self._estimate_start(
+                candidates, waiter, warm_states, count_ahead(waiter)
+            )
+            if start <= limit:
+                return Decision(Verdict.WAIT, wait_until=wait_until)
+        return None
 
     def _find_wait_end(self, waiter: Waiter, now: float) -> float:
         """Return the monotonic time until which the request should wait.
@@ -153,7 +234,7 @@
         A retry may wait until it is late, as long as it meets its deadline.
         """
         slot_request = waiter.slot_request
-        if not slot_request.is_returning:
+        if not waiter.is_returning:
             return waiter.latest_start
         late_start = now + _LATE_WAIT_FRACTION * slot_request.objective
         deadline_start = waiter.deadline - self.estimate_response_time(
@@ -169,6 +250,8 @@
         ahead: int,
     ) -> float:
         """Return when a slot of a warm server will probably be free."""
+        if not warm_states:
+            return math.inf
         slot_request = waiter.slot_request
         run = self.estimates.find_hit(
             slot_request.flow, slot_request.objective
@@ -176,7 +259,10 @@
         slots = sum(state.slots for state in candidates.states)
         warm_slots = sum(server.slots for server in warm_states)
         first_wait = run / max(warm_slots, 1)
-        return candidates.now + first_wait + run * ahead / max(slots, 1)
+        wait = first_wait + run * ahead / max(slots, 1)
+        return candidates.now + self.wait_forecasts.correct(
+            waiter.flow_class, wait, candidates.now
+        )
 
     def _refuse(
         self,
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -4,22 +4,74 @@
 """
 
 from sesameroute.placement._active_grants import ActiveGrant, ActiveGrants
-from sesameroute.placement._admission import Admission, Decision, Verdict
+from sesameroute.placement._admission import (
+    Admission,
+    Decision,
+    Verdict,
+    is_full,
+)
+from sesameroute.placement._appointments import Appointments, Return
 from sesameroute.placement._candidates import Candidates, hash_key
-from sesameroute.placement._messages import Grant, Refusal, SlotRequest
+from sesameroute.placement._messages import (
+    Grant,
+    Reason,
+    Refusal,
+    SlotRequest,
+)
 from sesameroute.placement._queue import (
     SettleCallback,
     Waiter,
     WaitingRequests,
 )
+from sesameroute.placement._remaining_time import (
+    find_needed_seconds,
+    is_fresh,
+)
 from sesameroute.placement._spillover import SpilloverPlan
 from sesameroute.placement._states import UpstreamStates
+from sesameroute.placement._tenant_shares import TenantShares
 from sesameroute.placement._upstream import UpstreamState
 
-__all__ = ['Granter']
+__all__ = ['Granter', 'build_waiter']
 
 # A grant is considered lost at this time after the deadline of its request.
 _GRANT_EXPIRY_SLACK_SECONDS = 1.0
+# Below the time after which a node gives up its call to the leader.
+_MAX_REMOTE_WAIT_SECONDS = 0.3
+
+
+def build_waiter(
+    slot_request: SlotRequest,
+    node: str,
+    settle: SettleCallback,
+    run_seconds: float,
+    now: float,
+) -> Waiter:
+    """Return a request as the queue holds it, without a region.
+
+    Parameters
+    ----------
+    slot_request : SlotRequest
+        The request.
+    node : str
+        Address of the node that asks.
+    settle : callable
+        Called with the grant or refusal.
+    run_seconds : float
+        Typical seconds from its start until its answer arrives.
+    now : float
+        Monotonic time in seconds.
+
+    """
+    return Waiter(
+        slot_request,
+        node,
+        settle,
+        '',
+        now,
+        now + slot_request.on_time - run_seconds,
+        now + slot_request.time_left,
+    )
 
 
 class Granter:
@@ -40,6 +92,10 @@
     ----------
     waiting : WaitingRequests
         Requests that wait for a slot.
+    appointments : Appointments
+        When the callers of refused requests may come back.
+    tenant_shares : TenantShares
+        Recent grants of each tenant.
     active_grants : ActiveGrants
         Grants whose slots are in use.
 
@@ -58,28 +114,10 @@
         self.plan = plan
         self.admission = admission
         self.waiting = WaitingRequests()
+        self.appointments = Appointments()
+        self.tenant_shares = TenantShares()
         self.active_grants = ActiveGrants()
 
-    def build_waiter(
-        self,
-        slot_request: SlotRequest,
-        node: str,
-        settle: SettleCallback,
-        now: float,
-    ) -> Waiter:
-        """Return a request as the queue holds it, in the own region."""
-        return Waiter(
-            slot_request,
-            node,
-            settle,
-            self.plan.region,
-            now,
-            now
-            + slot_request.on_time
-            - self.admission.estimate_response_time(slot_request),
-            now + slot_request.time_left,
-        )
-
     def choose_region(self, slot_request: SlotRequest, now: float) -> str:
         """Return the region in which a request should run."""
         own = self.plan.region
@@ -101,25 +139,68 @@
 
     def decide(self, waiter: Waiter, now: float) -> Grant | Refusal | None:
         """Decide on a request that has just arrived; None if it waits."""
-        candidates = self._list_candidates(waiter, now)
-        ahead = self.waiting.count_ahead(waiter.region, waiter.sort_key)
-        decision = self.admission.decide(candidates, waiter, ahead)
+        candidates = self.list_candidates(waiter, now)
+        decision = self.consider(waiter, candidates)
         if decision.verdict is Verdict.WAIT:
-            waiter.wait_until = decision.wait_until
+            waiter.wait_until = _limit_wait(
+                waiter, self.node, decision.wait_until
+            )
             self.waiting.add(waiter)
             return None
         return self._apply(candidates, waiter, decision)
 
+    def consider(self, waiter: Waiter, candidates: Candidates) -> Decision:
+        """Return the decision on a request that has just arrived."""
+        slot_request = waiter.slot_request
+        now = candidates.now
+        appointment = self.appointments.find(slot_request, now)
+        if appointment.kept is Return.EARLY:
+            return self.admission.decide_early(
+                candidates, waiter, appointment.due
+            )
+        waiter.is_returning = (
+            slot_request.is_returning or appointment.kept is Return.KEPT
+        )
+        waiter.advance_latest_start(
+            appointment.on_time_until
+            - self.admission.estimate_response_time(slot_request)
+        )
+        waiter.tenant_level = self.tenant_shares.find_level(
+            slot_request.tenant, now
+        )
+        return self.admission.decide(
+            candidates, waiter, self.waiting.count_ahead
+        )
+
+    def list_candidates(self, waiter: Waiter, now: float) -> Candidates:
+        """Return the backend servers that may get a request."""
+        return self.states.list_candidates(
+            waiter.slot_request, waiter.region, now
+        )
+
+    def withdraw(self, ticket: str, now: float) -> None:
+        """Drop a slot request that waits, or free its slot."""
+        waiter = self.waiting.find(ticket)
+        if waiter is not None:
+            self.waiting.remove(waiter)
+            waiter.settle(Refusal(Reason.TOO_LATE, 0))
+            return
+        grant = self.active_grants.pop_ticket(ticket)
+        if grant is not None:
+            self.grant_waiting(grant.state, now)
+
     def settle_expired(self, now: float) -> None:
         """Settle the requests whose wait has ended without a slot."""
+        self.waiting.move_late(now)
         for waiter in self.waiting:
             if waiter.wait_until <= now:
-                self._settle(waiter, self._list_candidates(waiter, now))
+                self.admission.observe_wait(waiter, now, was_served=False)
+                self._settle(waiter, self.list_candidates(waiter, now))
 
     def settle_stranded(self, now: float) -> None:
         """Settle the requests whose objects no server has cached any more."""
         for waiter in self.waiting:
-            candidates = self._list_candidates(waiter, now)
+            candidates = self.list_candidates(waiter, now)
             if not any(map(candidates.is_warm, candidates.states)):
                 self._settle(waiter, candidates)
 
@@ -137,16 +218,12 @@
                 now,
                 (state,),
             )
-            if candidates.list_warm():
+            if _may_take(self, candidates, waiter, state):
                 self.waiting.remove(waiter)
+                self.admission.observe_wait(waiter, now, was_served=True)
                 waiter.settle(self._grant(candidates, state, waiter))
                 free -= 1
 
-    def _list_candidates(self, waiter: Waiter, now: float) -> Candidates:
-        return self.states.list_candidates(
-            waiter.slot_request, waiter.region, now
-        )
-
     def _settle(self, waiter: Waiter, candidates: Candidates) -> None:
         """Grant a slot to a waiting request now, or refuse it."""
         decision = self.admission.decide_without_wait(
@@ -165,6 +242,11 @@
             decision.state
         ):
             return self._grant(candidates, decision.state, waiter)
+        now = candidates.now
+        if decision.reason is not Reason.NO_BACKEND:
+            self.appointments.add(
+                waiter.slot_request, now + decision.retry_after, now
+            )
         return Refusal(decision.reason, decision.retry_after)
 
     def _grant(
@@ -189,6 +271,9 @@
         if not slot_request.homes:
             self.plan.record_request(state.region, now)
         state.start_limit.count_start(now)
+        self.tenant_shares.record(
+            slot_request.tenant, slot_request.allowance, now
+        )
         if slot_request.key:
             state.recent.add(slot_request.key, now)
         return Grant(
@@ -198,4 +283,36 @@
             is_warm,
             now - waiter.arrived_at,
             self.node,
+            0
+            if is_fresh(waiter, now)
+            else find_needed_seconds(
+                self.admission.estimates, waiter, is_warm=is_warm
+            ),
         )
+
+
+def _limit_wait(waiter: Waiter, node: str, wait_until: float) -> float:
+    """Return until when a request waits in the pool of a node.
+
+    Another node stops waiting for the reply to a first request, and uses a
+    slot of its own pool then.
+    """
+    if waiter.node == node or waiter.slot_request.is_returning:
+        return wait_until
+    return min(wait_until, waiter.arrived_at + _MAX_REMOTE_WAIT_SECONDS)
+
+
+def _may_take(
+    granter: Granter,
+    candidates: Candidates,
+    waiter: Waiter,
+    state: UpstreamState,
+) -> bool:
+    """Whether a waiting request gets a free slot of a server."""
+    if not candidates.list_warm():
+        return False
+    if waiter.is_late and is_full(
+        granter.list_candidates(waiter, candidates.now)
+    ):
+        return False
+    return granter.admission.can_end(candidates, waiter, state)
--- a/sesameroute/placement/_pool.py
+++ b/sesameroute/placement/_pool.py
@@ -14,7 +14,7 @@
 from sesameroute.placement._admission import Admission
 from sesameroute.placement._demand import Demand
 from sesameroute.placement._estimates import Estimates
-from sesameroute.placement._granter import Granter
+from sesameroute.placement._granter import Granter, build_waiter
 from sesameroute.placement._learner import Learner
 from sesameroute.placement._messages import (
     Grant,
@@ -145,13 +145,22 @@
                 slot_request.flow, slot_request.objective
             )
             self._demand.add(run.seconds, now)
-            waiter = self._granter.build_waiter(slot_request, node, settle, now)
+            seconds = self._granter.admission.estimate_response_time(
+                slot_request
+            )
+            waiter = build_waiter(slot_request, node, settle, seconds, now)
             waiter.region = self._granter.choose_region(slot_request, now)
             return self._granter.decide(waiter, now)
 
     def release(self, release: Release, now: float) -> None:
-        """Free a slot and update the estimates from the run."""
+        """Free a slot and update the estimates from the run.
+
+        With a ticket, withdraw the slot request instead.
+        """
         with self._lock:
+            if release.ticket:
+                self._granter.withdraw(release.ticket, now)
+                return
             grant = self._granter.active_grants.pop(release.number)
             if grant is not None:
                 self._learner.observe(grant, release, now)
