Let shares of servers follow their sizes with few moves, and forecast demand

Objects keep their servers by a weighted rendezvous hash; they move only if all servers that have them cached are busy or above their part of the work. The spillover plan can lead the demand by a forecast. Both are off by default.

--- a/sesameroute/placement/__init__.py
+++ b/sesameroute/placement/__init__.py
@@ -15,12 +15,14 @@
 from sesameroute.placement._queue import SettleCallback
 from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
 from sesameroute.placement._states import LimitShares
+from sesameroute.placement._terms import PlacementTerms
 
 __all__ = [
     'SlotRequest',
     'Grant',
     'LimitShares',
     'Outcome',
+    'PlacementTerms',
     'Pool',
     'PoolIdentity',
     'Reason',
--- a/sesameroute/placement/_candidates.py
+++ b/sesameroute/placement/_candidates.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import xxhash
-
+from sesameroute.placement._hash_order import hash_key, rank_by_weight
 from sesameroute.placement._messages import SlotRequest
 from sesameroute.placement._object_cache import CacheDepthModel
+from sesameroute.placement._server_shares import ShareBounds
 from sesameroute.placement._upstream import UpstreamState
 
 __all__ = ['Candidates', 'hash_key', 'rank_states']
@@ -14,6 +14,9 @@
 # An idle backend server that has handled fewer objects is preferred, even if
 # others are free, so that its cache fills.
 _INITIAL_OBJECTS = 2
+# A request goes to the least loaded of so many servers of its object, so that
+# those that looked best a moment ago don't get all of them.
+_CHOICE_COUNT = 2
 # Excess penalty at which a backend server gets one request at a time.
 _HIGH_PENALTY = 0.8
 
@@ -37,6 +40,11 @@
         server.
     baseline_penalty : float
         Penalty below which a quarter of the region's backend servers is.
+    share_bounds : ShareBounds or None
+        Tells which servers have had their part of the work; None if shares
+        need not follow the sizes of the servers.
+    cold_run : float
+        Run time in seconds on a server without the object.
 
     """
 
@@ -46,6 +54,8 @@
     now: float
     cold_rate: float
     baseline_penalty: float = 0
+    share_bounds: ShareBounds | None = None
+    cold_run: float = 0
 
     def is_warm(self, state: UpstreamState) -> bool:
         """Whether the backend server probably has the object cached."""
@@ -65,13 +75,21 @@
     def pick_warm(
         self, warm_states: Iterable[UpstreamState]
     ) -> UpstreamState | None:
-        """Return the least loaded warm one that has a free slot."""
+        """Return a warm one that has a free slot.
+
+        If shares follow the sizes, it is the less loaded of the first two in
+        the object's order that are within their shares.
+        """
         free = [
             server for server in warm_states if server.count_free(self.now) > 0
         ]
         if not free:
             return None
-        return min(free, key=self._compute_load)
+        if self.share_bounds is None or not self.slot_request.key:
+            return min(free, key=self._compute_load)
+        within = list(filter(self.share_bounds.is_within, free))
+        ranked = rank_states(self.slot_request.key, within or free)
+        return min(ranked[:_CHOICE_COUNT], key=self._compute_load)
 
     def pick_by_hash(self) -> UpstreamState | None:
         """Return the first in hash order that accepts the request."""
@@ -82,14 +100,24 @@
         return next(iter(ranked), None)
 
     def pick_unused(self) -> UpstreamState | None:
-        """Return an idle one with a nearly empty cache, to fill the cache."""
-        for state in self.states:
-            is_unused = (
-                not state.granted_slots and len(state.recent) < _INITIAL_OBJECTS
-            )
-            if is_unused and self._accepts_request(state):
-                return state
-        return None
+        """Return an idle one that should load the object, if there is one.
+
+        It has a nearly empty cache. If shares follow the sizes of the
+        servers, an object only moves if all servers that have it cached are
+        busy or have had more than their part.
+        """
+        idle = [
+            state
+            for state in self.states
+            if not state.granted_slots
+            and _is_behind(state, self.share_bounds)
+            and self._accepts_request(state)
+        ]
+        if not idle or _can_stay(self):
+            return None
+        if self.share_bounds is None:
+            return idle[0]
+        return rank_states(self.slot_request.key or str(self.now), idle)[0]
 
     def pick_least_loaded(self) -> UpstreamState | None:
         """Return the least loaded one with a free slot, even if impaired."""
@@ -129,7 +157,8 @@
 
     def _compute_load(self, state: UpstreamState) -> float:
         load = (state.count_busy(self.now) + 1) / max(state.slots, 1)
-        return load + state.compute_penalty(self.now)
+        pace = state.pace.estimate(self.now)
+        return load * pace + state.compute_penalty(self.now)
 
     def _is_impaired(self, state: UpstreamState) -> bool:
         return (
@@ -151,17 +180,31 @@
         return state.permits_start(self.cold_rate, self.now)
 
 
+def _is_behind(state: UpstreamState, bounds: ShareBounds | None) -> bool:
+    if len(state.recent) < _INITIAL_OBJECTS:
+        return True
+    return bounds is not None and bounds.is_behind(state)
+
+
+def _can_stay(candidates: Candidates) -> bool:
+    """Whether a server with the object has a slot and some share left."""
+    bounds = candidates.share_bounds
+    warm_states = candidates.list_warm()
+    if bounds is None or not warm_states:
+        return False
+    if not bounds.permits_move(candidates.slot_request, candidates.cold_run):
+        return True
+    return any(
+        state.count_free(candidates.now) > 0 and bounds.is_within(state)
+        for state in warm_states
+    )
+
+
 def rank_states(
     key: str,
     states: Iterable[UpstreamState],
 ) -> list[UpstreamState]:
     """Return backend servers in rendezvous hashing order for a key."""
-    return sorted(
-        states,
-        key=lambda state: hash_key(f'{key}/{state.name}'),
-    )
-
-
-def hash_key(text: str) -> int:
-    """Return a 64-bit hash that is the same on all nodes."""
-    return xxhash.xxh64_intdigest(text.encode())
+    by_name = {state.name: state for state in states}
+    weights = {name: state.slots for name, state in by_name.items()}
+    return [by_name[name] for name in rank_by_weight(key, weights)]
--- a/sesameroute/placement/_learner.py
+++ b/sesameroute/placement/_learner.py
@@ -43,6 +43,7 @@
         if state.record_outcome(release.outcome, now):
             _log_suspension(grant, release, now)
         if release.outcome is Outcome.ANSWERED:
+            state.work.add(release.seconds, now)
             self._observe_answer(grant, release.seconds, now)
             if key and state.recent.find_depth(key, now) is None:
                 # A failed try with the same object removed the key meanwhile.
--- a/sesameroute/placement/_pool.py
+++ b/sesameroute/placement/_pool.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from sesameroute.placement._admission import Admission
-from sesameroute.placement._demand import Demand
+from sesameroute.placement._demand import Demand, DemandForecast
 from sesameroute.placement._estimates import Estimates
 from sesameroute.placement._granter import Granter
 from sesameroute.placement._learner import Learner
@@ -27,10 +27,13 @@
 from sesameroute.placement._region_reports import RegionReports
 from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
 from sesameroute.placement._states import UpstreamStates
+from sesameroute.placement._terms import PlacementTerms
 from sesameroute.registry import Announcements, RegistryEntry
 
 __all__ = ['Pool', 'PoolIdentity']
 
+_USUAL_TERMS = PlacementTerms()
+
 
 @dataclass(frozen=True, slots=True)
 class PoolIdentity:
@@ -61,6 +64,8 @@
         Service, region and node of the pool.
     announcements : Announcements, optional
         Limits that the backend servers name.
+    terms : PlacementTerms, optional
+        What the settings ask for.
 
     """
 
@@ -68,16 +73,23 @@
         self,
         identity: PoolIdentity,
         announcements: Announcements | None = None,
+        terms: PlacementTerms = _USUAL_TERMS,
     ) -> None:
         """Start without backend servers."""
         self.identity = identity
         self.plan = SpilloverPlan(identity.region)
         self.estimates = Estimates()
         self.states = UpstreamStates(
-            identity.region, announcements or Announcements()
+            identity.region,
+            announcements or Announcements(),
+            self.estimates,
         )
         self._lock = threading.RLock()
-        self._demand = Demand()
+        self.states.norms.follows_sizes = terms.follows_sizes
+        self._demand: Demand | DemandForecast = Demand()
+        if terms.forecast_seconds:
+            self._demand = DemandForecast(terms.forecast_seconds)
+            self.plan.use_cap(terms.max_shift)
         self._region_reports = RegionReports(identity.region)
         self._granter = Granter(
             identity.node,
@@ -181,7 +193,7 @@
         """Update the spillover plan and grant free slots to waiters."""
         with self._lock:
             self._update_plan(now)
-            self.states.update_baseline_penalties(now)
+            self.states.norms.update(self.states, now)
             for state in self.states:
                 self._granter.grant_waiting(state, now)
 
--- a/sesameroute/placement/_shift_limiter.py
+++ b/sesameroute/placement/_shift_limiter.py
@@ -3,11 +3,13 @@
 from collections import Counter, deque
 from collections.abc import Iterable
 
-__all__ = ['ShiftLimiter']
+__all__ = ['SHIFT_WINDOW_SECONDS', 'ShiftLimiter']
+
+# The window for which the cap on shifts is defined.
+SHIFT_WINDOW_SECONDS = 2.0
 
 _BUCKET_SECONDS = 0.25
-# Two seconds, the window for which the cap on shifts is defined.
-_WINDOW_BUCKETS = 8
+_WINDOW_BUCKETS = int(SHIFT_WINDOW_SECONDS / _BUCKET_SECONDS)
 # Fraction of the requests that may move from one window to the next.
 _MAX_SHARE_GROWTH = 0.11
 # A window with fewer requests is too small a sample to be limited.
@@ -17,6 +19,11 @@
 class ShiftLimiter:
     """Compares the regions of the requests in two consecutive windows.
 
+    Parameters
+    ----------
+    max_growth : float
+        Fraction of the requests that may move from one window to the next.
+
     Examples
     --------
     >>> limiter = ShiftLimiter()
@@ -31,8 +38,9 @@
 
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_growth: float = _MAX_SHARE_GROWTH) -> None:
         """Start without recorded requests."""
+        self.max_growth = max_growth
         self._buckets: deque[Counter[str]] = deque(
             maxlen=2 * _WINDOW_BUCKETS,
         )
@@ -56,9 +64,7 @@
         if growth[region] <= 0:
             return True
         # The sum of the gains is the fraction of requests that moved.
-        return (
-            sum(max(gain, 0) for gain in growth.values()) <= _MAX_SHARE_GROWTH
-        )
+        return sum(max(gain, 0) for gain in growth.values()) <= self.max_growth
 
     def find_most_reduced(self, regions: Iterable[str], now: float) -> str:
         """Return the region whose share has decreased most."""
--- a/sesameroute/placement/_spillover.py
+++ b/sesameroute/placement/_spillover.py
@@ -12,7 +12,10 @@
 from dataclasses import dataclass
 
 from sesameroute.placement._candidates import hash_key
-from sesameroute.placement._shift_limiter import ShiftLimiter
+from sesameroute.placement._shift_limiter import (
+    SHIFT_WINDOW_SECONDS,
+    ShiftLimiter,
+)
 
 __all__ = ['RegionLoad', 'SpilloverPlan']
 
@@ -20,6 +23,10 @@
 TARGET_UTILIZATION = 0.72
 # Total change of the shares per second; it keeps shifts below their cap.
 _MAX_SHARE_CHANGE_PER_SECOND = 0.045
+# Parts of the cap on shifts that the plan uses, and that the limiter leaves
+# to the chance of which requests come.
+_USED_CAP_FRACTION = 0.8
+_GUARDED_CAP_FRACTION = 0.85
 # Initial shares, as a fraction of those that equal demand in all regions would
 # need, until demand is observed.
 _INITIAL_SHARE_FRACTION = 0.6
@@ -83,8 +90,24 @@
         self._deficits: dict[str, float] = {}
         self._random = random.Random()
         self._shift_limiter = ShiftLimiter()
+        self._change_per_second = _MAX_SHARE_CHANGE_PER_SECOND
         self._initialized_at = math.inf
 
+    def use_cap(self, max_shift: float) -> None:
+        """Let the shares change as fast as a cap on shifts allows.
+
+        Parameters
+        ----------
+        max_shift : float
+            Fraction of the requests that may change their region from one
+            window of two seconds to the next.
+
+        """
+        self._change_per_second = (
+            _USED_CAP_FRACTION * max_shift / SHIFT_WINDOW_SECONDS
+        )
+        self._shift_limiter.max_growth = _GUARDED_CAP_FRACTION * max_shift
+
     def initialize(self, capacities: Mapping[str, float], now: float) -> None:
         """Set the shares from the capacities, assuming equal demand.
 
@@ -137,9 +160,7 @@
         if available_capacity < _CAPACITY_LOSS_RATIO * self._own_capacity:
             self._unlimited_until = now + _UNLIMITED_CHANGE_SECONDS
         self._own_capacity = available_capacity
-        step = _MAX_SHARE_CHANGE_PER_SECOND * min(
-            max(now - self._updated_at, 0), 1
-        )
+        step = self._change_per_second * min(max(now - self._updated_at, 0), 1)
         self._updated_at = now
         wanted = _compute_shares(self.region, loads)
         if now < self._unlimited_until or not own.capacity:
--- a/sesameroute/placement/_states.py
+++ b/sesameroute/placement/_states.py
@@ -6,15 +6,15 @@
 from dataclasses import dataclass
 
 from sesameroute.placement._candidates import Candidates
+from sesameroute.placement._estimates import Estimates
 from sesameroute.placement._messages import PoolReport, SlotRequest
 from sesameroute.placement._object_cache import CacheDepthModel
+from sesameroute.placement._region_norms import RegionNorms
 from sesameroute.placement._upstream import UpstreamState
 from sesameroute.registry import Announcements, RegistryEntry
 
 __all__ = ['UpstreamStates']
 
-# The baseline is the penalty below which one in so many servers is.
-_BASELINE_DIVISOR = 4
 # Fraction of the rate of a cold backend server in another region that may be
 # used.
 _REMOTE_COLD_SHARE = 0.05
@@ -47,9 +47,13 @@
         The pool's own region.
     announcements : Announcements
         Limits that the backend servers name.
+    estimates : Estimates
+        Typical run times.
 
     Attributes
     ----------
+    norms : RegionNorms
+        What is normal for the servers of each region.
     limit_shares : LimitShares
         Parts of these limits that this pool may use.
     model : CacheDepthModel
@@ -61,16 +65,22 @@
 
     """
 
-    def __init__(self, region: str, announcements: Announcements) -> None:
+    def __init__(
+        self,
+        region: str,
+        announcements: Announcements,
+        estimates: Estimates,
+    ) -> None:
         """Start without backend servers."""
         self.region = region
+        self.estimates = estimates
+        self.norms = RegionNorms()
         self.announcements = announcements
         self.limit_shares = LimitShares(1, 1)
         self._applied_limits: tuple[int, LimitShares] | None = None
         self.model = CacheDepthModel()
         self.cold_share = 0.8
         self.cold_rate = 1.0
-        self._baseline_penalties: dict[str, float] = {}
         self._states: dict[str, UpstreamState] = {}
 
     def update_backends(
@@ -132,24 +142,18 @@
         is_own = region == self.region
         share = self.cold_share if is_own else _REMOTE_COLD_SHARE
         rate = share * self.cold_rate
-        baseline = self._baseline_penalties.get(region, 0)
-        return Candidates(states, slot_request, self.model, now, rate, baseline)
-
-    def update_baseline_penalties(self, now: float) -> None:
-        """Update the penalty that even the better servers of a region have.
-
-        If all servers shed or are slow, avoiding some of them does not help.
-        Only the penalty in excess of the baseline counts.
-        """
-        penalties_by_region: dict[str, list[float]] = {}
-        for state in self._states.values():
-            penalty = state.compute_penalty(now)
-            penalties_by_region.setdefault(state.region, []).append(penalty)
-        self._baseline_penalties = {
-            region: sorted(penalties)[len(penalties) // _BASELINE_DIVISOR]
-            for region, penalties in penalties_by_region.items()
-            if len(penalties) >= _BASELINE_DIVISOR
-        }
+        return Candidates(
+            states,
+            slot_request,
+            self.model,
+            now,
+            rate,
+            self.norms.find_baseline(region),
+            self.norms.find_bounds(region, now),
+            self.estimates.find_miss(
+                slot_request.flow, slot_request.objective
+            ).seconds,
+        )
 
     def take_report(self, sender: str, report: PoolReport, now: float) -> None:
         """Record the slots in use by the grants of another node."""
--- a/sesameroute/placement/_upstream.py
+++ b/sesameroute/placement/_upstream.py
@@ -3,8 +3,10 @@
 import math
 from dataclasses import dataclass, field
 
+from sesameroute.placement._demand import Demand
 from sesameroute.placement._messages import Outcome
 from sesameroute.placement._object_cache import RecentKeys
+from sesameroute.placement._server_pace import ServerPace
 from sesameroute.placement._start_budget import StartBudget, StartLimit
 from sesameroute.registry import RegistryEntry
 
@@ -31,6 +33,8 @@
 _MAX_NORMAL_SLOWDOWN = 1.5
 # A larger slowdown is counted as this ratio.
 _MAX_SLOWDOWN = 20.0
+# Time constant of the average of the work that a server has done.
+_SHARE_WINDOW_SECONDS = 8.0
 _CONNECTION_FAILURES = frozenset((Outcome.UNREACHED, Outcome.LOST))
 _FAILURES = (
     frozenset((Outcome.SHED, Outcome.FAILED, Outcome.TIMED_OUT))
@@ -43,6 +47,11 @@
     return StartBudget(initial_tokens=0)
 
 
+def _build_work_average() -> Demand:
+    """Return the average of the work of one server, in slots."""
+    return Demand(_SHARE_WINDOW_SECONDS)
+
+
 @dataclass(slots=True)
 class UpstreamState:
     """Load, cached objects and health of one backend server.
@@ -81,6 +90,10 @@
     warming_until : float
         Monotonic time in seconds until which it counts as cold after it was
         unreachable.
+    work : Demand
+        Run time of this pool's requests over the last seconds.
+    pace : ServerPace
+        How fast it says that it works.
 
     """
 
@@ -98,6 +111,8 @@
     suspended_until: float = -math.inf
     failure_streak: int = 0
     warming_until: float = -math.inf
+    work: Demand = field(default_factory=_build_work_average)
+    pace: ServerPace = field(default_factory=ServerPace)
 
     @property
     def name(self) -> str:
@@ -154,6 +169,7 @@
             self.failure_streak = 0
             self.failure_rate = 0
             self.slowdown = 1.0
+            self.pace.clear()
         self.entry = entry
 
     def record_outcome(self, outcome: Outcome, now: float) -> bool:
