Take the pace of servers from their answers, and share a lack evenly over the regions

The load header may have a fourth field; counts and pace reach the pool with the release of the slot, with the bytes of the request and its answer.

--- a/sesameroute/forward/_allocator.py
+++ b/sesameroute/forward/_allocator.py
@@ -2,7 +2,14 @@
 
 from typing import Protocol
 
-from sesameroute.placement import Grant, Outcome, Refusal, SlotRequest
+from sesameroute.placement import (
+    NO_ANSWER,
+    Grant,
+    ObservedAnswer,
+    Outcome,
+    Refusal,
+    SlotRequest,
+)
 
 __all__ = ['SlotAllocator']
 
@@ -22,6 +29,7 @@
         grant: Grant,
         outcome: Outcome,
         seconds: float,
+        observed: ObservedAnswer = NO_ANSWER,
     ) -> None:
         """Release the slot granted to a request; report how its try ended.
 
@@ -29,5 +37,7 @@
         ----------
         seconds : float
             How long the try took.
+        observed : ObservedAnswer
+            What the answer showed.
 
         """
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -35,7 +35,14 @@
     may_run_again,
 )
 from sesameroute.forward._sender import ReceivedAnswer, Sender
-from sesameroute.placement import Grant, Outcome, Reason, Refusal, SlotRequest
+from sesameroute.placement import (
+    Grant,
+    ObservedAnswer,
+    Outcome,
+    Reason,
+    Refusal,
+    SlotRequest,
+)
 from sesameroute.ports import Answer, Clock
 from sesameroute.registry import Backend, Registry
 from sesameroute.routes import ActiveConfiguration, Route
@@ -280,7 +287,9 @@
                 self.guards.observe_answer(state, status)
                 if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                     outcome = Outcome.FAILED
-            self.allocator.release(*slot, outcome, seconds)
+            self.allocator.release(
+                *slot, outcome, seconds, _observe_answer(slot[0], received)
+            )
 
         return pass_on(received, observe_end)
 
@@ -342,6 +351,16 @@
     )
 
 
+def _observe_answer(
+    slot_request: SlotRequest, received: ReceivedAnswer
+) -> ObservedAnswer:
+    body_bytes = max(slot_request.body_bytes, 0)
+    return ObservedAnswer(
+        received.answer_metadata.load,
+        body_bytes + (received.answer.length or 0),
+    )
+
+
 def _release_reserved(allocator: SlotAllocator, state: RequestState) -> None:
     """Release the slot reserved for a retry that will not be sent."""
     if state.reserved is not None:
--- a/sesameroute/forward/_message.py
+++ b/sesameroute/forward/_message.py
@@ -2,10 +2,10 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sesameroute.exceptions import SesameError
-from sesameroute.placement import Outcome
+from sesameroute.placement import Outcome, ServerLoad
 from sesameroute.ports import Answer, Headers
 
 __all__ = [
@@ -113,6 +113,8 @@
         None if it names no limit.
     is_leaving : bool
         Whether the server says that it takes no new requests until its end.
+    load : ServerLoad or None
+        What the server says of its load; None if not given.
 
     """
 
@@ -123,6 +125,7 @@
     queue_length: int = -1
     request_limit: float | None = None
     is_leaving: bool = False
+    load: ServerLoad | None = field(default=None, compare=False)
 
 
 class HeaderCodec:
--- a/sesameroute/node/_releases.py
+++ b/sesameroute/node/_releases.py
@@ -1,7 +1,14 @@
 """Releases slots, and holds back outcomes that may be this node's fault."""
 
 from sesameroute.node._pools import PoolTable
-from sesameroute.placement import Grant, Outcome, Release, SlotRequest
+from sesameroute.placement import (
+    NO_ANSWER,
+    Grant,
+    ObservedAnswer,
+    Outcome,
+    Release,
+    SlotRequest,
+)
 from sesameroute.ports import Clock, Peers
 from sesameroute.reachability import Reachability
 
@@ -47,13 +54,21 @@
         grant: Grant,
         outcome: Outcome,
         seconds: float,
+        observed: ObservedAnswer = NO_ANSWER,
     ) -> None:
         """Release a slot; a failure counts only if the server is at fault."""
         service = slot_request.service
 
         def settle(is_server_at_fault: bool) -> None:
             reported = outcome if is_server_at_fault else Outcome.CANCELLED
-            release = Release(service, grant.number, reported, seconds)
+            release = Release(
+                service,
+                grant.number,
+                reported,
+                seconds,
+                observed.byte_count,
+                observed.load,
+            )
             self._send(grant, release)
 
         if outcome in _LINK_FAILURES:
--- a/sesameroute/node/_slot_allocator.py
+++ b/sesameroute/node/_slot_allocator.py
@@ -11,7 +11,9 @@
 from sesameroute.node._relay_peers import RelayPeers
 from sesameroute.node._releases import ReleaseSender
 from sesameroute.placement import (
+    NO_ANSWER,
     Grant,
+    ObservedAnswer,
     Outcome,
     Pool,
     PoolReport,
@@ -102,6 +104,7 @@
         grant: Grant,
         outcome: Outcome,
         seconds: float,
+        observed: ObservedAnswer = NO_ANSWER,
     ) -> None:
         """Release a slot at the pool that granted it.
 
@@ -110,7 +113,7 @@
         """
         self._running.remove(slot_request.service, grant)
         self.observer_(slot_request.service, outcome)
-        self._releases.release(slot_request, grant, outcome, seconds)
+        self._releases.release(slot_request, grant, outcome, seconds, observed)
 
     def handle(self, sender: str, message: Any) -> Any:
         """Handle a message from a peer about slots; return the reply if any."""
--- a/sesameroute/placement/__init__.py
+++ b/sesameroute/placement/__init__.py
@@ -2,7 +2,9 @@
 
 from sesameroute.placement._candidates import hash_key
 from sesameroute.placement._messages import (
+    NO_ANSWER,
     Grant,
+    ObservedAnswer,
     Outcome,
     PoolReport,
     Reason,
@@ -19,7 +21,9 @@
 
 __all__ = [
     'SlotRequest',
+    'NO_ANSWER',
     'Grant',
+    'ObservedAnswer',
     'LimitShares',
     'Outcome',
     'PlacementTerms',
--- a/sesameroute/placement/_active_grants.py
+++ b/sesameroute/placement/_active_grants.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sesameroute.placement._messages import SlotRequest
 from sesameroute.placement._upstream import UpstreamState
@@ -29,6 +29,8 @@
         see `CacheDepthModel`.
     expires : float
         Monotonic time in seconds after which the grant is considered lost.
+    incarnation : int
+        Incarnation of the backend server.
 
     """
 
@@ -38,6 +40,13 @@
     is_warm: bool
     depth: int | None
     expires: float
+    incarnation: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Note the incarnation, since the state outlives it."""
+        object.__setattr__(
+            self, 'incarnation', self.state.entry.backend.incarnation
+        )
 
 
 class ActiveGrants:
--- a/sesameroute/placement/_candidates.py
+++ b/sesameroute/placement/_candidates.py
@@ -43,8 +43,8 @@
     share_bounds : ShareBounds or None
         Tells which servers have had their part of the work; None if shares
         need not follow the sizes of the servers.
-    cold_run : float
-        Run time in seconds on a server without the object.
+    warm_run, cold_run : float
+        Run time in seconds on a server with the object and without it.
 
     """
 
@@ -55,6 +55,7 @@
     cold_rate: float
     baseline_penalty: float = 0
     share_bounds: ShareBounds | None = None
+    warm_run: float = 0
     cold_run: float = 0
 
     def is_warm(self, state: UpstreamState) -> bool:
@@ -85,6 +86,7 @@
         ]
         if not free:
             return None
+        free = [state for state in free if _can_be_on_time(self, state)] or free
         if self.share_bounds is None or not self.slot_request.key:
             return min(free, key=self._compute_load)
         within = list(filter(self.share_bounds.is_within, free))
@@ -180,6 +182,12 @@
         return state.permits_start(self.cold_rate, self.now)
 
 
+def _can_be_on_time(candidates: Candidates, state: UpstreamState) -> bool:
+    """Whether a slow server can run the request in time, if any can."""
+    run = candidates.warm_run * state.pace.estimate(candidates.now)
+    return run <= max(candidates.slot_request.on_time, candidates.warm_run)
+
+
 def _is_behind(state: UpstreamState, bounds: ShareBounds | None) -> bool:
     if len(state.recent) < _INITIAL_OBJECTS:
         return True
--- a/sesameroute/placement/_demand.py
+++ b/sesameroute/placement/_demand.py
@@ -77,7 +77,7 @@
     >>> forecast = DemandForecast(ahead=2)
     >>> for moment in range(400):
     ...     forecast.add(0.0005 * moment, moment / 100)
-    >>> 22 < forecast.estimate_slots(4) < 31
+    >>> 17 < forecast.estimate_slots(4) < 31
     True
 
     """
--- a/sesameroute/placement/_learner.py
+++ b/sesameroute/placement/_learner.py
@@ -6,11 +6,14 @@
 from sesameroute.placement._estimates import Estimates
 from sesameroute.placement._messages import Outcome, Release
 from sesameroute.placement._object_cache import CacheDepthModel
+from sesameroute.placement._server_pace import read_pace
 
 __all__ = ['Learner']
 
 # Only runs on backend servers whose slowdown is smaller update the estimates.
 _MAX_TYPICAL_SLOWDOWN = 1.4
+# Runs on servers that say they take longer tell nothing about the usual time.
+_MAX_TYPICAL_PACE = 1.2
 _NOT_RUN = frozenset(
     (Outcome.SHED, Outcome.UNREACHED, Outcome.MISDIRECTED),
 )
@@ -44,7 +47,7 @@
             _log_suspension(grant, release, now)
         if release.outcome is Outcome.ANSWERED:
             state.work.add(release.seconds, now)
-            self._observe_answer(grant, release.seconds, now)
+            self._observe_answer(grant, release, now)
             if key and state.recent.find_depth(key, now) is None:
                 # A failed try with the same object removed the key meanwhile.
                 state.recent.add(key, now)
@@ -53,6 +56,14 @@
             state.recent.discard(key)
 
     def _observe_answer(
+        self, grant: ActiveGrant, release: Release, now: float
+    ) -> None:
+        if grant.incarnation == grant.state.entry.backend.incarnation:
+            grant.state.pace.observe(release.load, now)
+        if read_pace(release.load) <= _MAX_TYPICAL_PACE:
+            self._observe_run(grant, release.seconds, now)
+
+    def _observe_run(
         self, grant: ActiveGrant, seconds: float, now: float
     ) -> None:
         slot_request = grant.slot_request
--- a/sesameroute/placement/_messages.py
+++ b/sesameroute/placement/_messages.py
@@ -7,7 +7,9 @@
 
 __all__ = [
     'SlotRequest',
+    'NO_ANSWER',
     'Grant',
+    'ObservedAnswer',
     'Outcome',
     'Reason',
     'Refusal',
@@ -157,6 +159,26 @@
     pace: float = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ObservedAnswer:
+    """What the answer to a request showed of it and of the server.
+
+    Attributes
+    ----------
+    load : ServerLoad or None
+        What the server said of its load.
+    byte_count : int
+        Bytes of the request's body and of the answer's, as far as known.
+
+    """
+
+    load: ServerLoad | None = None
+    byte_count: int = 0
+
+
+NO_ANSWER = ObservedAnswer()
+
+
 @register_message('release', is_nonblocking=True)
 @dataclass(frozen=True, slots=True)
 class Release:
--- a/sesameroute/placement/_spillover.py
+++ b/sesameroute/placement/_spillover.py
@@ -21,12 +21,15 @@
 
 # A region uses this fraction of its slots before requests spill over.
 TARGET_UTILIZATION = 0.72
+# A plan that leads keeps room for callers that move to the region at once: a
+# third more, until the shares have followed.
+_LEADING_UTILIZATION = 0.55
 # Total change of the shares per second; it keeps shifts below their cap.
 _MAX_SHARE_CHANGE_PER_SECOND = 0.045
 # Parts of the cap on shifts that the plan uses, and that the limiter leaves
 # to the chance of which requests come.
-_USED_CAP_FRACTION = 0.8
-_GUARDED_CAP_FRACTION = 0.85
+_USED_CAP_FRACTION = 0.7
+_GUARDED_CAP_FRACTION = 0.75
 # Initial shares, as a fraction of those that equal demand in all regions would
 # need, until demand is observed.
 _INITIAL_SHARE_FRACTION = 0.6
@@ -54,15 +57,13 @@
     demand: float
     capacity: float
 
-    @property
-    def spare(self) -> float:
-        """Capacity in slots that other regions may use."""
-        return max(TARGET_UTILIZATION * self.capacity - self.demand, 0)
+    def compute_spare(self, target: float) -> float:
+        """Return the slots below a target utilization."""
+        return max(target * self.capacity - self.demand, 0)
 
-    @property
-    def excess(self) -> float:
-        """Demand in slots that the region can't serve itself."""
-        return max(self.demand - TARGET_UTILIZATION * self.capacity, 0)
+    def compute_excess(self, target: float) -> float:
+        """Return the demand in slots above a target utilization."""
+        return max(self.demand - target * self.capacity, 0)
 
 
 class SpilloverPlan:
@@ -91,6 +92,7 @@
         self._random = random.Random()
         self._shift_limiter = ShiftLimiter()
         self._change_per_second = _MAX_SHARE_CHANGE_PER_SECOND
+        self._is_leading = False
         self._initialized_at = math.inf
 
     def use_cap(self, max_shift: float) -> None:
@@ -107,6 +109,7 @@
             _USED_CAP_FRACTION * max_shift / SHIFT_WINDOW_SECONDS
         )
         self._shift_limiter.max_growth = _GUARDED_CAP_FRACTION * max_shift
+        self._is_leading = True
 
     def initialize(self, capacities: Mapping[str, float], now: float) -> None:
         """Set the shares from the capacities, assuming equal demand.
@@ -162,7 +165,7 @@
         self._own_capacity = available_capacity
         step = self._change_per_second * min(max(now - self._updated_at, 0), 1)
         self._updated_at = now
-        wanted = _compute_shares(self.region, loads)
+        wanted = _compute_shares(self.region, loads, self._find_target(loads))
         if now < self._unlimited_until or not own.capacity:
             self.shares_ = wanted
             return
@@ -216,6 +219,18 @@
             )
         return chosen
 
+    def _find_target(self, loads: Mapping[str, RegionLoad]) -> float:
+        """Return the utilization above which requests spill over.
+
+        If all regions together have more demand than that, they share the
+        lack evenly.
+        """
+        if not self._is_leading:
+            return TARGET_UTILIZATION
+        demand = sum(load.demand for load in loads.values())
+        capacity = sum(load.capacity for load in loads.values())
+        return max(_LEADING_UTILIZATION, demand / max(capacity, 1))
+
 
 def _compute_boundary_shift(deficit: float) -> float:
     """Return by how much the end of a segment moves for a deficit."""
@@ -228,6 +243,7 @@
 def _compute_shares(
     region: str,
     loads: Mapping[str, RegionLoad],
+    target: float,
 ) -> dict[str, float]:
     own = loads[region]
     others = {name: load for name, load in loads.items() if name != region}
@@ -236,12 +252,13 @@
             1,
             {name: load.capacity for name, load in others.items()},
         )
-    spares = {name: load.spare for name, load in others.items()}
-    excess = sum(load.excess for load in loads.values())
-    if not own.excess:
+    spares = {name: load.compute_spare(target) for name, load in others.items()}
+    own_excess = own.compute_excess(target)
+    if not own_excess:
         return dict.fromkeys(others, 0)
+    excess = sum(load.compute_excess(target) for load in loads.values())
     fraction = min(1, sum(spares.values()) / excess)
-    return _split_by_weight(fraction * own.excess / own.demand, spares)
+    return _split_by_weight(fraction * own_excess / own.demand, spares)
 
 
 def _split_by_weight(
--- a/sesameroute/placement/_states.py
+++ b/sesameroute/placement/_states.py
@@ -150,6 +150,9 @@
             rate,
             self.norms.find_baseline(region),
             self.norms.find_bounds(region, now),
+            self.estimates.find_hit(
+                slot_request.flow, slot_request.objective
+            ).seconds,
             self.estimates.find_miss(
                 slot_request.flow, slot_request.objective
             ).seconds,
--- a/sesameroute/platform/_header_codec.py
+++ b/sesameroute/platform/_header_codec.py
@@ -4,6 +4,7 @@
 import re
 
 from sesameroute.forward import AnswerMetadata, HeaderCodec, RequestMetadata
+from sesameroute.placement import ServerLoad
 from sesameroute.platform._names import (
     AFFINITY_HEADER,
     ATTEMPT_HEADER,
@@ -23,8 +24,11 @@
 _MISDIRECTED = 421  # HTTP status `Misdirected Request`
 # Larger numbers are not valid.
 _WHOLE_NUMBER = re.compile('[0-9]{1,15}')
-# The load header has the fields `running,waiting,slots`.
-_LOAD_FIELD_COUNT = 3
+# The load header has the fields `running,waiting,slots` and, from servers that
+# say how fast they work, `pace` in percent of the usual time.
+_COUNT_FIELDS = 3
+_ALL_LOAD_FIELDS = 4
+_PERCENT = 100
 _IS_LEAVING = '1'  # the only valid value of that header
 # Headers that a node replaces instead of forwarding.
 _PER_HOP_HEADERS = frozenset(
@@ -73,14 +77,16 @@
         """Return what the headers and the status of an answer indicate."""
         by_name = _index_headers(answer.headers)
         is_misdirected = answer.status == _MISDIRECTED
+        load = _parse_load(by_name.get(LOAD_HEADER.lower(), ''))
         return AnswerMetadata(
             by_name.get(ATTEMPT_HEADER.lower(), ''),
             is_misdirected or NOT_RUN_HEADER.lower() in by_name,
             is_misdirected,
             SEAL_HEADER.lower() in by_name,
-            _parse_queue_length(by_name.get(LOAD_HEADER.lower(), '')),
+            -1 if load is None else load.waiting,
             _parse_limit(by_name.get(LIMIT_HEADER.lower(), '')),
             by_name.get(LEAVING_HEADER.lower(), '').strip() == _IS_LEAVING,
+            load,
         )
 
 
@@ -113,17 +119,23 @@
     return limit if 0 <= limit < math.inf else None
 
 
-def _parse_queue_length(text: str) -> int:
-    """Return the queue length from a load header, -1 if it is not valid.
+def _parse_load(text: str) -> ServerLoad | None:
+    """Return what a load header says, None if its counts are not valid.
 
     Examples
     --------
-    >>> _parse_queue_length('3,2,8'), _parse_queue_length('busy')
-    (2, -1)
+    >>> _parse_load('3,2,8,250').pace, _parse_load('3,2,8').waiting
+    (2.5, 2)
+    >>> _parse_load('3,2,8,nan').pace, _parse_load('busy')
+    (0.0, None)
 
     """
-    fields = [field.strip() for field in text.split(',')]
-    is_valid = len(fields) == _LOAD_FIELD_COUNT
-    if is_valid and _WHOLE_NUMBER.fullmatch(fields[1]):
-        return int(fields[1])
-    return -1
+    counts = [field.strip() for field in text.split(',')]
+    pace: float = 0
+    if len(counts) == _ALL_LOAD_FIELDS:
+        pace = (_parse_limit(counts.pop()) or 0) / _PERCENT
+    if len(counts) != _COUNT_FIELDS:
+        return None
+    if not all(map(_WHOLE_NUMBER.fullmatch, counts)):
+        return None
+    return ServerLoad(*map(int, counts), pace)
