--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -100,6 +100,7 @@
             ),
             self.clock,
         )
+        self.allocator.pools.terms_ = settings.placement_terms
         self._node_servers = NodeServers(
             settings,
             self.allocator,
--- a/sesameroute/node/_pools.py
+++ b/sesameroute/node/_pools.py
@@ -9,6 +9,7 @@
 from sesameroute.placement import (
     Grant,
     LimitShares,
+    PlacementTerms,
     Pool,
     PoolIdentity,
 )
@@ -49,6 +50,11 @@
     clock : Clock
         Source of time.
 
+    Attributes
+    ----------
+    terms_ : PlacementTerms
+        What the settings ask of new pools.
+
     """
 
     def __init__(
@@ -65,6 +71,7 @@
         self.active_configuration = active_configuration
         self.regions = dict(regions)
         self.clock = clock
+        self.terms_ = PlacementTerms()
         self._started_at = clock.read_monotonic()
         self._lock = threading.Lock()
         self._pools: dict[str, Pool] = {}
@@ -80,6 +87,7 @@
                 pool = Pool(
                     PoolIdentity(service, own_state.region, own_state.address),
                     self.registry.announcements,
+                    self.terms_,
                 )
                 self._pools[service] = pool
             is_synced = self._synced_changes.get(service) == changes
--- a/sesameroute/node/_settings.py
+++ b/sesameroute/node/_settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sesameroute.exceptions import InputError, describe_error
+from sesameroute.placement import PlacementTerms
 
 __all__ = ['NodeSettings', 'parse_node_settings']
 
@@ -16,6 +17,7 @@
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_SECONDS)]
+Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Number = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 
 
@@ -58,6 +60,9 @@
     retry_ratio: Number = 0.2
     retry_slack: Number = 50
     longest_ttl: Seconds = 5.0
+    # Part of a region's requests that may change the region in which they
+    # run from one window of two seconds to the next.
+    max_shift: Fraction = 0.15
 
 
 class Limits(msgspec.Struct, forbid_unknown_fields=True):
@@ -68,6 +73,18 @@
     link: float = 1000  # Mbit/s
 
 
+class Placement(msgspec.Struct, forbid_unknown_fields=True):
+    """How requests are placed; see docs/design/placement.md.
+
+    `shares`: whether the servers' shares of the work follow their sizes, with
+    few moves of objects. `forecast`: seconds ahead of the demand to which the
+    shares of the regions lead; 0: they follow the demand.
+    """
+
+    shares: Literal['usual', 'by-size'] = 'usual'
+    forecast: Seconds = 0
+
+
 class Log(msgspec.Struct, forbid_unknown_fields=True):
     """Event log."""
 
@@ -84,8 +101,18 @@
     zones: dict[str, str]
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     limits: Limits = msgspec.field(default_factory=Limits)
+    placement: Placement = msgspec.field(default_factory=Placement)
     log: Log = msgspec.field(default_factory=Log)
 
+    @property
+    def placement_terms(self) -> PlacementTerms:
+        """What these settings ask of the placement."""
+        return PlacementTerms(
+            self.placement.shares == 'by-size',
+            self.placement.forecast,
+            self.bounds.max_shift,
+        )
+
     @property
     def relay_address(self) -> str:
         """Address for requests that other nodes pass on; empty: not served."""
--- a/sesameroute/placement/__init__.py
+++ b/sesameroute/placement/__init__.py
@@ -1,6 +1,6 @@
 """Assigns requests to backend servers by free slots, cache and region."""
 
-from sesameroute.placement._candidates import hash_key
+from sesameroute.placement._hash_order import hash_key, rank_by_weight
 from sesameroute.placement._messages import (
     NO_ANSWER,
     Grant,
@@ -38,4 +38,5 @@
     'SettleCallback',
     'SpilloverPlan',
     'hash_key',
+    'rank_by_weight',
 ]
--- a/sesameroute/placement/tests/simulation.py
+++ b/sesameroute/placement/tests/simulation.py
@@ -17,6 +17,7 @@
     Pool,
     PoolIdentity,
     Release,
+    ServerLoad,
     SlotRequest,
 )
 from sesameroute.registry import Backend, BackendState, RegistryEntry
@@ -117,6 +118,7 @@
         self.waits = []
         self.refusal_waits = []
         self.placements = []
+        self.reports_pace = False
         for region, count in regions.items():
             zone = f'{region}-a'
             self.zones[zone] = region
@@ -301,11 +303,22 @@
 
     def _finish(self, region, grant, seconds, first_sent_at):
         self.servers[grant.backend].running -= 1
-        release = Release('service', grant.number, Outcome.ANSWERED, seconds)
+        release = Release(
+            'service',
+            grant.number,
+            Outcome.ANSWERED,
+            seconds,
+            load=self._report_load(self.servers[grant.backend]),
+        )
         self.pools[region].release(release, self.now)
         is_late = self.now - first_sent_at > self.objective
         self._count(region, 'late' if is_late else 'on time', first_sent_at)
 
+    def _report_load(self, server):
+        if not self.reports_pace:
+            return None
+        return ServerLoad(server.running, 0, server.slots, server.slowdown)
+
     def _count(self, region, outcome, first_sent_at):
         self.results[region][outcome] += 1
         self.by_second[int(first_sent_at)][outcome] += 1
--- a/sesameroute/platform/tests/test_documents.py
+++ b/sesameroute/platform/tests/test_documents.py
@@ -7,6 +7,7 @@
 from sesameroute.exceptions import InputError
 from sesameroute.forward import AnswerMetadata, RequestMetadata
 from sesameroute.mirror import MirrorItem
+from sesameroute.placement import ServerLoad
 from sesameroute.platform import (
     PlatformHeaderCodec,
     StoreItemDispatcher,
@@ -314,6 +315,30 @@
     assert answer_metadata.queue_length == -1
 
 
+@pytest.mark.parametrize(
+    ('text', 'load'),
+    [
+        ('3,2,8', ServerLoad(3, 2, 8)),
+        ('3, 2, 8, 250', ServerLoad(3, 2, 8, 2.5)),
+        ('3,2,8,0', ServerLoad(3, 2, 8)),
+        ('3,2,8,nan', ServerLoad(3, 2, 8)),
+        ('3,2,8,', ServerLoad(3, 2, 8)),
+        ('3,2,8,1000000000', ServerLoad(3, 2, 8, 1e7)),
+        ('3,2,8,100,5', None),
+        ('3,2', None),
+        ('3,-2,8,100', None),
+    ],
+)
+def test_load_header_may_have_a_pace(text, load):
+    """A pace that is not valid costs only itself."""
+    headers = (('Sesameroute-Server-Load', text),)
+    answer_metadata = PlatformHeaderCodec().read_answer_metadata(
+        Answer(200, headers)
+    )
+    assert answer_metadata.load == load
+    assert answer_metadata.queue_length == (load.waiting if load else -1)
+
+
 @pytest.mark.parametrize(
     'text', ['', '0', '01', '-1', '1.0', '1, 1', 'true', 'yes', '1;', '²', '１']
 )
