--- a/sesameroute/placement/_server_shares.py
+++ b/sesameroute/placement/_server_shares.py
@@ -17,11 +17,11 @@
 __all__ = ['ShareBounds', 'build_share_bounds']
 
 # A server may have this many times the mean work per slot.
-_MAX_SHARE_RATIO = 1.15
+_MAX_SHARE_RATIO = 1.1
 # Smaller excess, as a fraction of a server's slots, moves no object.
 _TOLERATED_EXCESS = 0.03
 # A server with less than this part of the mean is behind the others.
-_BEHIND_RATIO = 0.7
+_BEHIND_RATIO = 0.85
 # From this mean utilization on, objects move although the first run on their
 # new server is late: without it there will be no slot for many others.
 _SHORT_UTILIZATION = 0.5
