--- a/sesameroute/forward/_answers.py
+++ b/sesameroute/forward/_answers.py
@@ -9,10 +9,10 @@
     MAX_BUFFERED_BYTES,
 )
 from sesameroute.forward._sender import ReceivedAnswer
-from sesameroute.placement import Outcome
+from sesameroute.placement import ObservedAnswer, Outcome, SlotRequest
 from sesameroute.ports import Answer
 
-__all__ = ['EndObserver', 'pass_on']
+__all__ = ['EndObserver', 'observe_answer', 'pass_on']
 
 
 class EndObserver(Protocol):
@@ -72,3 +72,14 @@
     finally:
         received.body.close()
         observe_end(outcome, failure)
+
+
+def observe_answer(
+    slot_request: SlotRequest, received: ReceivedAnswer
+) -> ObservedAnswer:
+    """Return what an answer tells the pool that granted its slot."""
+    body_bytes = max(slot_request.body_bytes, 0)
+    return ObservedAnswer(
+        received.answer_metadata.load,
+        body_bytes + (received.answer.length or 0),
+    )
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from sesameroute.forward._allocator import SlotAllocator
-from sesameroute.forward._answers import pass_on
+from sesameroute.forward._answers import observe_answer, pass_on
 from sesameroute.forward._caller_retries import CallerRetryDetector
 from sesameroute.forward._guards import Guards
 from sesameroute.forward._local_answers import (
@@ -35,7 +35,13 @@
 )
 from sesameroute.forward._sender import ReceivedAnswer, Sender
 from sesameroute.forward._waiting_callers import WaitingCallers, raise_if_left
-from sesameroute.placement import Grant, Outcome, Reason, Refusal, SlotRequest
+from sesameroute.placement import (
+    Grant,
+    Outcome,
+    Reason,
+    Refusal,
+    SlotRequest,
+)
 from sesameroute.ports import Answer, Clock
 from sesameroute.registry import Backend, Registry
 from sesameroute.routes import ActiveConfiguration, Route
@@ -299,7 +305,9 @@
                 self.guards.observe_answer(state, status)
                 if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                     outcome = Outcome.FAILED
-            self.allocator.release(*slot, outcome, seconds)
+            self.allocator.release(
+                *slot, outcome, seconds, observe_answer(slot[0], received)
+            )
 
         return pass_on(received, observe_end)
 
--- a/sesameroute/forward/_message.py
+++ b/sesameroute/forward/_message.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from sesameroute.exceptions import SesameError
-from sesameroute.placement import Outcome
+from sesameroute.placement import Outcome, ServerLoad
 from sesameroute.ports import Answer, Headers
 
 __all__ = [
@@ -116,6 +116,8 @@
         None if it names no limit.
     is_leaving : bool
         Whether the server says that it takes no new requests until its end.
+    load : ServerLoad or None
+        What the server says of its load; None if not given.
 
     """
 
@@ -126,6 +128,7 @@
     queue_length: int = -1
     request_limit: float | None = None
     is_leaving: bool = False
+    load: ServerLoad | None = field(default=None, compare=False)
 
 
 class HeaderCodec:
--- a/sesameroute/placement/__init__.py
+++ b/sesameroute/placement/__init__.py
@@ -1,8 +1,10 @@
 """Assigns requests to backend servers by free slots, cache and region."""
 
-from sesameroute.placement._candidates import hash_key
+from sesameroute.placement._hash_order import hash_key, rank_by_weight
 from sesameroute.placement._messages import (
+    NO_ANSWER,
     Grant,
+    ObservedAnswer,
     Outcome,
     PoolReport,
     Reason,
@@ -20,13 +22,17 @@
 )
 from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
 from sesameroute.placement._states import LimitShares
+from sesameroute.placement._terms import PlacementTerms
 
 __all__ = [
     'SlotRequest',
+    'NO_ANSWER',
     'Grant',
+    'ObservedAnswer',
     'LimitShares',
     'Outcome',
     'PlacementQuery',
+    'PlacementTerms',
     'Pool',
     'PoolIdentity',
     'Reason',
@@ -40,4 +46,5 @@
     'SettleCallback',
     'SpilloverPlan',
     'hash_key',
+    'rank_by_weight',
 ]
