--- a/sesameroute/adapters/_caller_disconnect.py
+++ b/sesameroute/adapters/_caller_disconnect.py
@@ -2,7 +2,6 @@
 
 import select
 import socket
-import time
 from io import RawIOBase
 
 from sesameroute.exceptions import RequestError
@@ -12,6 +11,7 @@
 
 _MILLISECONDS = 1000
 _READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
+_LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 def wait_for_first_byte(
@@ -22,8 +22,8 @@
     """Wait until the backend server has sent bytes.
 
     Bytes that the caller sends meanwhile are left unread and do not end the
-    wait; afterwards the caller is no longer watched. With no time left, bytes
-    that have come already are found.
+    wait; its end does, also behind such bytes. With no time left, bytes that
+    have come already are found.
 
     Parameters
     ----------
@@ -43,25 +43,18 @@
         `MAY_HAVE_RUN`.
 
     """
-    deadline = time.monotonic() + seconds
     poller = select.poll()
     poller.register(server, _READABLE)
     if caller is not None:
-        poller.register(caller, _READABLE)
-    while True:
-        remaining = deadline - time.monotonic()
-        ready = dict(poller.poll(max(remaining, 0) * _MILLISECONDS))
-        if server.fileno() in ready:
-            return
-        if not ready:
-            raise TimeoutError(f'no byte of an answer within {seconds:.3f} s')
-        if has_disconnected(caller):
-            raise RequestError(
-                'the caller closed its connection',
-                Verdict.MAY_HAVE_RUN,
-                'cancelled',
-            )
-        poller.unregister(caller)
+        poller.register(caller, _LEFT)
+    ready = dict(poller.poll(max(seconds, 0) * _MILLISECONDS))
+    if server.fileno() in ready:
+        return
+    if not ready:
+        raise TimeoutError(f'no byte of an answer within {seconds:.3f} s')
+    raise RequestError(
+        'the caller closed its connection', Verdict.MAY_HAVE_RUN, 'cancelled'
+    )
 
 
 def has_disconnected(caller: socket.socket) -> bool:
--- a/sesameroute/adapters/_connection_loop.py
+++ b/sesameroute/adapters/_connection_loop.py
@@ -7,7 +7,7 @@
 from sesameroute.adapters._acceptor import Acceptor, ExhaustedError
 from sesameroute.adapters._caller_connection import CallerConnection
 from sesameroute.adapters._idle_callers import IdleCallers
-from sesameroute.adapters._request_queue import RequestQueue
+from sesameroute.adapters._request_queue import RequestQueue, Waiting
 from sesameroute.telemetry import survive
 
 __all__ = ['TURN_SECONDS', 'ConnectionLoop']
@@ -33,7 +33,7 @@
     queue : RequestQueue
         Those with a request that waits for a thread.
     refuse : callable
-        Answers a connection that has waited for too long.
+        Answers a request that has waited for too long.
 
     Attributes
     ----------
@@ -48,7 +48,7 @@
         self,
         idle: IdleCallers,
         queue: RequestQueue,
-        refuse: Callable[[CallerConnection], None],
+        refuse: Callable[[Waiting], None],
     ) -> None:
         """Store the parameters."""
         self.idle = idle
--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -1,22 +1,17 @@
 """HTTP server for callers: an event loop, worker threads, cheroot's parser."""
 
-import logging
-import random
 import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from http import HTTPStatus
 
-from sesameroute.adapters._caller_connection import (
-    CallerConnection,
-    build_reader,
-)
+from sesameroute.adapters._caller_service import CallerService
 from sesameroute.adapters._connection_loop import (
     TURN_SECONDS,
     ConnectionLoop,
 )
 from sesameroute.adapters._idle_callers import IdleCallers
+from sesameroute.adapters._kept_callers import KeptCallers
 from sesameroute.adapters._refusal_reasons import (
     RefusalObserver,
     ignore_refusal,
@@ -25,12 +20,13 @@
 from sesameroute.adapters._request_parser import (
     FrontContext,
     FrontHandler,
-    ParsedConnection,
     RequestParser,
 )
+from sesameroute.adapters._request_queue import RequestQueue
 from sesameroute.adapters._running import RunningRequests
 from sesameroute.adapters._watched_callers import WatchedCallers
-from sesameroute.adapters._worker_pool import WorkerPool
+from sesameroute.adapters._worker_pool import MAX_THREADS, WorkerPool
+from sesameroute.limits import ConcurrencyBounds, ConcurrencyLimit
 from sesameroute.ports import SystemClock
 
 __all__ = ['FrontHandler', 'FrontLoad', 'FrontServer']
@@ -42,14 +38,6 @@
 _IDLE_MARGIN_SECONDS = 3.0
 # A loop without a turn for this long does not accept.
 _MAX_TURN_SECONDS = 1.0
-# Callers that are refused come back spread over this time, in seconds.
-_RETRY_AFTER_BOUNDS = (0.2, 0.6)
-_REFUSAL = (
-    'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n'
-    'Retry-After: {0:.3f}\r\nConnection: close\r\n\r\n'
-)
-
-_logger = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,8 +90,6 @@
     ----------
     running_ : RunningRequests
         Counts the requests whose answers are not completely sent.
-    answered_at_ : float
-        Monotonic time in seconds of the last answer or refusal.
 
     """
 
@@ -122,17 +108,27 @@
         self._parser = RequestParser(
             address, FrontContext(handler, is_leaving, on_refusal)
         )
-        self._pool = WorkerPool(self._serve, self._refuse, threads)
+        queue = RequestQueue(
+            ConcurrencyLimit(ConcurrencyBounds(highest=MAX_THREADS))
+        )
+        self._kept = KeptCallers(
+            WatchedCallers(), self.running_, queue.submit, is_leaving
+        )
         self._idle = IdleCallers(
-            WatchedCallers(),
-            self.running_,
-            self._pool.queue.submit,
+            self._kept,
             lambda: report_refusal('408 Request Timeout', on_refusal),
         )
-        self._loop = ConnectionLoop(self._idle, self._pool.queue, self._refuse)
-        self.answered_at_: float = 0
+        self._service = CallerService(self._parser, self._idle, self.running_)
+        refuse = self._service.refuse
+        self._pool = WorkerPool(queue, self._service.serve, refuse, threads)
+        self._loop = ConnectionLoop(self._idle, queue, refuse)
         self._thread: threading.Thread | None = None
 
+    @property
+    def answered_at_(self) -> float:
+        """Monotonic time in seconds of the last answer or refusal."""
+        return self._service.answered_at_
+
     def start(self) -> None:
         """Listen; raise OSError when the address is taken."""
         self._thread = self._loop.start(self.address, self.name)
@@ -183,7 +179,7 @@
             Idle time of connections that callers are told.
 
         """
-        limits = self._idle.limits
+        limits = self._kept.limits
         limits.header_bytes = header_bytes
         limits.header_seconds = header_seconds
         limits.idle_seconds = idle_seconds + _IDLE_MARGIN_SECONDS
@@ -191,6 +187,18 @@
         self._parser.max_request_body_size = body_bytes
         self._parser.timeout = limits.idle_seconds
 
+    def allow_read_ahead(self, may_repeat: Callable[[str, str], bool]) -> None:
+        """Run requests of a connection beside each other.
+
+        Parameters
+        ----------
+        may_repeat : callable
+            Called with host and target of a request without a body; returns
+            whether it may be sent again by its caller even if it has run.
+
+        """
+        self._kept.read_ahead.may_repeat = may_repeat
+
     def read_turn(self) -> float:
         """Return until when the loop's last turn and pause may last."""
         return self._loop.turned_at_ + TURN_SECONDS
@@ -206,48 +214,3 @@
             self._pool.queue.read_oldest_seconds(),
             len(self._pool.queue.serving_),
         )
-
-    def _serve(self, caller: CallerConnection) -> None:
-        """Serve one request on a connection, in a worker thread."""
-        if caller.has_left():
-            _logger.info('request dropped', extra={'why': 'caller-left'})
-            self._idle.close(caller)
-        elif self._answer(caller):
-            self._idle.put_back(caller)
-
-    def _answer(self, caller: CallerConnection) -> bool:
-        """Answer a request; return whether the connection stays open."""
-        if caller.http is None:
-            caller.http = ParsedConnection(
-                self._parser, caller.socket, build_reader
-            )
-        caller.http.came_at = caller.queued_at
-        caller.pass_buffer()
-        caller.socket.settimeout(self._idle.limits.header_seconds)
-        is_kept = False
-        try:
-            is_kept = caller.http.communicate()
-        except ConnectionError as error:
-            _logger.info('connection error', extra={'why': str(error)})
-        finally:
-            self._end_request(caller, is_kept=is_kept)
-        return is_kept
-
-    def _end_request(self, caller: CallerConnection, *, is_kept: bool) -> None:
-        caller.settle(self.running_)
-        self.answered_at_ = time.monotonic()
-        if is_kept:
-            return
-        try:
-            caller.http.close()
-        except OSError as error:
-            _logger.warning('connection error', extra={'why': str(error)})
-            caller.socket.close()
-
-    def _refuse(self, caller: CallerConnection) -> None:
-        """Answer 503 to a request that nobody has read."""
-        status = HTTPStatus.SERVICE_UNAVAILABLE
-        self._parser.front.on_refusal(status, 'overloaded')
-        seconds = random.uniform(*_RETRY_AFTER_BOUNDS)
-        self.answered_at_ = time.monotonic()
-        self._idle.answer_last(caller, _REFUSAL.format(seconds).encode())
--- a/sesameroute/adapters/_head_limits.py
+++ b/sesameroute/adapters/_head_limits.py
@@ -1,5 +1,6 @@
 """Limits on the heads of requests and on idle connections."""
 
+import math
 from dataclasses import dataclass
 
 from sesameroute.adapters._caller_connection import CallerConnection
@@ -30,14 +31,31 @@
     header_seconds: float = 3.0
     idle_seconds: float = 10.0
 
+    @property
+    def max_head_bytes(self) -> int:
+        """Largest head, also where the configuration gives no limit."""
+        return self.header_bytes or _MAX_HEAD_BYTES
+
     def is_complete(self, content: bytes) -> bool:
         """Whether a head can be read, or refused, without waiting for it."""
-        if len(content) > (self.header_bytes or _MAX_HEAD_BYTES):
+        if len(content) > self.max_head_bytes:
             return True
         return any(end in content for end in _HEAD_ENDS)
 
+    def find_arrival(self, caller: CallerConnection) -> float:
+        """Return when the first head of a connection had come whole."""
+        content = caller.buffer
+        ends = [
+            content.index(end) + len(end)
+            for end in _HEAD_ENDS
+            if end in content
+        ]
+        return caller.arrivals.find(min(ends, default=len(content)))
+
     def find_patience(self, caller: CallerConnection) -> float:
         """Return the longest silence of a connection in seconds."""
+        if caller.is_answering:
+            return math.inf
         if caller.is_refused:
             return _LINGER_SECONDS
         return self.idle_seconds if caller.is_idle else self.header_seconds
--- a/sesameroute/adapters/_idle_callers.py
+++ b/sesameroute/adapters/_idle_callers.py
@@ -1,20 +1,24 @@
-"""Callers' connections while no request runs on them."""
+"""Callers' connections while the event loop reads from them."""
 
 import logging
-import socket
 import threading
-import time
 from collections.abc import Callable
 
+from sesameroute.adapters._answer_row import AnswerRow, HeldBytes
 from sesameroute.adapters._caller_connection import CallerConnection
-from sesameroute.adapters._head_limits import HeadLimits
-from sesameroute.adapters._running import RunningRequests
-from sesameroute.adapters._watched_callers import WatchedCallers
+from sesameroute.adapters._kept_callers import KeptCallers
+from sesameroute.adapters._pipelined_request import (
+    PipelinedRequest,
+    end_answer,
+    refuse_in_row,
+)
 
 __all__ = ['IdleCallers']
 
 _READ_BYTES = 16_384
 _CLOSED_WHEN_EXHAUSTED = 16  # idle connections
+# Bytes of answers that wait behind others.
+_HELD_BYTES = 8_388_608
 _TIMEOUT_ANSWER = (
     b'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n'
     b'Connection: close\r\n\r\n'
@@ -28,104 +32,111 @@
 
     Parameters
     ----------
-    watched : WatchedCallers
-        Waits for the callers.
-    running : RunningRequests
-        Counts new connections and requests that have begun.
-    submit : callable
-        Takes a connection with a whole head.
+    kept : KeptCallers
+        The connections and their requests.
     on_silent : callable
         Called when a caller that has sent part of a head gets a 408.
 
     Attributes
     ----------
-    limits : HeadLimits
-        Limits on callers.
-    is_stopping : threading.Event
-        Set while connections without a request are closed.
+    watched, limits, is_stopping
+        As in `KeptCallers`.
+    held : HeldBytes
+        Bounds the answers that wait behind others.
     has_closed_idle_ : threading.Event
-        Set when that has been done.
+        Set when a stop has closed the connections without a request.
 
     """
 
     def __init__(
-        self,
-        watched: WatchedCallers,
-        running: RunningRequests,
-        submit: Callable[[CallerConnection], None],
-        on_silent: Callable[[], None],
+        self, kept: KeptCallers, on_silent: Callable[[], None]
     ) -> None:
         """Store the parameters."""
-        self.watched = watched
-        self.running = running
-        self.submit = submit
+        self.kept = kept
         self.on_silent = on_silent
-        self.limits = HeadLimits()
-        self.is_stopping = threading.Event()
+        self.watched = kept.watched
+        self.limits = kept.limits
+        self.is_stopping = kept.is_stopping
+        self.held = HeldBytes(_HELD_BYTES)
         self.has_closed_idle_ = threading.Event()
 
     def add(self, caller: CallerConnection) -> None:
         """Take a new connection, on which a request will come."""
-        caller.begin(self.running)
-        self.watched.add(caller)
+        caller.row = AnswerRow(self.held)
+        caller.begin(self.kept.running)
+        self.kept.watch(caller)
 
     def put_back(self, caller: CallerConnection) -> None:
-        """Take a connection after its request has been answered."""
-        caller.changed_at = time.monotonic()
-        caller.socket.settimeout(0)
-        caller.take_leftover()
-        if caller.buffer:
-            caller.begin(self.running)
-        elif self.is_stopping.is_set():
-            caller.socket.close()
-            return
-        if self.limits.is_complete(caller.buffer):
-            self.submit(caller)
-        else:
-            self.watched.add(caller)
+        """Take a connection after a request that had it to itself."""
+        with caller.lock:
+            caller.socket.settimeout(0)
+            caller.take_leftover()
+            caller.is_exclusive = False
+            self.kept.resume(caller)
 
     def read(self, caller: CallerConnection, now: float) -> None:
-        """Read from a connection; submit it when a head has come whole."""
-        try:
-            content = caller.socket.recv(_READ_BYTES)
-        except BlockingIOError:
-            return
-        except OSError as error:
-            _log(error)
-            content = b''
-        if not content:
-            self._drop(caller)
-        elif not caller.is_refused:
-            caller.changed_at = now
-            caller.buffer += content
-            caller.begin(self.running)
-            is_complete = self.limits.is_complete(caller.buffer)
-            if is_complete and self.watched.remove(caller.socket):
-                self.submit(caller)
+        """Read from a connection; submit the requests that have come whole."""
+        with caller.lock:
+            if not caller.is_watched:
+                return  # another thread has taken it since
+            try:
+                content = caller.socket.recv(_READ_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                _log(error)
+                content = b''
+            if not content:
+                self.kept.leave(caller)
+            elif not caller.is_refused:
+                caller.receive(content, now)
+                caller.begin(self.kept.running)
+                self.kept.submit_requests(caller)
+
+    def end_answer(self, request: PipelinedRequest, *, is_kept: bool) -> None:
+        """Take note of the end of an answer to one of several requests."""
+        end_answer(request, self.limits.idle_seconds, ends_row=not is_kept)
+        with request.caller.lock:
+            self.kept.resume(request.caller)
+
+    def refuse(
+        self, request: PipelinedRequest, answer: bytes, closing: bytes
+    ) -> None:
+        """Answer one of several requests without waiting.
 
-    def answer_last(self, caller: CallerConnection, answer: bytes) -> None:
-        """Send a last answer without waiting, then await the caller's end.
+        Parameters
+        ----------
+        request : PipelinedRequest
+            The request.
+        answer, closing : bytes
+            The answer with others beside it, and the one if it is alone.
 
-        Closing at once would reset the connection, and with it the answer, if
-        the caller has sent more than has been read.
         """
-        caller.is_refused = True
-        caller.changed_at = time.monotonic()
-        caller.socket.settimeout(0)
-        try:
-            caller.socket.send(answer)
-        except OSError as error:
-            _log(error)
-            self.close(caller)
+        caller = request.caller
+        with caller.lock:
+            is_alone = caller.row.is_alone(request.place)
+            if is_alone:
+                caller.row.advance()
+        if is_alone:
+            self.answer_last(caller, closing)
             return
-        caller.socket.shutdown(socket.SHUT_WR)
-        caller.settle(self.running)
-        self.watched.add(caller)
+        refuse_in_row(request, answer)
+        with caller.lock:
+            self.kept.resume(caller)
 
-    def close(self, caller: CallerConnection) -> None:
-        """Close a connection that is not watched."""
-        caller.settle(self.running)
-        caller.socket.close()
+    def answer_last(self, caller: CallerConnection, answer: bytes) -> None:
+        """Send a last answer without waiting, then await the caller's end."""
+        with caller.lock:
+            caller.row.end()
+            caller.is_exclusive = False
+            caller.socket.settimeout(0)
+            try:
+                caller.socket.send(answer)
+            except OSError as error:
+                _log(error)
+                self.kept.leave(caller)
+            else:
+                self.kept.await_end(caller)
 
     def expire(self, now: float) -> None:
         """Close the connections that have been silent for too long."""
@@ -133,7 +144,7 @@
         for caller in self.watched.list_callers():
             silence = now - caller.changed_at
             if caller.is_idle and is_stopping:
-                self._drop(caller)
+                self.kept.drop(caller)
             elif silence > self.limits.find_patience(caller):
                 self._end_silent(caller)
         if is_stopping:
@@ -142,11 +153,13 @@
     def close_oldest(self) -> None:
         """Close silent connections to make room for new ones."""
         silent = [
-            each for each in self.watched.list_callers() if not each.buffer
+            each
+            for each in self.watched.list_callers()
+            if not (each.buffer or each.is_answering)
         ]
         silent.sort(key=lambda each: each.changed_at)
         for caller in silent[:_CLOSED_WHEN_EXHAUSTED]:
-            self._drop(caller)
+            self.kept.drop(caller)
 
     def begin_stop(self) -> None:
         """Let the connections be closed on which no request has begun."""
@@ -156,20 +169,15 @@
     def close_all(self) -> None:
         """Close all connections."""
         for caller in self.watched.list_callers():
-            self._drop(caller)
+            self.kept.drop(caller)
 
     def _end_silent(self, caller: CallerConnection) -> None:
         if not caller.buffer or caller.is_refused:
-            self._drop(caller)
-        elif self.watched.remove(caller.socket):
+            self.kept.drop(caller)
+        elif self.kept.unwatch(caller):
             self.on_silent()
             self.answer_last(caller, _TIMEOUT_ANSWER)
 
-    def _drop(self, caller: CallerConnection) -> None:
-        """Close a connection unless another thread has taken it."""
-        if self.watched.remove(caller.socket):
-            self.close(caller)
-
 
 def _log(error: OSError) -> None:
     _logger.debug('connection error', extra={'why': str(error)})
--- a/sesameroute/adapters/_request_parser.py
+++ b/sesameroute/adapters/_request_parser.py
@@ -96,8 +96,21 @@
 
     RequestHandlerClass = _Request  # noqa: WPS115 - cheroot's name
     must_reset = False
+    has_body = True
     came_at: float = 0  # monotonic time of the head of its request, in s
 
+    def has_turn(self) -> bool:
+        """Whether all requests before this one have been answered."""
+        return True
+
+    def is_last(self) -> bool:
+        """Whether no request of the connection has been read behind it."""
+        return True
+
+    def wait_at_most(self, seconds: float) -> None:
+        """Limit how long a read or a write may wait."""
+        self.socket.settimeout(seconds)
+
     def close(self) -> None:
         """Close the connection; the caller gets an error if it is reset."""
         if not self.must_reset:
@@ -125,7 +138,7 @@
     def respond(self) -> None:
         """Answer the request."""
         request = self.req
-        if request.server.front.is_leaving():
+        if request.server.front.is_leaving() and request.conn.is_last():
             request.close_connection = True
         if _has_ambiguous_length(request):
             _answer_shortly(request, '400 Bad Request')
@@ -134,13 +147,15 @@
             _answer_shortly(request, '200 OK')
             return
         request.rfile = build_body(request)
-        request.conn.socket.settimeout(request.server.timeout)
+        request.conn.wait_at_most(request.server.timeout)
         answer = request.server.front.handler(request)
         if answer is None:
             abort_connection(request)
             return
         write_answer(request, answer)
-        if not discard_rest(request, _DISCARD_SECONDS):
+        if request.conn.has_body and not discard_rest(
+            request, _DISCARD_SECONDS
+        ):
             request.close_connection = True
 
 
--- a/sesameroute/adapters/_request_queue.py
+++ b/sesameroute/adapters/_request_queue.py
@@ -2,11 +2,15 @@
 
 import threading
 import time
+from typing import TypeAlias
 
 from sesameroute.adapters._caller_connection import CallerConnection
+from sesameroute.adapters._pipelined_request import PipelinedRequest
 from sesameroute.limits import AdmissionQueue, ConcurrencyLimit
 
-__all__ = ['RequestQueue']
+__all__ = ['RequestQueue', 'Waiting']
+
+Waiting: TypeAlias = CallerConnection | PipelinedRequest
 
 
 class RequestQueue:
@@ -19,8 +23,8 @@
 
     Attributes
     ----------
-    serving_ : set of CallerConnection
-        Connections whose requests are served.
+    serving_ : set of Waiting
+        What is served.
     idle_ : int
         Threads that wait for a request.
 
@@ -29,26 +33,26 @@
     def __init__(self, limit: ConcurrencyLimit) -> None:
         """Start empty."""
         self.limit = limit
-        self.serving_: set[CallerConnection] = set()
+        self.serving_: set[Waiting] = set()
         self.idle_ = 0
         self._changed = threading.Condition()
-        self._waiting: AdmissionQueue[CallerConnection] = AdmissionQueue()
+        self._waiting: AdmissionQueue[Waiting] = AdmissionQueue()
         self._is_stopping = False
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
         return len(self._waiting)
 
-    def submit(self, caller: CallerConnection) -> None:
-        """Let a connection wait for a thread."""
+    def submit(self, waiting: Waiting) -> None:
+        """Let a request wait for a thread."""
         now = time.monotonic()
         with self._changed:
-            caller.queued_at = now
-            self._waiting.push(caller, now)
+            waiting.queued_at = now
+            self._waiting.push(waiting, now)
             if self._may_start():
                 self._changed.notify()
 
-    def take(self) -> tuple[CallerConnection | None, list[CallerConnection]]:
+    def take(self) -> tuple[Waiting | None, list[Waiting]]:
         """Wait for a request; return it, and those that have expired.
 
         The first is None if all have expired, or the queue has stopped.
@@ -61,7 +65,7 @@
             expired = list(self._waiting.pop_expired(now))
             return (self._begin(now) if self._waiting else None), expired
 
-    def pop_expired(self) -> list[CallerConnection]:
+    def pop_expired(self) -> list[Waiting]:
         """Remove and return the connections that have waited for too long."""
         with self._changed:
             return list(self._waiting.pop_expired(time.monotonic()))
@@ -93,7 +97,7 @@
     def _may_start(self) -> bool:
         return len(self.serving_) < self.limit.limit_
 
-    def _begin(self, now: float) -> CallerConnection:
-        caller = self._waiting.pop(now)
-        self.serving_.add(caller)
-        return caller
+    def _begin(self, now: float) -> Waiting:
+        waiting = self._waiting.pop(now)
+        self.serving_.add(waiting)
+        return waiting
--- a/sesameroute/adapters/_worker_pool.py
+++ b/sesameroute/adapters/_worker_pool.py
@@ -6,14 +6,12 @@
 import time
 from collections.abc import Callable
 
-from sesameroute.adapters._caller_connection import CallerConnection
-from sesameroute.adapters._request_queue import RequestQueue
-from sesameroute.limits import ConcurrencyBounds, ConcurrencyLimit
+from sesameroute.adapters._request_queue import RequestQueue, Waiting
 from sesameroute.telemetry import survive
 
-__all__ = ['WorkerPool']
+__all__ = ['MAX_THREADS', 'WorkerPool']
 
-_MAX_THREADS = 512
+MAX_THREADS = 512
 _SPARE_THREADS = 3
 _STOP_SECONDS = 0.2
 _CUT_SECONDS = 0.2  # for the threads whose connections a stop cuts
@@ -29,33 +27,29 @@
 
     Parameters
     ----------
+    queue : RequestQueue
+        Requests that wait for a thread, and those that are served.
     serve : callable
-        Serves a connection.
+        Serves a request.
     refuse : callable
-        Answers a connection that has waited for too long.
+        Answers a request that has waited for too long.
     threads : int
         Number of threads at the start.
 
-    Attributes
-    ----------
-    queue : RequestQueue
-        Requests that wait for a thread, and those that are served.
-
     """
 
     def __init__(
         self,
-        serve: Callable[[CallerConnection], None],
-        refuse: Callable[[CallerConnection], None],
+        queue: RequestQueue,
+        serve: Callable[[Waiting], None],
+        refuse: Callable[[Waiting], None],
         threads: int,
     ) -> None:
         """Store the parameters."""
+        self.queue = queue
         self.serve = serve
         self.refuse = refuse
         self.threads = threads
-        self.queue = RequestQueue(
-            ConcurrencyLimit(ConcurrencyBounds(highest=_MAX_THREADS))
-        )
         self._spare = min(_SPARE_THREADS, threads - 1)
         self._workers: set[threading.Thread] = set()
 
@@ -74,7 +68,9 @@
 
     def _join(self, until: float) -> None:
         for worker in tuple(self._workers):
-            worker.join(max(until - time.monotonic(), 0))
+            # One that has just been added may not have been started.
+            if worker.ident is not None:
+                worker.join(max(until - time.monotonic(), 0))
 
     def _add_worker(self) -> None:
         worker = threading.Thread(target=self._run, name='caller', daemon=True)
@@ -95,18 +91,18 @@
                 self._serve(caller)
         self._workers.discard(threading.current_thread())
 
-    def _serve(self, caller: CallerConnection) -> None:
+    def _serve(self, waiting: Waiting) -> None:
         is_short = self.queue.idle_ < self._spare
-        if is_short and len(self._workers) < _MAX_THREADS:
+        if is_short and len(self._workers) < MAX_THREADS:
             self._add_worker()
         with survive('request of a caller'):
-            self.serve(caller)
-        self.queue.serving_.discard(caller)
+            self.serve(waiting)
+        self.queue.serving_.discard(waiting)
 
 
-def _cut(caller: CallerConnection) -> None:
+def _cut(waiting: Waiting) -> None:
     """End what a thread reads from a caller."""
     try:
-        caller.socket.shutdown(socket.SHUT_RD)
+        waiting.socket.shutdown(socket.SHUT_RD)
     except OSError as error:
         _logger.debug('connection error', extra={'why': str(error)})
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -11,7 +11,7 @@
 from sesameroute.forward._message import AnswerMetadata, TryError
 from sesameroute.forward._request_log import log_event
 from sesameroute.forward._request_state import RequestState, is_consumed
-from sesameroute.forward._rerouting import may_run_again
+from sesameroute.forward._rerouting import may_run_again, may_start_in_row
 from sesameroute.forward._retries import RetryBudgets
 from sesameroute.limits import Shutdown
 from sesameroute.placement import Outcome
@@ -24,6 +24,7 @@
 
 _SUSPECTED = 'suspected'
 _STOPPING = 'stopping'
+_IN_ROW = 'behind-others'
 # Interval at which a request asks again for a trial.
 _TRIAL_POLL_SECONDS = 0.05
 _MAX_TRIAL_WAIT_SECONDS = 0.5
@@ -51,7 +52,7 @@
 
     def may_start(self, state: RequestState) -> bool:
         """Whether a try may start: a node that stops soon starts few."""
-        return self.shutdown.may_start(
+        return may_start_in_row(state) and self.shutdown.may_start(
             self.clock.read_monotonic(),
             state.deadline,
             state.route.latency_target,
@@ -146,12 +147,13 @@
 
 
 def _build_stop_answer(state: RequestState) -> Answer:
-    log_event(state, 'request turned away', _STOPPING, '')
+    reason = _STOPPING if may_start_in_row(state) else _IN_ROW
+    log_event(state, 'request turned away', reason, '')
     if state.last_error is not None:
         return build_failure_answer(
             state.last_error, 0, may_have_run=state.may_have_run
         )
-    return build_answer(HTTPStatus.SERVICE_UNAVAILABLE, _STOPPING, 0)
+    return build_answer(HTTPStatus.SERVICE_UNAVAILABLE, reason, 0)
 
 
 def _build_quarantine_answer(
--- a/sesameroute/forward/_message.py
+++ b/sesameroute/forward/_message.py
@@ -55,6 +55,10 @@
     elapsed: float
 
 
+def _is_alone() -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class CallerRequest:
     """A caller's request, with its body unread.
@@ -73,6 +77,10 @@
         The caller's connection.
     relayed : RelayedRequest or None
         Set if another node has passed the request on.
+    has_turn : callable
+        Returns whether all requests before it on its connection have been
+        answered. Until then it counts as not read if one of these answers
+        ends the connection.
 
     """
 
@@ -85,6 +93,7 @@
     arrived: float
     caller: socket.socket
     relayed: RelayedRequest | None = None
+    has_turn: Callable[[], bool] = _is_alone
 
     @property
     def path(self) -> str:
--- a/sesameroute/forward/_rerouting.py
+++ b/sesameroute/forward/_rerouting.py
@@ -6,7 +6,12 @@
 from sesameroute.placement import SlotRequest
 from sesameroute.routes import ActiveConfiguration, RequestKind
 
-__all__ = ['follow_configuration', 'is_of_route', 'may_run_again']
+__all__ = [
+    'follow_configuration',
+    'is_of_route',
+    'may_run_again',
+    'may_start_in_row',
+]
 
 
 def follow_configuration(
@@ -43,3 +48,13 @@
     A request that may have run must not run again once its kind is `UNSAFE`.
     """
     return state.route.kind.is_idempotent or not state.may_have_run
+
+
+def may_start_in_row(state: RequestState) -> bool:
+    """Return whether a try may start before earlier requests are answered.
+
+    Load pattern: rows of reads on one connection while the configuration
+    changes. An answer that ends the connection makes callers repeat whatever
+    stood behind it, so what must not run twice waits for its turn.
+    """
+    return state.route.kind.is_idempotent or state.request.has_turn()
--- a/sesameroute/node/_front.py
+++ b/sesameroute/node/_front.py
@@ -54,6 +54,12 @@
         except SesameError:
             return None  # the forwarder has logged the reason
 
+    def may_repeat(self, host: str, target: str) -> bool:
+        """Return whether a request has a route that is idempotent."""
+        table = self.forwarder.active_configuration.table_
+        route = table and table.find(host, target.partition('?')[0])
+        return route is not None and route.kind.is_idempotent
+
     def respond(self, request: CallerRequest) -> Answer:
         """Return the answer to a caller's request."""
         return self.forwarder.forward(request)
@@ -72,6 +78,7 @@
             _find_length(request),
             request.conn.came_at,
             request.conn.socket,
+            has_turn=request.conn.has_turn,
         )
 
 
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -133,12 +133,14 @@
             self.clock,
         )
         self.directory = DirectoryHandler(fleet, settings.bounds.longest_ttl)
+        self._front_handler = ForwardHandler(self.forwarder, self.clock)
         self._front = FrontServer(
             parse_address(settings.listen.front),
-            ForwardHandler(self.forwarder, self.clock),
+            self._front_handler,
             self.shutdown.has_begun,
             on_refusal=self.forwarder.refusals_.record,
         )
+        self._front.allow_read_ahead(self._front_handler.may_repeat)
         self.front_check = FrontCheck(self._front)
         self._checks = (
             Prober(
