--- a/sesameroute/adapters/_caller_service.py
+++ b/sesameroute/adapters/_caller_service.py
@@ -141,14 +141,12 @@
     def _end_request(self, caller: CallerConnection, *, is_kept: bool) -> None:
         caller.settle(self.running)
         self.answered_at_ = time.monotonic()
-        if is_kept:
-            return
-        caller.has_left = True
-        try:
+        if caller.http.must_reset:
+            caller.has_left = True
             caller.http.close()
-        except OSError as error:
-            _logger.warning('connection error', extra={'why': str(error)})
-            caller.socket.close()
+        elif not is_kept:
+            with caller.lock:
+                self.idle.kept.await_end(caller)
 
     def _begin_refusal(self) -> bytes:
         """Take note of a refusal; return all but the end of its head."""
--- a/sesameroute/adapters/_idle_callers.py
+++ b/sesameroute/adapters/_idle_callers.py
@@ -127,16 +127,12 @@
     def answer_last(self, caller: CallerConnection, answer: bytes) -> None:
         """Send a last answer without waiting, then await the caller's end."""
         with caller.lock:
-            caller.row.end()
-            caller.is_exclusive = False
             caller.socket.settimeout(0)
             try:
                 caller.socket.send(answer)
             except OSError as error:
                 _log(error)
-                self.kept.leave(caller)
-            else:
-                self.kept.await_end(caller)
+            self.kept.await_end(caller)
 
     def expire(self, now: float) -> None:
         """Close the connections that have been silent for too long."""
--- a/sesameroute/adapters/_kept_callers.py
+++ b/sesameroute/adapters/_kept_callers.py
@@ -110,6 +110,8 @@
         Closing at once would reset the connection, and with it the answer, if
         the caller has sent more than has been read.
         """
+        caller.row.end()
+        caller.is_exclusive = False
         if not caller.row.places_:
             caller.settle(self.running)
         if caller.is_refused:
@@ -117,6 +119,7 @@
         caller.is_refused = True
         caller.buffer = b''
         caller.changed_at = time.monotonic()
+        caller.socket.settimeout(0)
         try:
             caller.socket.shutdown(socket.SHUT_WR)
         except OSError as error:
--- a/sesameroute/adapters/_request_body.py
+++ b/sesameroute/adapters/_request_body.py
@@ -9,15 +9,27 @@
     parse_chunk_size,
 )
 
-__all__ = ['RequestBody', 'build_body', 'discard_rest']
+__all__ = ['EXPECTED', 'RequestBody', 'build_body', 'discard_rest']
+
+EXPECTED = b'100-continue'  # value of Expect, in lower case
 
 _LINE_END = b'\r\n'
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _DISCARD_BYTES = 65_536
 _MIN_WAIT_SECONDS = 0.001
 
 
 class RequestBody(Protocol):
-    """The body of a request."""
+    """The body of a request.
+
+    Attributes
+    ----------
+    is_awaited : bool
+        Whether the caller waits to be asked for it.
+
+    """
+
+    is_awaited: bool
 
     def read(self, size: int) -> bytes:
         """Return the next bytes, at most `size`; none at the end.
@@ -35,6 +47,8 @@
 class _KnownLengthBody:
     """A body whose length the head of the request gives."""
 
+    is_awaited = False
+
     def __init__(self, source: Any, length: int) -> None:
         """Store the connection's reader and the length in bytes."""
         self.source = source
@@ -61,6 +75,8 @@
 
     """
 
+    is_awaited = False
+
     def __init__(self, source: Any, max_bytes: int) -> None:
         """Store the parameters; nothing has been read yet."""
         self.source = source
@@ -108,13 +124,39 @@
         return line
 
 
+class _AwaitedBody:
+    """A body that its caller sends once it is asked for, by its first read.
+
+    Until then the request can be refused without it.
+    """
+
+    def __init__(self, body: RequestBody, writer: Any) -> None:
+        """Store the body and the writer of answers."""
+        self.body = body
+        self.writer = writer
+        self.is_awaited = True
+
+    def read(self, size: int) -> bytes:
+        """Return the next bytes, as `RequestBody`."""
+        if self.is_awaited:
+            self.is_awaited = False
+            self.writer.write(_CONTINUE)
+        return self.body.read(size)
+
+
 def build_body(request: Any) -> RequestBody:
     """Return the body of a cheroot request, unread."""
     source = request.conn.rfile
+    expected = request.inheaders.get(b'Expect', b'').lower()
     if request.chunked_read:
-        return _ChunkedBody(source, request.server.max_request_body_size)
-    length = int(request.inheaders.get(b'Content-Length', 0))
-    return _KnownLengthBody(source, length)
+        body = _ChunkedBody(source, request.server.max_request_body_size)
+    else:
+        length = int(request.inheaders.get(b'Content-Length', 0))
+        body = _KnownLengthBody(source, length)
+        expected = expected if length else b''
+    if expected == EXPECTED:
+        return _AwaitedBody(body, request.conn.wfile)
+    return body
 
 
 def discard_rest(request: Any, seconds: float) -> bool:
@@ -132,7 +174,7 @@
     """
     ends = time.monotonic() + seconds
     remaining = seconds
-    is_unread = True
+    is_unread = not request.rfile.is_awaited
     while is_unread and remaining > 0:
         request.conn.socket.settimeout(max(remaining, _MIN_WAIT_SECONDS))
         try:
@@ -140,4 +182,4 @@
         except (OSError, ValueError):
             return False
         remaining = ends - time.monotonic()
-    return not is_unread
+    return not (is_unread or request.rfile.is_awaited)
--- a/sesameroute/adapters/_request_parser.py
+++ b/sesameroute/adapters/_request_parser.py
@@ -26,7 +26,11 @@
     RefusalObserver,
     report_refusal,
 )
-from sesameroute.adapters._request_body import build_body, discard_rest
+from sesameroute.adapters._request_body import (
+    EXPECTED,
+    build_body,
+    discard_rest,
+)
 from sesameroute.ports import Answer
 
 __all__ = ['FrontContext', 'FrontHandler', 'ParsedConnection', 'RequestParser']
@@ -74,7 +78,11 @@
 
     def __call__(self, rfile: Any, hdict: Any = None) -> Any:
         """Return the header fields; raise ValueError if they are malformed."""
-        return super().__call__(_HeaderLines(rfile), hdict)
+        fields = super().__call__(_HeaderLines(rfile), hdict)
+        if fields.get(b'Expect', b'').lower() == EXPECTED:
+            # cheroot would ask for the body at once.
+            fields[b'Expect'] = EXPECTED.upper()
+        return fields
 
 
 class _Request(HTTPRequest):
@@ -152,6 +160,9 @@
         if answer is None:
             abort_connection(request)
             return
+        if request.rfile.is_awaited:
+            # Its caller may send the body or leave it out.
+            request.close_connection = True
         write_answer(request, answer)
         if request.conn.has_body and not discard_rest(
             request, _DISCARD_SECONDS
--- a/sesameroute/adapters/tests/test_request_body.py
+++ b/sesameroute/adapters/tests/test_request_body.py
@@ -14,6 +14,7 @@
 
 _ADDRESS = (f'{NETWORK}.7', 18_498)
 _TIMEOUT_SECONDS = 5
+_READ_BYTES = 65_536
 _POST = 'POST /x HTTP/1.1\r\nHost: h\r\n'
 _CHUNKED = f'{_POST}Transfer-Encoding: chunked\r\n\r\n'
 _INNER = f'{_POST}Content-Length: 0\r\n\r\n'
@@ -47,6 +48,7 @@
     request = SimpleNamespace(
         conn=SimpleNamespace(rfile=io.BytesIO(content)),
         server=SimpleNamespace(max_request_body_size=0),
+        inheaders={},
         chunked_read=True,
     )
     body = build_body(request)
@@ -122,3 +124,34 @@
         peak = tracemalloc.get_traced_memory()[1]
     tracemalloc.stop()
     assert peak < size / 8
+
+
+@pytest.mark.parametrize('is_sent', [False, True])
+def test_body_is_not_asked_for_when_the_request_is_refused(paths, is_sent):
+    """Callers that wait for 100 Continue sent bodies for nothing."""
+    head = f'{_POST}Expect: 100-continue\r\nContent-Length: 500000\r\n\r\n'
+    with socket.create_connection(_ADDRESS, _TIMEOUT_SECONDS) as caller:
+        caller.sendall(head.encode())
+        if is_sent:
+            caller.sendall(bytes(500_000))
+        received = b''.join(iter(lambda: caller.recv(_READ_BYTES), b''))
+    assert received.startswith(b'HTTP/1.1 404 ')
+    assert b'Connection: close' in received
+
+
+def test_body_is_asked_for_when_it_is_read():
+    """An upload waited until its caller gave up."""
+    server = FrontServer(_ADDRESS, _answer_with_body)
+    server.start()
+    with socket.create_connection(_ADDRESS, _TIMEOUT_SECONDS) as caller:
+        head = f'{_POST}Expect: 100-Continue\r\nContent-Length: 5\r\n\r\n'
+        caller.sendall(head.encode())
+        assert caller.recv(_READ_BYTES) == b'HTTP/1.1 100 Continue\r\n\r\n'
+        caller.sendall(b'whole')
+        assert caller.recv(_READ_BYTES).endswith(b'\r\n\r\nwhole')
+    server.stop()
+
+
+def _answer_with_body(request):
+    content = request.rfile.read(_READ_BYTES)
+    return Answer(200, (), iter((content,)), len(content))
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -208,6 +208,9 @@
             may_wait,
             tuple(sorted(route.homes)),
             state.excluded,
+            body_bytes=-1
+            if state.request.length is None
+            else state.request.length,
         )
 
     def _send_once(
--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -1,12 +1,18 @@
 """State of one request while it is forwarded, and its outgoing form."""
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
 import xxhash
 
+from sesameroute.forward._caller_body import (
+    MAX_BUFFERED_BYTES,
+    CallerBody,
+    is_consumed,
+    read_body,
+)
 from sesameroute.forward._message import (
     AnswerMetadata,
     CallerRequest,
@@ -33,8 +39,6 @@
     'read_body',
 ]
 
-# Bodies up to this size are buffered, longer ones are streamed.
-MAX_BUFFERED_BYTES = 131_072
 HOP_BY_HOP_HEADERS = frozenset(
     (
         'connection',
@@ -151,57 +155,21 @@
     observe_metadata: Callable[[RequestState, AnswerMetadata], None]
 
 
-class _StreamedBody:
-    """A body that is streamed from the caller and can be sent only once."""
-
-    def __init__(self, request: CallerRequest, buffered: bytes) -> None:
-        self.request = request
-        self.buffered = buffered
-        self.is_consumed = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        self.is_consumed = True
-        yield self.buffered
-        while chunk := self.request.read(MAX_BUFFERED_BYTES):
-            yield chunk
-
-
-def read_body(request: CallerRequest) -> object:
-    """Return a short body as bytes, a long one as an iterable of bytes.
-
-    Returns None if there is no body.
-    """
-    if request.length == 0:
-        return None
-    buffered = b''
-    while len(buffered) < MAX_BUFFERED_BYTES:
-        chunk = request.read(MAX_BUFFERED_BYTES - len(buffered))
-        if not chunk:
-            return buffered
-        buffered += chunk
-    return _StreamedBody(request, buffered)
-
-
 def compute_fingerprint(state: RequestState) -> str:
     """Return a digest of method, host, target and body.
 
-    The body counts only if it is buffered. Headers don't count: the affinity
+    Of a long body only the beginning counts. Headers don't count: the affinity
     key says where a request should run, not what it is.
     """
     request = state.request
     digest = xxhash.xxh3_64()
     for part in (request.method, request.host, request.target):
         digest.update(f'{part}\0'.encode())
-    if isinstance(state.body, bytes):
-        digest.update(state.body)
+    if state.body is not None:
+        digest.update(getattr(state.body, 'first', state.body))
     return digest.hexdigest()
 
 
-def is_consumed(body: object) -> bool:
-    """Return whether a streamed body has been read and can't be resent."""
-    return isinstance(body, _StreamedBody) and body.is_consumed
-
-
 def build_outgoing_request(
     state: RequestState,
     backend: Backend,
@@ -293,6 +261,6 @@
         if name.lower() not in HOP_BY_HOP_HEADERS
         and not header_codec.is_replaced_per_hop(name)
     )
-    if state.request.length and isinstance(state.body, _StreamedBody):
+    if state.request.length and isinstance(state.body, CallerBody):
         added = (*added, ('Content-Length', str(state.request.length)))
     return (*forwarded, *added)
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -257,14 +257,19 @@
         body = outgoing.body
         if body is not None and not isinstance(body, bytes):
             body = self._send_in_time(pooled_connection, outgoing)
-        pooled_connection.http_connection.request(
-            outgoing.method,
-            outgoing.target,
-            body,
-            dict(outgoing.headers),
-            preload_content=False,
-            decode_content=False,
-        )
+        try:
+            pooled_connection.http_connection.request(
+                outgoing.method,
+                outgoing.target,
+                body,
+                dict(outgoing.headers),
+                preload_content=False,
+                decode_content=False,
+            )
+        except ConnectionError:
+            # A server may answer a long body before its end, and close.
+            if body is outgoing.body:
+                raise
 
     def _send_in_time(
         self, pooled_connection: PooledConnection, outgoing: OutgoingRequest
