--- a/sesameroute/adapters/tests/test_request_body.py
+++ b/sesameroute/adapters/tests/test_request_body.py
@@ -148,7 +148,9 @@
         caller.sendall(head.encode())
         assert caller.recv(_READ_BYTES) == b'HTTP/1.1 100 Continue\r\n\r\n'
         caller.sendall(b'whole')
-        assert caller.recv(_READ_BYTES).endswith(b'\r\n\r\nwhole')
+        received = b''
+        while not received.endswith(b'\r\n\r\nwhole'):
+            received += caller.recv(1)
     server.stop()
 
 
--- a/sesameroute/node/tests/pressed_node.py
+++ b/sesameroute/node/tests/pressed_node.py
@@ -34,15 +34,18 @@
 
 
 @contextlib.contextmanager
-def running_node(folder, source=REPOSITORY):
-    """Run the node of a source tree with three servers; yield its process."""
+def running_node(folder, source=REPOSITORY, **server):
+    """Run the node of a source tree with three servers; yield its process.
+
+    What else is given goes to the servers, as `BackendStandIn`.
+    """
     with contextlib.ExitStack() as ending:
         cluster = Cluster()
         ending.callback(cluster.stop)
         for number in range(_SERVERS):
-            server = BackendStandIn()
-            ending.callback(server.stop)
-            cluster.register(f'server-{number}', server)
+            standin = BackendStandIn(**server)
+            ending.callback(standin.stop)
+            cluster.register(f'server-{number}', standin)
         environment = {**os.environ, 'PYTHONPATH': str(source)}
         nodes = EarlierNodes(cluster, environment, Path(folder))
         ending.callback(nodes.kill_all)
