--- a/sesameroute/adapters/_answer_row.py
+++ b/sesameroute/adapters/_answer_row.py
@@ -39,6 +39,8 @@
     ----------
     held_ : int
         Bytes that are held now.
+    waiting_ : int
+        Threads that wait for room, or for the turn of their answer.
 
     """
 
@@ -46,6 +48,7 @@
         """Store the limit; nothing is held."""
         self.limit = limit
         self.held_ = 0
+        self.waiting_ = 0
         self._lock = threading.Lock()
 
     def try_hold(self, size: int, of_connection: int) -> bool:
@@ -67,6 +70,20 @@
             self.held_ += size
             return True
 
+    def compute_excess(self) -> int:
+        """Return the bytes that leave no room for another connection."""
+        return self.held_ + self.limit // _CONNECTION_FRACTION - self.limit
+
+    def count_waiting(self, change: int) -> None:
+        """Change the number of waiting threads."""
+        with self._lock:
+            self.waiting_ += change
+
+    def hold(self, size: int) -> None:
+        """Count bytes as held that can't be sent now."""
+        with self._lock:
+            self.held_ += size
+
     def release(self, size: int) -> None:
         """Count bytes as held no more."""
         with self._lock:
@@ -86,7 +103,7 @@
     ends_row : bool
         Whether nothing may be sent behind it.
     is_flushing : bool
-        Whether another thread sends what is held.
+        Whether another thread than its own sends what is held.
 
     """
 
@@ -114,6 +131,8 @@
         The requests that are not answered completely.
     has_ended_ : bool
         Whether an answer has ended the connection.
+    held_size_ : int
+        Bytes that are held.
 
     """
 
@@ -122,7 +141,7 @@
         self.held = held
         self.places_: deque[RowPlace] = deque()
         self.has_ended_ = False
-        self._held_size = 0
+        self.held_size_ = 0
 
     def add(self) -> RowPlace:
         """Return the place of one more request."""
@@ -148,9 +167,9 @@
             return Turn.ENDED
         if self.is_first(place) and not place.is_flushing:
             return Turn.SEND
-        if not self.held.try_hold(len(content), self._held_size):
+        if not self.held.try_hold(len(content), self.held_size_):
             return Turn.WAIT
-        self._held_size += len(content)
+        self.held_size_ += len(content)
         place.parts.append(content)
         return Turn.HELD
 
@@ -184,15 +203,28 @@
         self._release(len(content))
         return content
 
+    def keep_unsent(self, content: bytes) -> None:
+        """Hold bytes of the first answer that its caller does not take yet.
+
+        From then on the event loop sends what is held.
+        """
+        if self.has_ended_:
+            return
+        first = self.places_[0]
+        first.parts.insert(0, content)
+        first.is_flushing = True
+        self.held_size_ += len(content)
+        self.held.hold(len(content))
+
     def end(self) -> None:
         """Send nothing more; forget what is held."""
         self.has_ended_ = True
-        self._release(self._held_size)
+        self._release(self.held_size_)
         for place in tuple(self.places_):
             place.parts = []
             if place.is_done:
                 self.places_.remove(place)
 
     def _release(self, size: int) -> None:
-        self._held_size -= size
+        self.held_size_ -= size
         self.held.release(size)
--- a/sesameroute/adapters/_caller_connection.py
+++ b/sesameroute/adapters/_caller_connection.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -48,9 +49,13 @@
         Whether one request has the connection to itself.
     is_watched : bool
         Whether the event loop reads from it.
+    is_stalled : bool
+        Whether the event loop sends what the caller does not take at once.
     has_left : bool
         Whether the caller has closed it, as far as has been read, or it has
         been closed here.
+    on_stall : callable
+        Called with it when it takes no more bytes.
     row : AnswerRow
         The requests that run beside each other.
     arrivals : ArrivalTimes
@@ -70,7 +75,9 @@
     is_refused: bool = False
     is_exclusive: bool = False
     is_watched: bool = False
+    is_stalled: bool = False
     has_left: bool = False
+    on_stall: Callable[['CallerConnection'], None] = bool
     row: AnswerRow = field(default_factory=lambda: AnswerRow(HeldBytes(0)))
     arrivals: ArrivalTimes = field(default_factory=ArrivalTimes)
     lock: threading.Condition = field(default_factory=threading.Condition)
--- a/sesameroute/adapters/_connection_loop.py
+++ b/sesameroute/adapters/_connection_loop.py
@@ -81,7 +81,8 @@
         self._is_closed.set()
         self.idle.watched.wake()
         thread.join(_STOP_SECONDS)
-        self.idle.close_all()
+        for caller in self.idle.watched.list_callers():
+            self.idle.kept.drop(caller)
         self.idle.watched.close()
 
     def _run(self) -> None:
@@ -128,7 +129,7 @@
         if caller is None:
             self._accept(now)
         else:
-            self.idle.read(caller, now)
+            self.idle.handle(caller, now)
 
     def _accept(self, now: float) -> bool:
         """Accept connections; return whether there were any."""
--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -118,6 +118,7 @@
             self._kept,
             lambda: report_refusal('408 Request Timeout', on_refusal),
         )
+        queue.count_blocked_ = lambda: self._idle.held.waiting_
         self._service = CallerService(self._parser, self._idle, self.running_)
         refuse = self._service.refuse
         self._pool = WorkerPool(queue, self._service.serve, refuse, threads)
@@ -187,6 +188,10 @@
         self._parser.max_request_body_size = body_bytes
         self._parser.timeout = limits.idle_seconds
 
+    def limit_held(self, size: int) -> None:
+        """Limit the bytes of answers that wait for others or for callers."""
+        self._idle.held.limit = size
+
     def allow_read_ahead(self, may_repeat: Callable[[str, str], bool]) -> None:
         """Run requests of a connection beside each other.
 
--- a/sesameroute/adapters/_head_limits.py
+++ b/sesameroute/adapters/_head_limits.py
@@ -54,8 +54,9 @@
 
     def find_patience(self, caller: CallerConnection) -> float:
         """Return the longest silence of a connection in seconds."""
-        if caller.is_answering:
+        if caller.is_answering and not caller.is_stalled:
             return math.inf
         if caller.is_refused:
             return _LINGER_SECONDS
-        return self.idle_seconds if caller.is_idle else self.header_seconds
+        is_between = caller.is_idle or caller.is_stalled
+        return self.idle_seconds if is_between else self.header_seconds
--- a/sesameroute/adapters/_idle_callers.py
+++ b/sesameroute/adapters/_idle_callers.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from sesameroute.adapters._answer_row import AnswerRow, HeldBytes
 from sesameroute.adapters._caller_connection import CallerConnection
@@ -11,14 +11,17 @@
     PipelinedRequest,
     end_answer,
     refuse_in_row,
+    send_held,
 )
 
 __all__ = ['IdleCallers']
 
 _READ_BYTES = 16_384
 _CLOSED_WHEN_EXHAUSTED = 16  # idle connections
-# Bytes of answers that wait behind others.
+# Bytes of answers that wait for their turn or for their callers.
 _HELD_BYTES = 8_388_608
+# A caller that takes nothing for so long may be cut when room is short.
+_STALL_SECONDS = 1.0
 _TIMEOUT_ANSWER = (
     b'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n'
     b'Connection: close\r\n\r\n'
@@ -42,7 +45,7 @@
     watched, limits, is_stopping
         As in `KeptCallers`.
     held : HeldBytes
-        Bounds the answers that wait behind others.
+        Bounds the answers that wait for their turn or their callers.
     has_closed_idle_ : threading.Event
         Set when a stop has closed the connections without a request.
 
@@ -63,6 +66,7 @@
     def add(self, caller: CallerConnection) -> None:
         """Take a new connection, on which a request will come."""
         caller.row = AnswerRow(self.held)
+        caller.on_stall = self.kept.stall
         caller.begin(self.kept.running)
         self.kept.watch(caller)
 
@@ -74,6 +78,17 @@
             caller.is_exclusive = False
             self.kept.resume(caller)
 
+    def handle(self, caller: CallerConnection, now: float) -> None:
+        """Send what a connection takes again; read what has come on it."""
+        with caller.lock:
+            was_stalled = self.kept.unstall(caller)
+        if was_stalled:
+            caller.changed_at = now
+            send_held(caller)
+            with caller.lock:
+                self.kept.resume(caller)
+        self.read(caller, now)
+
     def read(self, caller: CallerConnection, now: float) -> None:
         """Read from a connection; submit the requests that have come whole."""
         with caller.lock:
@@ -95,7 +110,7 @@
 
     def end_answer(self, request: PipelinedRequest, *, is_kept: bool) -> None:
         """Take note of the end of an answer to one of several requests."""
-        end_answer(request, self.limits.idle_seconds, ends_row=not is_kept)
+        end_answer(request, ends_row=not is_kept)
         with request.caller.lock:
             self.kept.resume(request.caller)
 
@@ -137,6 +152,9 @@
     def expire(self, now: float) -> None:
         """Close the connections that have been silent for too long."""
         is_stopping = self.is_stopping.is_set()
+        for slowest in _iterate_cut(self, now):
+            _logger.warning('slow reader cut', extra={'held': self.held.held_})
+            self.kept.drop(slowest)
         for caller in self.watched.list_callers():
             silence = now - caller.changed_at
             if caller.is_idle and is_stopping:
@@ -162,13 +180,8 @@
         self.is_stopping.set()
         self.watched.wake()
 
-    def close_all(self) -> None:
-        """Close all connections."""
-        for caller in self.watched.list_callers():
-            self.kept.drop(caller)
-
     def _end_silent(self, caller: CallerConnection) -> None:
-        if not caller.buffer or caller.is_refused:
+        if caller.is_stalled or caller.is_refused or not caller.buffer:
             self.kept.drop(caller)
         elif self.kept.unwatch(caller):
             self.on_silent()
@@ -177,3 +190,19 @@
 
 def _log(error: OSError) -> None:
     _logger.debug('connection error', extra={'why': str(error)})
+
+
+def _iterate_cut(idle: IdleCallers, now: float) -> Iterator[CallerConnection]:
+    """Yield the callers to cut until there is room for what is held.
+
+    Load pattern: many callers that hardly read their long answers. Those that
+    have taken nothing for the longest time are cut: they are likely to have
+    gone. Their requests are idempotent, and they see the cut.
+    """
+    excess = idle.held.compute_excess()
+    callers = idle.watched.list_callers() if excess > 0 else []
+    for caller in sorted(callers, key=lambda each: each.changed_at):
+        is_slow = caller.is_stalled and now - caller.changed_at > _STALL_SECONDS
+        if is_slow and excess > 0:
+            excess -= caller.row.held_size_
+            yield caller
--- a/sesameroute/adapters/_kept_callers.py
+++ b/sesameroute/adapters/_kept_callers.py
@@ -67,16 +67,30 @@
         """Let the event loop read from a connection."""
         if not caller.is_watched:
             caller.is_watched = True
-            self.watched.add(caller)
+            self.watched.set_events(caller)
 
     def unwatch(self, caller: CallerConnection) -> bool:
         """Let the event loop read no more; return whether it did."""
         was_watched = caller.is_watched
         if was_watched:
             caller.is_watched = False
-            self.watched.remove(caller.socket)
+            self.watched.set_events(caller)
         return was_watched
 
+    def stall(self, caller: CallerConnection) -> None:
+        """Let the event loop send what is held of the first answer."""
+        if not caller.is_stalled:
+            caller.is_stalled = True
+            self.watched.set_events(caller)
+
+    def unstall(self, caller: CallerConnection) -> bool:
+        """Let the event loop send no more; return whether it did."""
+        was_stalled = caller.is_stalled
+        if was_stalled:
+            caller.is_stalled = False
+            self.watched.set_events(caller)
+        return was_stalled
+
     def submit_requests(self, caller: CallerConnection) -> None:
         """Submit what may run now; read on while no whole head waits."""
         self.read_ahead.submit_all(caller)
@@ -137,17 +151,19 @@
     def drop(self, caller: CallerConnection) -> None:
         """Close a connection unless another thread has it to itself."""
         with caller.lock:
-            if not caller.is_watched:
+            if not (caller.is_watched or caller.is_stalled):
                 return
             if caller.row.places_:
                 caller.row.end()
                 caller.lock.notify_all()
                 with contextlib.suppress(OSError):
                     caller.socket.shutdown(socket.SHUT_RDWR)
+            self.unstall(caller)
             self.leave(caller)
 
     def _close_unused(self, caller: CallerConnection) -> None:
         if not caller.row.places_:
+            self.unstall(caller)
             caller.settle(self.running)
             caller.socket.close()
 
--- a/sesameroute/adapters/_pipelined_request.py
+++ b/sesameroute/adapters/_pipelined_request.py
@@ -2,7 +2,6 @@
 
 import errno
 import io
-import select
 import socket
 import time
 from dataclasses import dataclass
@@ -15,9 +14,13 @@
     RequestParser,
 )
 
-__all__ = ['PipelinedRequest', 'RowConnection', 'end_answer', 'refuse_in_row']
-
-_MILLISECONDS = 1000
+__all__ = [
+    'PipelinedRequest',
+    'RowConnection',
+    'end_answer',
+    'refuse_in_row',
+    'send_held',
+]
 
 
 @dataclass(slots=True, eq=False)
@@ -73,7 +76,7 @@
         def make_file(_sock: socket.socket, mode: str, _size: int) -> Any:
             if mode.startswith('r'):
                 return io.BytesIO(request.head)
-            return _TurnWriter(request, parser.timeout)
+            return _TurnWriter(request)
 
         super().__init__(parser, request.socket, make_file)
         self.came_at = request.came_at
@@ -98,10 +101,9 @@
 class _TurnWriter:
     """Writes an answer when those before it are sent, holds it until then."""
 
-    def __init__(self, request: PipelinedRequest, seconds: float) -> None:
-        """Store the request and the longest pause in seconds."""
+    def __init__(self, request: PipelinedRequest) -> None:
+        """Store the request."""
         self.request = request
-        self.seconds = seconds
 
     def write(self, content: bytes) -> int:
         """Send or hold bytes; raise OSError if they can't be sent any more."""
@@ -109,12 +111,14 @@
         with caller.lock:
             turn = caller.row.offer(self.request.place, content)
             while turn is Turn.WAIT:
+                caller.row.held.count_waiting(1)
                 caller.lock.wait()
+                caller.row.held.count_waiting(-1)
                 turn = caller.row.offer(self.request.place, content)
         if turn is Turn.ENDED:
             raise BrokenPipeError(errno.EPIPE, 'an earlier answer was the last')
         if turn is Turn.SEND:
-            _send_whole(caller.socket, content, self.seconds)
+            send_or_keep(caller, content)
         return len(content)
 
     def flush(self) -> None:
@@ -124,17 +128,13 @@
         """Do nothing: the connection stays open for other answers."""
 
 
-def end_answer(
-    request: PipelinedRequest, seconds: float, *, ends_row: bool
-) -> None:
+def end_answer(request: PipelinedRequest, *, ends_row: bool) -> None:
     """Note the end of an answer; send what is held behind it.
 
     Parameters
     ----------
     request : PipelinedRequest
         The request.
-    seconds : float
-        Longest time without progress.
     ends_row : bool
         Whether nothing may be sent behind it.
 
@@ -142,12 +142,8 @@
     caller = request.caller
     with caller.lock:
         is_more = caller.row.finish(request.place, ends_row=ends_row)
-    while is_more:
-        with caller.lock:
-            place = caller.row.advance()
-            caller.changed_at = time.monotonic()
-            caller.lock.notify_all()
-        is_more = place is not None and _flush(caller, place, seconds)
+    if is_more:
+        _advance(caller)
 
 
 def refuse_in_row(request: PipelinedRequest, answer: bytes) -> None:
@@ -161,18 +157,61 @@
     is_kept = turn is not Turn.WAIT
     if turn is Turn.SEND:
         try:
-            _send_whole(caller.socket, answer, 0)
+            send_or_keep(caller, answer)
         except OSError:
             is_kept = False
-    end_answer(request, 0, ends_row=not is_kept)
+    end_answer(request, ends_row=not is_kept)
+
+
+def send_held(caller: CallerConnection) -> None:
+    """Send what is held of the first answers, as far as the caller takes it.
+
+    Called by the event loop for a connection that is stalled.
+    """
+    with caller.lock:
+        if caller.row.has_ended_ or not caller.row.places_:
+            return  # it has been cut meanwhile
+        place = caller.row.places_[0]
+    if _flush(caller, place):
+        _advance(caller)
+
+
+def send_or_keep(caller: CallerConnection, content: bytes) -> None:
+    """Send bytes; leave to the event loop what the caller does not take.
 
+    Raises
+    ------
+    OSError
+        The connection is broken.
 
-def _flush(caller: CallerConnection, place: RowPlace, seconds: float) -> bool:
+    """
+    unsent = memoryview(content)
+    try:
+        while unsent:
+            unsent = unsent[caller.socket.send(unsent) :]
+    except BlockingIOError:
+        with caller.lock:
+            caller.row.keep_unsent(bytes(unsent))
+            caller.on_stall(caller)
+
+
+def _advance(caller: CallerConnection) -> None:
+    """Go on with the next answers as long as they are complete."""
+    is_more = True
+    while is_more:
+        with caller.lock:
+            place = caller.row.advance()
+            caller.changed_at = time.monotonic()
+            caller.lock.notify_all()
+        is_more = place is not None and _flush(caller, place)
+
+
+def _flush(caller: CallerConnection, place: RowPlace) -> bool:
     """Send what is held of an answer; return whether that was its end."""
     content = _take_parts(caller, place)
     try:
         while content:
-            _send_whole(caller.socket, content, seconds)
+            send_or_keep(caller, content)
             content = _take_parts(caller, place)
     except OSError:
         with caller.lock:
@@ -182,34 +221,13 @@
 
 
 def _take_parts(caller: CallerConnection, place: RowPlace) -> bytes | None:
-    """Return what is held, nothing if its thread goes on, None at its end."""
+    """Return what can be sent, nothing if another goes on, None at its end."""
     with caller.lock:
+        if caller.is_stalled:
+            return b''
         content = caller.row.take_parts(place)
         if content:
             return content
         caller.lock.notify_all()
         is_end = place.is_done and not caller.row.has_ended_
         return None if is_end else content
-
-
-def _send_whole(sock: socket.socket, content: bytes, seconds: float) -> None:
-    """Send bytes over a socket that does not block.
-
-    Raises
-    ------
-    OSError
-        The connection is broken, or the caller has read nothing for so many
-        seconds.
-
-    """
-    poller = select.poll()
-    poller.register(sock, select.POLLOUT)
-    unsent = memoryview(content)
-    while unsent:
-        try:
-            unsent = unsent[sock.send(unsent) :]
-        except BlockingIOError as error:
-            if not poller.poll(seconds * _MILLISECONDS):
-                raise BrokenPipeError(
-                    errno.EPIPE, 'the caller does not read'
-                ) from error
--- a/sesameroute/adapters/_request_queue.py
+++ b/sesameroute/adapters/_request_queue.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from typing import TypeAlias
 
 from sesameroute.adapters._caller_connection import CallerConnection
@@ -27,6 +28,9 @@
         What is served.
     idle_ : int
         Threads that wait for a request.
+    count_blocked_ : callable
+        Returns how many threads wait until their answers can be sent: they
+        take nothing, so that others may be served beside them.
 
     """
 
@@ -35,6 +39,7 @@
         self.limit = limit
         self.serving_: set[Waiting] = set()
         self.idle_ = 0
+        self.count_blocked_: Callable[[], int] = int
         self._changed = threading.Condition()
         self._waiting: AdmissionQueue[Waiting] = AdmissionQueue()
         self._is_stopping = False
@@ -78,7 +83,7 @@
     def observe_delay(self, seconds: float) -> None:
         """Take note of the time that the event loop lost in a turn."""
         with self._changed:
-            busy = len(self.serving_)
+            busy = len(self.serving_) - self.count_blocked_()
             self.limit.observe(seconds, busy, time.monotonic())
 
     def has_stopped(self) -> bool:
@@ -95,7 +100,8 @@
         return self._is_stopping or (bool(self._waiting) and self._may_start())
 
     def _may_start(self) -> bool:
-        return len(self.serving_) < self.limit.limit_
+        busy = len(self.serving_) - self.count_blocked_()
+        return busy < self.limit.limit_
 
     def _begin(self, now: float) -> Waiting:
         waiting = self._waiting.pop(now)
--- a/sesameroute/adapters/_watched_callers.py
+++ b/sesameroute/adapters/_watched_callers.py
@@ -24,8 +24,8 @@
         self._woken.setblocking(False)
         self._selector.register(self._woken, selectors.EVENT_READ, self)
 
-    def add(self, caller: CallerConnection) -> None:
-        """Watch a connection.
+    def set_events(self, caller: CallerConnection) -> None:
+        """Watch a connection for what it waits for, or no more.
 
         Raises
         ------
@@ -33,11 +33,15 @@
             It can't be watched: it is closed, for example.
 
         """
-        self._register(caller.socket, caller)
+        events = caller.is_watched * selectors.EVENT_READ
+        events |= caller.is_stalled * selectors.EVENT_WRITE
+        self.remove(caller.socket)
+        if events:
+            self._register(caller.socket, caller, events)
 
     def add_listener(self, listener: socket.socket) -> None:
         """Watch the listening socket."""
-        self._register(listener, None)
+        self._register(listener, None, selectors.EVENT_READ)
 
     def remove(self, sock: socket.socket) -> bool:
         """Stop watching a socket; return whether it was watched."""
@@ -49,7 +53,7 @@
         return True
 
     def select(self, seconds: float) -> list[CallerConnection | None]:
-        """Wait; return the readable connections, None for the listener."""
+        """Wait; return the ready connections, None for the listener."""
         ready = [key.data for key, _ in self._selector.select(seconds)]
         if self in ready:
             ready.remove(self)
@@ -78,7 +82,10 @@
         self._woken.close()
 
     def _register(
-        self, sock: socket.socket, caller: CallerConnection | None
+        self,
+        sock: socket.socket,
+        caller: CallerConnection | None,
+        events: int,
     ) -> None:
         with self._lock:
-            self._selector.register(sock, selectors.EVENT_READ, caller)
+            self._selector.register(sock, events, caller)
--- a/sesameroute/adapters/tests/rows.py
+++ b/sesameroute/adapters/tests/rows.py
@@ -15,6 +15,7 @@
 TIMEOUT_SECONDS = 5
 SHORT_BYTES = 40
 LONG_BYTES = 200_000
+PART_BYTES = 65_536
 SAFE = 'safe'
 
 
@@ -46,6 +47,7 @@
         """Hold back the slow answers until `may_go` is set."""
         self.begun, self.ended, self.came_at = [], [], []
         self.may_go = threading.Event()
+        self.long_bytes = LONG_BYTES
 
     def __call__(self, request):
         """Return the answer to a cheroot request."""
@@ -59,20 +61,21 @@
             request.close_connection = True
         if 'none' in words:
             return None
-        size = LONG_BYTES if 'long' in words else SHORT_BYTES
+        size = self.long_bytes if 'long' in words else SHORT_BYTES
         length = None if 'chunked' in words else size
         headers = (('X-Path', path),)
         return Answer(200, headers, self.stream(path, words, size), length)
 
     def stream(self, path, words, size):
-        """Yield a body that names its request, in two parts."""
+        """Yield a body that names its request, in two parts or more."""
         whole = (path.encode() + b'.' * size)[:size]
-        yield whole[: size // 2]
+        yield whole[: SHORT_BYTES // 2]
         if 'pause' in words:
             self.may_go.wait(TIMEOUT_SECONDS)
         if 'cut' in words:
             raise SesameError('body ended early')
-        yield whole[size // 2 :]
+        for start in range(SHORT_BYTES // 2, size, PART_BYTES):
+            yield whole[start : start + PART_BYTES]
         self.ended.append(path)
 
 
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -45,6 +45,9 @@
 )
 # Room for the header that nodes add to requests that they pass on.
 _RELAY_HEADER_BYTES = 64
+# Part of the memory for answers that wait: the rest has to bear the threads
+# that read them and the connections.
+_HELD_BYTES_PER_MEGABYTE = 65_536
 # Threads of each server for readiness checks and the directory.
 _AUXILIARY_THREADS = 2
 # Interval at which shutdown polls the running requests.
@@ -141,6 +144,9 @@
             on_refusal=self.forwarder.refusals_.record,
         )
         self._front.allow_read_ahead(self._front_handler.may_repeat)
+        self._front.limit_held(
+            int(settings.limits.memory * _HELD_BYTES_PER_MEGABYTE)
+        )
         self.front_check = FrontCheck(self._front)
         self._checks = (
             Prober(
