--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -229,6 +229,9 @@
             caller_time_left=state.compute_caller_time_left(now)
             if state.tries == 0
             else 0,
+            body_bytes=-1
+            if state.request.length is None
+            else state.request.length,
         )
 
     def _send_once(
--- a/sesameroute/node/_servers.py
+++ b/sesameroute/node/_servers.py
@@ -45,6 +45,9 @@
 )
 # Room for the header that nodes add to requests that they pass on.
 _RELAY_HEADER_BYTES = 64
+# Part of the memory for answers that wait: the rest has to bear the threads
+# that read them and the connections.
+_HELD_BYTES_PER_MEGABYTE = 65_536
 # Threads of each server for readiness checks and the directory.
 _AUXILIARY_THREADS = 2
 # Interval at which shutdown polls the running requests.
@@ -134,12 +137,17 @@
         )
         allocator.list_left_ = self.forwarder.waiting_callers_.list_left
         self.directory = DirectoryHandler(fleet, settings.bounds.longest_ttl)
+        self._front_handler = ForwardHandler(self.forwarder, self.clock)
         self._front = FrontServer(
             parse_address(settings.listen.front),
-            ForwardHandler(self.forwarder, self.clock),
+            self._front_handler,
             self.shutdown.has_begun,
             on_refusal=self.forwarder.refusals_.record,
         )
+        self._front.allow_read_ahead(self._front_handler.may_repeat)
+        self._front.limit_held(
+            int(settings.limits.memory * _HELD_BYTES_PER_MEGABYTE)
+        )
         self.front_check = FrontCheck(self._front)
         self._checks = (
             Prober(
