--- a/sesameroute/forward/_ended_servers.py
+++ b/sesameroute/forward/_ended_servers.py
@@ -2,7 +2,6 @@
 
 from sesameroute.forward._answer_wait import ServerCondition
 from sesameroute.forward._request_state import RequestState
-from sesameroute.quarantine import UnsettledTries
 from sesameroute.reachability import EndDetector
 from sesameroute.registry import BackendState, RegistryEntry
 
@@ -13,14 +12,15 @@
 
 
 def find_condition(
-    state: RequestState, end_detector: EndDetector, tries: UnsettledTries
+    state: RequestState, end_detector: EndDetector
 ) -> ServerCondition:
     """Return the condition of the server that runs a request.
 
     A silent server is checked each time that another objective has passed.
     One that leaves refuses connections, but ends the requests that it has. A
     request that must not run twice waits as long as the server may answer:
-    its entry must be gone, too.
+    its entry must be gone, too. Only what this node has found itself counts:
+    one that was cut off may have told the others of ends that were none.
     """
     server, sent_at = state.sent_try.server, state.sent_try.sent_at
     entry = end_detector.find_entry(server[0])
@@ -30,7 +30,7 @@
         return ServerCondition.ALIVE
     if entry is not None:
         _check_silent(state, end_detector)
-    if tries.has_ended(server) and (
+    if end_detector.has_refused(server, sent_at) and (
         state.route.kind.is_idempotent or _is_gone(entry, server)
     ):
         return ServerCondition.ENDED
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -112,9 +112,7 @@
         server = state.sent_try.server
         if is_cut_off or self.announcements.is_leaving(*server):
             return ServerCondition.ALIVE
-        return find_condition(
-            state, self.end_detector, self.quarantine.evidence.unsettled_
-        )
+        return find_condition(state, self.end_detector)
 
     def observe_answer(self, state: RequestState, status: int) -> None:
         """Count an answer in full in favour of its request.
--- a/sesameroute/node/_releases.py
+++ b/sesameroute/node/_releases.py
@@ -76,7 +76,9 @@
             ticket=slot_request.ticket,
         )
         now = self.clock.read_monotonic()
-        self.pools.find(release.service).release(release, now)
+        for pool in self.pools:
+            if pool.identity.service == release.service:
+                pool.release(release, now)
         if leader != self.pools.fleet.own_state.address:
             self.peers.send_one_way(leader, release)
 
--- a/sesameroute/quarantine/__init__.py
+++ b/sesameroute/quarantine/__init__.py
@@ -11,7 +11,7 @@
 )
 from sesameroute.quarantine._quarantine import Quarantine
 from sesameroute.quarantine._trials import TrialPolicy
-from sesameroute.quarantine._unsettled import SentTry, UnsettledTries
+from sesameroute.quarantine._unsettled import SentTry
 
 __all__ = [
     'ClearanceReport',
@@ -24,5 +24,4 @@
     'TrialRequest',
     'TrialPolicy',
     'TrialReply',
-    'UnsettledTries',
 ]
--- a/sesameroute/quarantine/_evidence.py
+++ b/sesameroute/quarantine/_evidence.py
@@ -44,8 +44,6 @@
     ----------
     suspects_ : SuspectList
         Requests under which backend servers were lost; `lock_` guards it.
-    unsettled_ : UnsettledTries
-        Tries that were given up, and the servers that have ended.
     observer_ : callable
         Called with the result of each loss that is reported: 'counted' or why
         not.
@@ -66,7 +64,7 @@
             partial(LossRate, clock)
         )
         self._answered = AnsweredRequests(clock)
-        self.unsettled_ = UnsettledTries(clock)
+        self._unsettled = UnsettledTries(clock)
 
     def begin_try(
         self, fingerprint: str, service: str, server: tuple[str, int]
@@ -115,7 +113,7 @@
 
         Otherwise it is remembered, since it may still run.
         """
-        ended_at = self.unsettled_.add(sent)
+        ended_at = self._unsettled.add(sent)
         if ended_at is not None:
             self._observe_loss(sent, sent.sent_at, ended_at)
 
@@ -166,8 +164,8 @@
             Whether the server was not known to have ended.
 
         """
-        ended_at, is_news = self.unsettled_.note_end(server)
-        for sent in self.unsettled_.settle(server, ended_at):
+        ended_at, is_news = self._unsettled.note_end(server)
+        for sent in self._unsettled.settle(server, ended_at):
             _LOG.info(
                 'upstream lost after try',
                 extra={
--- a/sesameroute/quarantine/_unsettled.py
+++ b/sesameroute/quarantine/_unsettled.py
@@ -81,12 +81,6 @@
             self._tries.append((now, sent))
         return None
 
-    def has_ended(self, server: tuple[str, int]) -> bool:
-        """Return whether a server is known to have ended."""
-        with self._lock:
-            # Without an incarnation it may be another end.
-            return bool(server[1]) and server in self._ends
-
     def note_end(self, server: tuple[str, int]) -> tuple[float, bool]:
         """Note that a server has ended.
 
--- a/sesameroute/reachability/_end_detector.py
+++ b/sesameroute/reachability/_end_detector.py
@@ -63,6 +63,7 @@
         self._answered_at: dict[Server, float] = {}
         self._checked_at: dict[Server, float] = {}
         self._unreached_at: dict[Server, float] = {}
+        self._refused_at: dict[Server, float] = {}
 
     def start(self) -> None:
         """Start the thread that checks servers."""
@@ -99,6 +100,10 @@
         """Whether a server has taken no connection since a time."""
         return self._unreached_at.get(server, -math.inf) >= sent_at
 
+    def has_refused(self, server: Server, sent_at: float) -> bool:
+        """Whether a server has refused a connection since a time."""
+        return self._refused_at.get(server, -math.inf) >= sent_at
+
     def check(self, server: Server) -> None:
         """Check one server."""
         name, incarnation = server
@@ -121,15 +126,21 @@
                     'why': str(error),
                 },
             )
-            if has_ended:
-                self.observe_end(server)
-            if len(self._unreached_at) >= _MAX_SERVERS:
-                self._unreached_at.clear()
-            self._unreached_at[server] = self.connections.clock.read_monotonic()
+            self._note_failure(server, has_ended=has_ended)
             return
         self._unreached_at.pop(server, None)
         self.connections.put_back(connection)
 
+    def _note_failure(self, server: Server, *, has_ended: bool) -> None:
+        if len(self._unreached_at) >= _MAX_SERVERS:
+            self._unreached_at.clear()
+            self._refused_at.clear()
+        now = self.connections.clock.read_monotonic()
+        self._unreached_at[server] = now
+        if has_ended:
+            self._refused_at[server] = now
+            self.observe_end(server)
+
     def _run(self) -> None:
         for server in self._iterate_due():
             with survive('check of a silent backend server'):
