--- a/sesameroute/forward/tests/test_left_callers.py
+++ b/sesameroute/forward/tests/test_left_callers.py
@@ -10,7 +10,7 @@
 from sesameroute.forward._local_answers import CallerClosedError
 from sesameroute.forward.tests.harness import ForwarderHarness
 from sesameroute.forward.tests.servers import ScriptedServer
-from sesameroute.placement import Outcome
+from sesameroute.placement import Outcome, Reason, Refusal
 from sesameroute.routes import RequestKind
 
 
@@ -26,6 +26,30 @@
     assert harness.allocator.releases == [('a', Outcome.CANCELLED)]
 
 
+@pytest.mark.parametrize('kind', list(RequestKind))
+def test_caller_that_leaves_while_its_request_waits(kind):
+    """Its request stayed in the queue, before those of others."""
+    server = ScriptedServer('whole')
+    harness = ForwarderHarness(server, kind=kind)
+    waiting_callers = harness.forwarder.waiting_callers_
+    asked = []
+
+    def wait_for_slot(slot_request):
+        asked.append(slot_request)
+        assert not waiting_callers.list_left()
+        harness.caller.close()
+        # The node withdraws these, which ends the wait.
+        assert waiting_callers.list_left() == [slot_request]
+        assert not waiting_callers.list_left()
+        return Refusal(Reason.TOO_LATE, 0)
+
+    harness.allocator.place = wait_for_slot
+    with pytest.raises(CallerClosedError):
+        harness.forward()
+    assert asked[0].ticket
+    assert not server.heads
+
+
 @pytest.fixture
 def drain():
     """Run a server that reads a request until the connection ends."""
