--- a/sesameroute/adapters/_caller_connection.py
+++ b/sesameroute/adapters/_caller_connection.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cache
 from typing import Any
 
 from cheroot.makefile import MakeFile, StreamReader
@@ -20,6 +21,12 @@
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
+@cache
+def _find_empty_row() -> AnswerRow:
+    """Return the row of connections that are not served yet."""
+    return AnswerRow(HeldBytes(0))
+
+
 @dataclass(slots=True, eq=False)
 class CallerConnection:
     """A caller's connection.
@@ -54,6 +61,8 @@
     has_left : bool
         Whether the caller has closed it, as far as has been read, or it has
         been closed here.
+    events : int
+        What the event loop waits for on it.
     on_stall : callable
         Called with it when it takes no more bytes.
     row : AnswerRow
@@ -77,8 +86,9 @@
     is_watched: bool = False
     is_stalled: bool = False
     has_left: bool = False
+    events: int = 0
     on_stall: Callable[['CallerConnection'], None] = bool
-    row: AnswerRow = field(default_factory=lambda: AnswerRow(HeldBytes(0)))
+    row: AnswerRow = field(default_factory=_find_empty_row)
     arrivals: ArrivalTimes = field(default_factory=ArrivalTimes)
     lock: threading.Condition = field(default_factory=threading.Condition)
 
--- a/sesameroute/adapters/_read_ahead.py
+++ b/sesameroute/adapters/_read_ahead.py
@@ -32,9 +32,9 @@
 
     Attributes
     ----------
-    may_repeat : callable
+    may_repeat : callable or None
         Called with host and target; returns whether such a request may be
-        sent again by its caller even if it has run. By default none may.
+        sent again by its caller even if it has run. With None, none may.
 
     """
 
@@ -48,11 +48,11 @@
         self.limits = limits
         self.submit = submit
         self.is_leaving = is_leaving
-        self.may_repeat: Callable[[str, str], bool] = _refuse_all
+        self.may_repeat: Callable[[str, str], bool] | None = None
 
     def submit_all(self, caller: CallerConnection) -> None:
         """Submit the requests that may run now, up to the first other one."""
-        is_more = True
+        is_more = self.may_repeat is not None
         while is_more:
             is_more = self._submit_next(caller)
 
@@ -73,7 +73,3 @@
             )
         )
         return True
-
-
-def _refuse_all(_host: str, _target: str) -> bool:
-    return False
--- a/sesameroute/adapters/_request_head.py
+++ b/sesameroute/adapters/_request_head.py
@@ -6,7 +6,7 @@
 
 _LINE_END = b'\r\n'
 _HEAD_END = b'\r\n\r\n'
-_METHODS = frozenset((b'GET', b'HEAD'))
+_STARTS = (b'GET /', b'HEAD /')
 _VERSION = b'HTTP/1.1'
 # Fields by which more than this request is meant: a body, another protocol,
 # or the end of the connection.
@@ -55,17 +55,14 @@
         Largest head.
 
     """
+    if not content.startswith(_STARTS):
+        return None
     end = content.find(_HEAD_END)
     if end < 0 or end + len(_HEAD_END) > max_bytes:
         return None
     first, *lines = content[:end].split(_LINE_END)
     parts = first.split(b' ')
-    is_usual = (
-        len(parts) == _REQUEST_PARTS
-        and parts[0] in _METHODS
-        and parts[1].startswith(b'/')
-        and parts[2] == _VERSION
-    )
+    is_usual = len(parts) == _REQUEST_PARTS and parts[2] == _VERSION
     hosts = _find_hosts(lines) if is_usual else []
     if len(hosts) != 1:
         return None
--- a/sesameroute/adapters/_watched_callers.py
+++ b/sesameroute/adapters/_watched_callers.py
@@ -35,7 +35,9 @@
         """
         events = caller.is_watched * selectors.EVENT_READ
         events |= caller.is_stalled * selectors.EVENT_WRITE
-        self.remove(caller.socket)
+        if caller.events:
+            self.remove(caller.socket)
+        caller.events = events
         if events:
             self._register(caller.socket, caller, events)
 
--- a/sesameroute/node/tests/pressed_node.py
+++ b/sesameroute/node/tests/pressed_node.py
@@ -37,13 +37,14 @@
 def running_node(folder, source=REPOSITORY, **server):
     """Run the node of a source tree with three servers; yield its process.
 
-    What else is given goes to the servers, as `BackendStandIn`.
+    What else is given becomes attributes of the servers.
     """
     with contextlib.ExitStack() as ending:
         cluster = Cluster()
         ending.callback(cluster.stop)
         for number in range(_SERVERS):
-            standin = BackendStandIn(**server)
+            standin = BackendStandIn()
+            vars(standin).update(server)
             ending.callback(standin.stop)
             cluster.register(f'server-{number}', standin)
         environment = {**os.environ, 'PYTHONPATH': str(source)}
