--- a/sesameroute/placement/_candidates.py
+++ b/sesameroute/placement/_candidates.py
@@ -14,6 +14,8 @@
 # An idle backend server that has handled fewer objects is preferred, even if
 # others are free, so that its cache fills.
 _INITIAL_OBJECTS = 2
+# No object is loaded on a server that says it takes longer than this ratio.
+_MAX_LOADING_PACE = 1.2
 # A request goes to the least loaded of so many servers of its object, so that
 # those that looked best a moment ago don't get all of them.
 _CHOICE_COUNT = 2
@@ -112,6 +114,7 @@
             state
             for state in self.states
             if not state.granted_slots
+            and state.pace.estimate(self.now) <= _MAX_LOADING_PACE
             and _is_behind(state, self.share_bounds)
             and self._accepts_request(state)
         ]
