--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -79,7 +79,12 @@
 
 
 def is_full(candidates: Candidates) -> bool:
-    """Whether requests that can be on time need all slots."""
+    """Whether requests that can be on time need all slots.
+
+    Servers that have named a limit take no more than that in any case.
+    """
+    if all(state.start_limit.is_set for state in candidates.states):
+        return False
     return candidates.compute_utilization() >= _FULL_UTILIZATION
 
 
@@ -134,7 +139,7 @@
 
         """
         if not candidates.states:
-            return self._refuse(candidates, waiter, Reason.NO_BACKEND)
+            return self.refuse(candidates, waiter, Reason.NO_BACKEND)
         warm_states = candidates.list_warm()
         for chosen in (
             candidates.pick_unused(),
@@ -188,7 +193,7 @@
         if self.can_end(candidates, waiter, chosen):
             return Decision(Verdict.GRANT, chosen)
         reason = Reason.NO_ROOM if chosen is None else Reason.TOO_LATE
-        return self._refuse(candidates, waiter, reason)
+        return self.refuse(candidates, waiter, reason)
 
     def can_end(
         self,
@@ -201,6 +206,18 @@
             self.estimates, candidates, waiter, state
         )
 
+    def refuse(
+        self,
+        candidates: Candidates,
+        waiter: Waiter,
+        reason: Reason,
+    ) -> Decision:
+        """Refuse a request, with a random retry delay to spread the retries."""
+        left = max(waiter.deadline - candidates.now, 0)
+        longest = max(left * _RETRY_FRACTION, _MIN_RETRY_SECONDS)
+        pause = longest * self._random.uniform(_MIN_RETRY_RATIO, 1)
+        return Decision(Verdict.REFUSE, reason=reason, retry_after=pause)
+
     def _find_wait(
         self,
         candidates: Candidates,
@@ -263,15 +280,3 @@
         return candidates.now + self.wait_forecasts.correct(
             waiter.flow_class, wait, candidates.now
         )
-
-    def _refuse(
-        self,
-        candidates: Candidates,
-        waiter: Waiter,
-        reason: Reason,
-    ) -> Decision:
-        """Refuse a request, with a random retry delay to spread the retries."""
-        left = max(waiter.deadline - candidates.now, 0)
-        longest = max(left * _RETRY_FRACTION, _MIN_RETRY_SECONDS)
-        pause = longest * self._random.uniform(_MIN_RETRY_RATIO, 1)
-        return Decision(Verdict.REFUSE, reason=reason, retry_after=pause)
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -211,6 +211,9 @@
             decision.state
         ):
             return self._grant(candidates, decision.state, waiter)
+        if decision.verdict is Verdict.GRANT:
+            # Too many requests have started on the cold server just now.
+            decision = self.admission.refuse(candidates, waiter, Reason.NO_ROOM)
         now = candidates.now
         if decision.reason is not Reason.NO_BACKEND:
             self.appointments.add(
