--- a/sesameroute/placement/_tenant_shares.py
+++ b/sesameroute/placement/_tenant_shares.py
@@ -72,6 +72,8 @@
             return 0
         self._decay(now)
         excess = usage.grants - _FREE_GRANTS
+        if excess <= 0:
+            return 0
         fair = self._compute_fair_grants(usage)
         if excess <= _MAX_FAIR_MULTIPLE * fair:
             return 0
