--- a/sesameroute/adapters/_idle_callers.py
+++ b/sesameroute/adapters/_idle_callers.py
@@ -129,12 +129,10 @@
         """
         caller = request.caller
         with caller.lock:
-            is_alone = caller.row.is_alone(request.place)
-            if is_alone:
+            if caller.row.is_alone(request.place):
                 caller.row.advance()
-        if is_alone:
-            self.answer_last(caller, closing)
-            return
+                self.answer_last(caller, closing)
+                return
         refuse_in_row(request, answer)
         with caller.lock:
             self.kept.resume(caller)
--- a/sesameroute/adapters/_pipelined_request.py
+++ b/sesameroute/adapters/_pipelined_request.py
@@ -176,9 +176,14 @@
         _advance(caller)
 
 
-def send_or_keep(caller: CallerConnection, content: bytes) -> None:
+def send_or_keep(caller: CallerConnection, content: bytes) -> bool:
     """Send bytes; leave to the event loop what the caller does not take.
 
+    Returns
+    -------
+    bool
+        Whether all is sent. If not, only the event loop may go on.
+
     Raises
     ------
     OSError
@@ -193,6 +198,8 @@
         with caller.lock:
             caller.row.keep_unsent(bytes(unsent))
             caller.on_stall(caller)
+        return False
+    return True
 
 
 def _advance(caller: CallerConnection) -> None:
@@ -210,8 +217,7 @@
     """Send what is held of an answer; return whether that was its end."""
     content = _take_parts(caller, place)
     try:
-        while content:
-            send_or_keep(caller, content)
+        while content and send_or_keep(caller, content):
             content = _take_parts(caller, place)
     except OSError:
         with caller.lock:
@@ -221,10 +227,8 @@
 
 
 def _take_parts(caller: CallerConnection, place: RowPlace) -> bytes | None:
-    """Return what can be sent, nothing if another goes on, None at its end."""
+    """Return what is held, nothing if its thread goes on, None at its end."""
     with caller.lock:
-        if caller.is_stalled:
-            return b''
         content = caller.row.take_parts(place)
         if content:
             return content
