--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -56,6 +56,10 @@
         How long the oldest of them has waited.
     busy : int
         Threads that serve a request.
+    held_bytes : int
+        Bytes of answers that wait for others or for their callers.
+    blocked : int
+        Threads that wait since there is no room for more of these.
 
     """
 
@@ -64,6 +68,8 @@
     waiting: int
     oldest_seconds: float
     busy: int
+    held_bytes: int = 0
+    blocked: int = 0
 
 
 class FrontServer:
@@ -218,4 +224,6 @@
             len(self._pool.queue),
             self._pool.queue.read_oldest_seconds(),
             len(self._pool.queue.serving_),
+            self._idle.held.held_,
+            self._idle.held.waiting_,
         )
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -222,6 +222,8 @@
         yield Metric.FRONT_WAITING, load.waiting
         yield Metric.FRONT_OLDEST_SECONDS, load.oldest_seconds
         yield Metric.FRONT_BUSY, load.busy
+        yield Metric.FRONT_HELD_BYTES, load.held_bytes
+        yield Metric.FRONT_BLOCKED, load.blocked
 
 
 def _list_process_gauges() -> Iterator[tuple[Metric, float]]:
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -189,6 +189,16 @@
         'sesame_front_threads_busy',
         'Threads that serve requests of callers.',
     )
+    FRONT_HELD_BYTES = _MetricSpecification(
+        Gauge,
+        'sesame_front_held_bytes',
+        'Bytes of answers that wait for others or for slow callers.',
+    )
+    FRONT_BLOCKED = _MetricSpecification(
+        Gauge,
+        'sesame_front_threads_blocked',
+        'Threads that wait since there is no room to hold more of an answer.',
+    )
     THREADS = _MetricSpecification(
         Gauge,
         'sesame_threads',
