--- a/sesameroute/adapters/_peer_carrier.py
+++ b/sesameroute/adapters/_peer_carrier.py
@@ -16,7 +16,6 @@
 __all__ = ['PeerCarrier']
 
 _MAINTENANCE_SECONDS = 0.1
-_REPLY_KINDS = frozenset((FrameKind.REPLY, FrameKind.FAILURE))
 
 
 class PeerCarrier:
@@ -83,10 +82,8 @@
         return stream
 
     def handle_frame(self, stream: PeerStream, frame: Frame) -> None:
-        """Complete a call, or dispatch a message; see `StreamOwner`."""
-        if frame.kind in _REPLY_KINDS:
-            self.calls.complete(stream, frame)
-        elif frame.kind is not FrameKind.HEARTBEAT:
+        """Dispatch a message or a reply; see `StreamOwner`."""
+        if frame.kind is not FrameKind.HEARTBEAT:
             call_safely(self.dispatcher.dispatch, stream, frame)
 
     def handle_change(self) -> None:
--- a/sesameroute/adapters/_peer_dispatcher.py
+++ b/sesameroute/adapters/_peer_dispatcher.py
@@ -1,6 +1,7 @@
 """Passes received peer messages to the handler and sends its replies."""
 
 import logging
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -24,6 +25,8 @@
 # Larger messages are decoded and handled in a thread, whatever they are.
 _MAX_DIRECT_BYTES = 16_384
 
+_REPLY_KINDS = frozenset((FrameKind.REPLY, FrameKind.FAILURE))
+
 _logger = logging.getLogger(__name__)
 
 
@@ -32,32 +35,51 @@
 
     Small messages that are registered as non-blocking are handled on the
     loop. Other one-way messages are handled in threads, those of each stream
-    in their order, and so is what arrives behind them; calls that may block
-    have threads of their own.
+    in their order, and so is what arrives behind them, replies too; calls that
+    may block have threads of their own.
 
     Parameters
     ----------
     handler : callable
         Takes the sender's id and a message; returns the reply or None.
+    complete : callable
+        Takes a stream and a reply or failure that has come on it.
 
     """
 
-    def __init__(self, handler: MessageHandler) -> None:
-        """Store the handler; no thread runs yet."""
+    def __init__(
+        self,
+        handler: MessageHandler,
+        complete: Callable[[PeerStream, Frame], None],
+    ) -> None:
+        """Store the parameters; no thread runs yet."""
         self.handler = handler
+        self.complete = complete
         self._calls = PeerWorkers('peer-call', _CALL_THREADS, _MAX_CALLS)
         self._ordered = PeerWorkers(
             'peer-message', _ORDERED_THREADS, _MAX_ORDERED
         )
 
     def dispatch(self, stream: PeerStream, frame: Frame) -> None:
-        """Handle a received message, or pass it to a thread.
+        """Handle a received frame, or pass it to a thread.
 
         A call that may block fails at once when too many are pending.
         """
-        if stream.mailbox.is_busy or frame.size > _MAX_DIRECT_BYTES:
+        if stream.mailbox.is_busy:
             self._defer(stream, frame, None)
-            return
+        elif frame.kind in _REPLY_KINDS:
+            self.complete(stream, frame)
+        elif frame.size > _MAX_DIRECT_BYTES:
+            self._defer(stream, frame, None)
+        else:
+            self._dispatch_message(stream, frame)
+
+    def stop(self) -> None:
+        """Discard queued calls and messages."""
+        self._calls.stop()
+        self._ordered.stop()
+
+    def _dispatch_message(self, stream: PeerStream, frame: Frame) -> None:
         message = _decode(stream, frame)
         if message is None:
             return
@@ -66,11 +88,6 @@
         else:
             self._route(stream, frame, message)
 
-    def stop(self) -> None:
-        """Discard queued calls and messages."""
-        self._calls.stop()
-        self._ordered.stop()
-
     def _defer(self, stream: PeerStream, frame: Frame, message: Any) -> None:
         """Let a thread handle a message after the earlier ones."""
         if stream.mailbox.put(frame, message):
@@ -81,12 +98,20 @@
     def _drain(self, stream: PeerStream) -> None:
         """Handle what waits in the mailbox of a stream."""
         for frame, message in iter(stream.mailbox.take, None):
-            decoded = _decode(stream, frame) if message is None else message
-            if decoded is not None:
-                self._route(stream, frame, decoded)
+            if frame.kind in _REPLY_KINDS:
+                self.complete(stream, frame)
+            else:
+                self._handle_deferred(stream, frame, message)
             if stream.mailbox.reopen():
                 stream.resume()
 
+    def _handle_deferred(
+        self, stream: PeerStream, frame: Frame, message: Any
+    ) -> None:
+        decoded = _decode(stream, frame) if message is None else message
+        if decoded is not None:
+            self._route(stream, frame, decoded)
+
     def _route(self, stream: PeerStream, frame: Frame, message: Any) -> None:
         is_direct = frame.kind is FrameKind.ONE_WAY or message.is_nonblocking
         handle = partial(self._handle, stream, frame, message)
--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -116,7 +116,7 @@
                 f'peer key has {len(self.key)} bytes,'
                 f' at least {MIN_KEY_BYTES} are required',
             )
-        self._dispatcher = PeerDispatcher(handler)
+        self._dispatcher = PeerDispatcher(handler, self.carrier.calls.complete)
         if self.listen[1]:
             self._listener = PeerListener(self)
             self._listener.start()
--- a/sesameroute/adapters/tests/test_many_peers.py
+++ b/sesameroute/adapters/tests/test_many_peers.py
@@ -120,3 +120,24 @@
             network.stop()
         assert wait_for(partial(has_connected, 0), 4)
     assert wait_for(lambda: set(one.list_refused_dials()) == set(names))
+
+
+def test_reply_is_not_seen_before_what_was_sent_ahead_of_it(fleet):
+    """A copy of the store came into force before what its sender holds."""
+    handled = []
+
+    def handle_slowly(_sender, message):
+        time.sleep(0.2)
+        handled.append(message)
+
+    def send_ahead(sender, message):
+        one.send_one_way(sender, Text('ahead'))
+        return message
+
+    one = fleet.add('a', 1, handler=send_ahead)
+    two = fleet.add('b', 2, handler=handle_slowly)
+    two.set_targets({'a': find_target(1)})
+    assert wait_for(lambda: two.list_connected() and one.list_connected())
+    for number in range(1, 4):
+        assert two.call('a', Text('x'), 5) == Text('x')
+        assert handled == [Text('ahead')] * number
