--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -12,7 +12,7 @@
 from sesameroute.mirror import Mirror
 from sesameroute.node._address import parse_address
 from sesameroute.node._slot_allocator import FleetSlotAllocator
-from sesameroute.placement import Outcome
+from sesameroute.placement import Outcome, PoolReport, compute_utilization
 from sesameroute.ports import Answer
 from sesameroute.quarantine import Quarantine
 from sesameroute.registry import Registry, list_leaving
@@ -21,6 +21,8 @@
 
 __all__ = ['MetricsServer', 'NodeMeter']
 
+LabelledGauge = tuple[Metric, float, dict[str, str]]
+
 _BYTES_PER_KIBIBYTE = 1024  # the kernel reports peak memory in kibibytes
 _TEXT_HEADERS = (('Content-Type', 'text/plain; version=0.0.4'),)
 _THREADS = 2
@@ -118,9 +120,8 @@
         for metric, backend, amount in self._list_backend_gauges():
             self.meter_.set(metric, amount, backend=backend)
         self._update_leaving()
-        for service, held, usable in self.allocator.count_slots():
-            self.meter_.set(Metric.SLOTS_HELD, held, service=service)
-            self.meter_.set(Metric.SLOTS, usable, service=service)
+        for metric, amount, labels in _list_region_gauges(self.allocator):
+            self.meter_.set(metric, amount, **labels)
         for name, suspended in self._count_suspended():
             self.meter_.set(Metric.BACKENDS_SUSPENDED, suspended, service=name)
 
@@ -148,9 +149,16 @@
         for announced in self.registry.announcements.list_newest():
             limit = -1 if announced.limit is None else announced.limit
             yield Metric.BACKEND_LIMIT, announced.backend, limit
+        now = self.allocator.clock.read_monotonic()
         for pool in self.allocator.pools:
             for state in pool.states:
                 yield Metric.BACKEND_GRANTS, state.name, state.total_grants
+                yield Metric.BACKEND_LOADS, state.name, state.cold_grants
+                yield (
+                    Metric.BACKEND_UTILIZATION,
+                    state.name,
+                    compute_utilization(state, now),
+                )
 
     def _list_gauges(self) -> Iterator[tuple[Metric, float]]:
         yield from self._list_configuration_gauges()
@@ -224,6 +232,25 @@
         yield Metric.FRONT_BUSY, load.busy
 
 
+def _list_region_gauges(
+    allocator: FleetSlotAllocator,
+) -> Iterator[LabelledGauge]:
+    """Yield slots, demand, and the parts of it that other regions run."""
+    for service, held, usable in allocator.count_slots():
+        yield Metric.SLOTS_HELD, held, {'service': service}
+        yield Metric.SLOTS, usable, {'service': service}
+    now = allocator.clock.read_monotonic()
+    for pool in allocator.pools:
+        yield from _list_demand_gauges(pool.make_report(now))
+
+
+def _list_demand_gauges(report: PoolReport) -> Iterator[LabelledGauge]:
+    yield Metric.DEMAND, report.demand, {'service': report.service}
+    for region, share in report.shares[report.region].items():
+        labels = {'service': report.service, 'region': region}
+        yield Metric.SPILLOVER_SHARE, share, labels
+
+
 def _list_process_gauges() -> Iterator[tuple[Metric, float]]:
     yield Metric.THREADS, threading.active_count()
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
--- a/sesameroute/placement/__init__.py
+++ b/sesameroute/placement/__init__.py
@@ -15,6 +15,7 @@
 )
 from sesameroute.placement._pool import Pool, PoolIdentity
 from sesameroute.placement._queue import SettleCallback
+from sesameroute.placement._server_shares import compute_utilization
 from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
 from sesameroute.placement._states import LimitShares
 from sesameroute.placement._terms import PlacementTerms
@@ -37,6 +38,7 @@
     'ServerLoad',
     'SettleCallback',
     'SpilloverPlan',
+    'compute_utilization',
     'hash_key',
     'rank_by_weight',
 ]
--- a/sesameroute/placement/_active_grants.py
+++ b/sesameroute/placement/_active_grants.py
@@ -63,6 +63,7 @@
         self._grants[number] = grant
         grant.state.granted_slots += 1
         grant.state.total_grants += 1
+        grant.state.cold_grants += not grant.is_warm
         return number
 
     def pop(self, number: int) -> ActiveGrant | None:
--- a/sesameroute/placement/_server_shares.py
+++ b/sesameroute/placement/_server_shares.py
@@ -14,7 +14,7 @@
 from sesameroute.placement._messages import SlotRequest
 from sesameroute.placement._upstream import UpstreamState
 
-__all__ = ['ShareBounds', 'build_share_bounds']
+__all__ = ['ShareBounds', 'build_share_bounds', 'compute_utilization']
 
 # A server may have this many times the mean work per slot.
 _MAX_SHARE_RATIO = 1.1
@@ -49,12 +49,12 @@
 
     def is_within(self, state: UpstreamState) -> bool:
         """Whether a server is within its part."""
-        share = _compute_share(state, self.now)
+        share = compute_utilization(state, self.now)
         return share <= _MAX_SHARE_RATIO * self.mean + _TOLERATED_EXCESS
 
     def is_behind(self, state: UpstreamState) -> bool:
         """Whether objects should move to a server."""
-        return _compute_share(state, self.now) < _BEHIND_RATIO * self.mean
+        return compute_utilization(state, self.now) < _BEHIND_RATIO * self.mean
 
     def permits_move(self, slot_request: SlotRequest, cold_run: float) -> bool:
         """Whether a request may load its object on another server.
@@ -86,5 +86,6 @@
     return ShareBounds(work / slots if slots else 0, now)
 
 
-def _compute_share(state: UpstreamState, now: float) -> float:
+def compute_utilization(state: UpstreamState, now: float) -> float:
+    """Return the part of a server's slots that was busy lately."""
     return state.work.estimate_slots(now) / max(state.slots, 1)
--- a/sesameroute/placement/_upstream.py
+++ b/sesameroute/placement/_upstream.py
@@ -73,6 +73,8 @@
         Slots in use by this pool's grants.
     total_grants : int
         Grants of this pool so far.
+    cold_grants : int
+        Those of them for objects that it did not have cached.
     reports : dict of str to tuple of int and float
         By reporting node, the slots in use by its grants and the monotonic
         time of the report in seconds.
@@ -104,6 +106,7 @@
     start_limit: StartLimit = field(default_factory=StartLimit)
     granted_slots: int = 0
     total_grants: int = 0
+    cold_grants: int = 0
     reports: dict[str, tuple[int, float]] = field(default_factory=dict)
     slowdown: float = 1.0
     failure_rate: float = 0
--- a/sesameroute/telemetry/_meter.py
+++ b/sesameroute/telemetry/_meter.py
@@ -109,6 +109,26 @@
         'sesame_backends',
         'Backend servers in the registry.',
     )
+    DEMAND = _MetricSpecification(
+        Gauge,
+        'sesame_demand_slots',
+        'Slots that requests of the region need or will need, by service.',
+    )
+    SPILLOVER_SHARE = _MetricSpecification(
+        Gauge,
+        'sesame_spillover_share',
+        'Part of the requests that another region runs, by service and region.',
+    )
+    BACKEND_UTILIZATION = _MetricSpecification(
+        Gauge,
+        'sesame_backend_utilization',
+        'Slots that the pool on this node has kept busy lately, by backend.',
+    )
+    BACKEND_LOADS = _MetricSpecification(
+        Gauge,
+        'sesame_backend_loads',
+        'Requests granted so far for objects that a backend has not cached.',
+    )
     BACKENDS_SUSPENDED = _MetricSpecification(
         Gauge,
         'sesame_backends_suspended',
