--- a/sesameroute/placement/_candidates.py
+++ b/sesameroute/placement/_candidates.py
@@ -110,18 +110,18 @@
         servers, an object only moves if all servers that have it cached are
         busy or have had more than their part.
         """
+        if _can_stay(self):
+            return None
         idle = [
             state
             for state in self.states
             if not state.granted_slots
-            and state.pace.estimate(self.now) <= _MAX_LOADING_PACE
             and _is_behind(state, self.share_bounds)
+            and state.pace.estimate(self.now) <= _MAX_LOADING_PACE
             and self._accepts_request(state)
         ]
-        if not idle or _can_stay(self):
-            return None
-        if self.share_bounds is None:
-            return idle[0]
+        if not idle or self.share_bounds is None:
+            return next(iter(idle), None)
         return rank_states(self.slot_request.key or str(self.now), idle)[0]
 
     def pick_least_loaded(self) -> UpstreamState | None:
