--- a/sesameroute/placement/__init__.py
+++ b/sesameroute/placement/__init__.py
@@ -20,6 +20,7 @@
     Rehearsal,
     ServerView,
 )
+from sesameroute.placement._server_shares import compute_utilization
 from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
 from sesameroute.placement._states import LimitShares
 from sesameroute.placement._terms import PlacementTerms
@@ -45,6 +46,7 @@
     'ServerView',
     'SettleCallback',
     'SpilloverPlan',
+    'compute_utilization',
     'hash_key',
     'rank_by_weight',
 ]
