Hold tenants' allowances over all nodes

Each node issues a fixed part of each allowance as tokens. What it does not need goes to the depot of its region, where nodes without a token ask; depots of different regions help each other. A token is at one place at a time, so that the sum holds by arithmetic under loss, cuts, freezes and restarts. A request beyond the allowance is answered 429 before it asks for a slot, with the time until there is probably room; what has not run is given back.

--- a/sesameroute/node/_allowances.py
+++ b/sesameroute/node/_allowances.py
@@ -103,6 +103,11 @@
         """Count a request as not sent after all."""
         self.ledger.give_back(tenant.name, self.clock.read_monotonic())
 
+    def read_level(self, tenant: str) -> float:
+        """Return the tokens of a tenant that lie at this node."""
+        stock = self.ledger.stocks_.get(tenant)
+        return stock.level_ if stock else 0
+
     def handle(self, sender: str, message: Any) -> Any:
         """Handle a message of another node; return the reply if any."""
         now = self.clock.read_monotonic()
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -122,6 +122,7 @@
         for metric, backend, amount in self._list_backend_gauges():
             self.meter_.set(metric, amount, backend=backend)
         self._update_leaving()
+        self.tenants_.update()
         for service, held, usable in self.allocator.count_slots():
             self.meter_.set(Metric.SLOTS_HELD, held, service=service)
             self.meter_.set(Metric.SLOTS, usable, service=service)
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -217,6 +217,9 @@
             self._node_servers.quarantine,
         )
         meter.read_load_ = self._servers[0].read_load
+        meter.tenants_.read_level_ = lambda tenant: (
+            self._dispatch.allowances.read_level(tenant)
+        )
         forwarder = self._node_servers.forwarder
         forwarder.observer_ = meter.observe
         gate = forwarder.guards.tenants
--- a/sesameroute/node/_tenant_meter.py
+++ b/sesameroute/node/_tenant_meter.py
@@ -1,5 +1,7 @@
 """Metrics of the largest tenants, and of all others together."""
 
+from collections.abc import Callable
+
 from sesameroute.routes import ActiveConfiguration, Configuration
 from sesameroute.telemetry import Meter, Metric
 from sesameroute.tenants import Tenant
@@ -20,6 +22,11 @@
     active_configuration : ActiveConfiguration
         Holds the tenants in force.
 
+    Attributes
+    ----------
+    read_level_ : callable
+        Returns the tokens of a tenant that lie at this node.
+
     """
 
     def __init__(
@@ -28,6 +35,7 @@
         """Store the parameters."""
         self.meter = meter
         self.active_configuration = active_configuration
+        self.read_level_: Callable[[str], float] = _read_none
         self._configuration: Configuration | None = None
         self._largest: frozenset[str] = frozenset()
 
@@ -40,6 +48,13 @@
             result=result,
         )
 
+    def update(self) -> None:
+        """Set the gauges of the tokens that lie at this node."""
+        for name in self.list_largest():
+            self.meter.set(
+                Metric.TENANT_TOKENS, self.read_level_(name), tenant=name
+            )
+
     def list_largest(self) -> frozenset[str]:
         """Return the names of the tenants that are counted by themselves."""
         configuration = self.active_configuration.configuration
@@ -48,3 +63,8 @@
             self._largest = frozenset(each.name for each in ranked[:_MAX_COUNT])
             self._configuration = configuration
         return self._largest
+
+
+def _read_none(_name: str) -> float:
+    """Return no tokens; the default of `TenantMeter.read_level_`."""
+    return 0
--- a/sesameroute/node/tests/test_tenants.py
+++ b/sesameroute/node/tests/test_tenants.py
@@ -3,6 +3,8 @@
 import contextlib
 import logging
 import socket
+import time
+from collections import Counter
 
 import pytest
 
@@ -10,7 +12,9 @@
 from sesameroute.node.tests.backends import BackendStandIn
 from sesameroute.node.tests.cluster import (
     FRONT_PORT,
+    METRICS_PORT,
     NETWORK_PREFIX,
+    call,
     send,
     wait_for,
 )
@@ -136,3 +140,43 @@
     }
     assert not any(find_header(each, 'x-api-key') for each in heads)
     other.stop()
+
+
+def press(count, *numbers):
+    """Return how many of some requests each status got."""
+    key = {'X-Api-Key': 'k5'}
+    return Counter(
+        send(numbers[each % len(numbers)], f'/a/{each}', **key)[0]
+        for each in range(count)
+    )
+
+
+def test_allowance_holds_over_the_nodes(cluster, server):
+    """A tenant that sends to all nodes gets its allowance, not one of each."""
+    limited = {'name': 'club', 'api_keys': ['k5'], 'rate_per_s': 2, 'burst': 4}
+    cluster.configure(tenants=[_TENANT, limited])
+    cluster.start_nodes(1, 2)
+    assert wait_for(lambda: is_served(1) and is_served(2))
+    began = time.monotonic()
+    assert wait_for(lambda: press(1, 1) == {200: 1})
+    assert wait_for(lambda: press(1, 2) == {200: 1})
+    statuses = press(150, 1, 2)
+    seconds = time.monotonic() - began
+    assert statuses[429]
+    windows = seconds // 5 + 1
+    assert statuses[200] + 2 <= ((2 * 5 + 4) * 1.1 + 20) * windows
+    metrics = call(1, METRICS_PORT, '/metrics')[2].decode()
+    assert 'result="over-allowance",tenant="club"' in metrics
+    assert 'sesame_tenant_tokens{tenant="club"}' in metrics
+    raised = limited | {'rate_per_s': 2000, 'burst': 999}
+    cluster.configure(tenants=[_TENANT, raised])
+    assert wait_for(lambda: press(20, 1, 2).keys() == {200})
+
+
+def test_no_limit_sends_no_message(cluster, server):
+    """Deployments without allowances pay nothing for them."""
+    cluster.start_nodes(1, 2)
+    assert wait_for(lambda: is_served(1))
+    allowances = cluster.nodes[1]._dispatch.allowances
+    assert not allowances.ledger.stocks_
+    assert not allowances._depots.own
--- a/sesameroute/tenants/_ledger.py
+++ b/sesameroute/tenants/_ledger.py
@@ -55,6 +55,8 @@
     ----------
     weight_ : float
         Part of all allowances that this node issues.
+    stocks_ : dict of str to Stock
+        Its tokens by tenant.
 
     """
 
@@ -65,7 +67,7 @@
         self.boot = boot
         self.weight_: float = 0
         self._lock = threading.Lock()
-        self._stocks: dict[str, Stock] = {}
+        self.stocks_: dict[str, Stock] = {}
         self._refreshed_at = -math.inf
         self._depot = _Depot()
         self._transits: dict[str, TransitClock] = {}
@@ -89,16 +91,16 @@
             self.weight_ = weight
             self._refreshed_at = now
             part = Part(weight, self._depot.list_weights(now))
-            former = self._stocks
-            self._stocks = {}
+            former = self.stocks_
+            self.stocks_ = {}
             for tenant in tenants:
                 allowance = self.bounds.compute_allowance(tenant)
                 stock = former.get(tenant.name) or Stock(allowance, now)
                 stock.allowance = allowance
                 stock.part = part
                 stock.refill(now)
-                stock.update_demand(now)
-                self._stocks[tenant.name] = stock
+                stock.demand.update(now)
+                self.stocks_[tenant.name] = stock
 
     def take(self, tenant: str, now: float) -> float | None:
         """Take a token for a request; return None if there was one.
@@ -109,7 +111,7 @@
             stock = self._find(tenant, now)
             if stock is None:
                 return _UNKNOWN_WAIT_SECONDS
-            stock.count(1)
+            stock.demand.count(1)
             return None if stock.remove_least(1, 1) else stock.wait
 
     def give_back(self, tenant: str, now: float) -> None:
@@ -126,7 +128,7 @@
             if stock is None or now < stock.dry_until_:
                 return None
             least = max(1 - stock.level_, 0)
-            ahead = min(stock.demand_ * _AHEAD_SECONDS, stock.capacity)
+            ahead = min(stock.demand.average_ * _AHEAD_SECONDS, stock.capacity)
             return AllowanceAsk(tenant, least + ahead, least)
 
     def receive_grant(
@@ -153,7 +155,7 @@
             stock = self._find(ask.tenant, now)
             if stock is None:
                 return AllowanceGrant(0, _UNKNOWN_WAIT_SECONDS)
-            stock.count(ask.amount)
+            stock.demand.count(ask.amount)
             # The next node shall find some, too.
             fair = max(stock.level_ / 2, ask.least)
             given = stock.remove_least(min(ask.amount, fair), ask.least)
@@ -184,7 +186,7 @@
                 return None
             amounts = {
                 tenant: stock.remove(surplus)
-                for tenant, stock in self._stocks.items()
+                for tenant, stock in self.stocks_.items()
                 if (surplus := stock.surplus) > _MIN_AMOUNT
             }
             return AllowanceTransfer(amounts, self.boot, now, self.weight_)
@@ -212,7 +214,7 @@
             return AllowanceNeed(
                 {
                     tenant: stock.lack / depot_count
-                    for tenant, stock in self._stocks.items()
+                    for tenant, stock in self.stocks_.items()
                     if stock.lack > _MIN_AMOUNT
                 }
             )
@@ -223,13 +225,13 @@
             amounts = {}
             for tenant, wanted in need.amounts.items():
                 stock = self._find(tenant, now)
-                if stock is not None and stock.surplus > _MIN_AMOUNT:
-                    amounts[tenant] = stock.remove(min(wanted, stock.surplus))
+                if stock is not None and stock.spare > _MIN_AMOUNT:
+                    amounts[tenant] = stock.remove(min(wanted, stock.spare))
             return AllowanceTransfer(amounts, self.boot, now)
 
     def _find(self, tenant: str, now: float) -> Stock | None:
         """Return a stock with the tokens that it may hold at this time."""
-        stock = self._stocks.get(tenant)
+        stock = self.stocks_.get(tenant)
         if stock is not None:
             if now - self._refreshed_at > _DEPOT_SECONDS:
                 # The node stood still: others may have another depot now.
--- a/sesameroute/tenants/_stock.py
+++ b/sesameroute/tenants/_stock.py
@@ -4,7 +4,7 @@
 
 from sesameroute.tenants._bounds import Allowance
 
-__all__ = ['Part', 'Stock']
+__all__ = ['Demand', 'Part', 'Stock']
 
 _DEMAND_GAIN = 0.3  # of the newest interval in the average
 # What a node that gives tokens away keeps: its own demand for so long.
@@ -12,6 +12,10 @@
 # Least demand in requests per second at which a node keeps a token.
 _MIN_DEMAND = 0.2
 _MAX_WAIT_SECONDS = 1.0
+# Part of the needed tokens with which a depot asks the others for none.
+_ENOUGH_FRACTION = 0.75
+# Part of its tokens that a depot gives to one that lacks some.
+_SHARED_FRACTION = 0.5
 # Part of its tokens of a burst that a node holds itself, if these are as many
 # as the bound; else what it issues from one transfer to the next.
 _OWN_FRACTION = 0.5
@@ -36,6 +40,41 @@
     kept: tuple[float, ...] = ()
 
 
+class Demand:
+    """Average of the tokens per second that are asked for.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic time in seconds.
+
+    Attributes
+    ----------
+    average_ : float
+        Tokens per second.
+
+    """
+
+    def __init__(self, now: float) -> None:
+        """Start without any."""
+        self.average_: float = 0
+        self._asked: float = 0
+        self._counted_at = now
+
+    def count(self, amount: float) -> None:
+        """Count tokens as asked for."""
+        self._asked += amount
+
+    def update(self, now: float) -> None:
+        """Bring the average up to date."""
+        seconds = now - self._counted_at
+        if seconds > 0:
+            newest = self._asked / seconds
+            self.average_ += _DEMAND_GAIN * (newest - self.average_)
+            self._asked = 0
+            self._counted_at = now
+
+
 class Stock:
     """Tokens that a node may let requests through with.
 
@@ -53,8 +92,8 @@
     ----------
     level_ : float
         Tokens; none at first, so that a restart brings no second burst.
-    demand_ : float
-        Average of the tokens per second that were asked for here.
+    demand : Demand
+        The tokens that were asked for here.
     dry_until_ : float
         Monotonic time in seconds until which no depot has tokens.
 
@@ -65,11 +104,9 @@
         self.allowance = allowance
         self.part = Part()
         self.level_: float = 0
-        self.demand_: float = 0
+        self.demand = Demand(now)
         self.dry_until_: float = 0
         self._refilled_at = now
-        self._asked: float = 0
-        self._counted_at = now
 
     @property
     def capacity(self) -> float:
@@ -88,9 +125,16 @@
 
     @property
     def lack(self) -> float:
-        """Tokens that are needed here beyond those that are left."""
+        """Tokens that are needed here, once fewer than a part are left."""
+        if self.level_ > self._needed * _ENOUGH_FRACTION:
+            return 0
         return max(self._needed - self.level_, 0)
 
+    @property
+    def spare(self) -> float:
+        """Tokens for a depot that lacks them: at least half of all here."""
+        return max(self.surplus, self.level_ * _SHARED_FRACTION)
+
     @property
     def wait(self) -> float:
         """Seconds until a caller probably finds a token.
@@ -103,7 +147,7 @@
         if inflow <= 0:
             return _MAX_WAIT_SECONDS
         until_token = max(1 - self.level_, 0) / inflow
-        spread = self.demand_ / inflow - 1
+        spread = self.demand.average_ / inflow - 1
         return min(max(until_token, spread), _MAX_WAIT_SECONDS)
 
     def refill(self, now: float) -> None:
@@ -116,19 +160,6 @@
         """Add tokens, up to the capacity."""
         self.level_ = min(self.level_ + amount, self.capacity)
 
-    def count(self, amount: float) -> None:
-        """Count tokens as asked for."""
-        self._asked += amount
-
-    def update_demand(self, now: float) -> None:
-        """Bring the average up to date."""
-        seconds = now - self._counted_at
-        if seconds > 0:
-            newest = self._asked / seconds
-            self.demand_ += _DEMAND_GAIN * (newest - self.demand_)
-            self._asked = 0
-            self._counted_at = now
-
     def remove(self, amount: float) -> float:
         """Take up to an amount; return what there was."""
         taken = max(min(amount, self.level_), 0)
@@ -141,9 +172,9 @@
 
     @property
     def _needed(self) -> float:
-        if self.capacity < 1 or self.demand_ < _MIN_DEMAND:
+        if self.capacity < 1 or self.demand.average_ < _MIN_DEMAND:
             return 0
-        return min(self.demand_ * _KEPT_SECONDS + 1, self.capacity)
+        return min(self.demand.average_ * _KEPT_SECONDS + 1, self.capacity)
 
 
 def _compute_own_burst(allowance: Allowance, part: float) -> float:
--- a/sesameroute/tenants/tests/fleet.py
+++ b/sesameroute/tenants/tests/fleet.py
@@ -77,6 +77,15 @@
         allowed = rate * self.bounds.window + burst
         return allowed * (1 + self.bounds.excess) + self.bounds.slack
 
+    def count_most(self):
+        """Return the most requests let through in any window."""
+        most = first = 0
+        for last, moment in enumerate(self.admitted):
+            while self.admitted[first] <= moment - self.bounds.window:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
     def _plan_request(self, rate, ends, choose):
         def send():
             self._send(choose(self.now))
@@ -95,15 +104,6 @@
         else:
             self.refused += 1
 
-    def count_most(self):
-        """Return the most requests let through in any window."""
-        most = first = 0
-        for last, moment in enumerate(self.admitted):
-            while self.admitted[first] <= moment - self.bounds.window:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
-
 
 class SimulatedNode:
     """One node; implements what its allowances need of a fleet and peers."""
@@ -119,6 +119,11 @@
         self.clock_offset = fleet.random.uniform(0, 1e6)
         self.start()
 
+    @property
+    def tenants(self):
+        """The tenants of the configuration."""
+        return (self.world.tenant,)
+
     def start(self):
         """Start it, without anything that it had."""
         self.boots += 1
@@ -161,11 +166,6 @@
 
         self.world.schedule(seconds, wake)
 
-    @property
-    def tenants(self):
-        """The tenants of the configuration."""
-        return (self.world.tenant,)
-
     def read_monotonic(self):
         """Return the time on this node's clock."""
         return self.world.now + self.clock_offset
