--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -75,6 +75,7 @@
         self.refusals_ = Refusals(
             active_configuration, sender.header_codec, clock
         )
+        guards.tenants.record_ = self.refusals_.record
         self._caller_retries = CallerRetryDetector()
 
     def forward(self, request: CallerRequest) -> Answer:
--- a/sesameroute/forward/_tenants.py
+++ b/sesameroute/forward/_tenants.py
@@ -38,6 +38,9 @@
     def give_back(self, tenant: Tenant) -> None:
         """Count a request as not sent after all."""
 
+    def read_level(self, tenant: str) -> float:
+        """Return what this node alone may still let through."""
+
 
 class NoAllowances:
     """Lets all requests pass; for a node without other nodes."""
@@ -48,6 +51,10 @@
     def give_back(self, _tenant: Tenant) -> None:
         """Do nothing."""
 
+    def read_level(self, _tenant: str) -> float:
+        """Return nothing."""
+        return 0
+
 
 def identify_tenant(state: RequestState) -> None:
     """Set the tenant of a request, or why it is not let through.
@@ -78,8 +85,8 @@
     ----------
     allowances_ : Allowances
         What tenants may still send.
-    observer_ : callable
-        Called with status and reason of each refusal.
+    record_ : callable
+        Logs and counts an answer to a key, see `Refusals.record`.
     tenant_observer_ : callable
         Called with the tenant and the result of each request of a tenant.
 
@@ -88,7 +95,7 @@
     def __init__(self) -> None:
         """Limit no tenant."""
         self.allowances_: Allowances = NoAllowances()
-        self.observer_: Callable[[int, str], None] = _ignore
+        self.record_: Callable[..., None] = _ignore
         self.tenant_observer_: Callable[[Tenant, str], None] = _ignore
 
     def check_key(self, state: RequestState) -> Answer | None:
@@ -101,16 +108,13 @@
             if denial.is_final
             else HTTPStatus.SERVICE_UNAVAILABLE
         )
-        log_event(
-            state,
-            'request refused' if denial.is_final else 'request turned away',
+        self.record_(
+            status,
             denial.value,
-            '',
-            status=int(status),
+            request=state.request_metadata.identifier,
+            route=state.route.name,
             key=_hash_keys(state.request_metadata.keys),
-            version=state.table.configuration.version,
         )
-        self.observer_(int(status), denial.value)
         if state.may_have_run:
             return build_failure_answer(state.last_error, 0, may_have_run=True)
         return build_answer(status, denial.value)
@@ -133,12 +137,13 @@
         self.tenant_observer_(tenant, refusal.reason.value)
         log_event(
             state,
-            'tenant over allowance',
+            'request over allowance',
             refusal.reason.value,
             '',
             tenant=tenant.name,
             rate=tenant.rate,
             burst=tenant.burst,
+            tokens=round(self.allowances_.read_level(tenant.name), 2),
             retry_after_s=round(seconds, 3),
         )
         return refusal
@@ -174,5 +179,5 @@
     return digest.hexdigest()[:_HASH_CHARACTERS]
 
 
-def _ignore(*_arguments: object) -> None:
+def _ignore(*_arguments: object, **_details: object) -> None:
     """Do nothing; the default observer."""
--- a/sesameroute/forward/tests/test_tenants.py
+++ b/sesameroute/forward/tests/test_tenants.py
@@ -29,6 +29,10 @@
         self.left -= 1
         return None
 
+    def read_level(self, _tenant):
+        """Return what is left."""
+        return self.left
+
     def give_back(self, _tenant):
         """Count a request as not sent."""
         self.left += 1
--- a/sesameroute/node/_allowances.py
+++ b/sesameroute/node/_allowances.py
@@ -1,5 +1,6 @@
 """Moves the tokens of tenants' allowances between nodes."""
 
+import logging
 import threading
 import uuid
 from typing import Any
@@ -12,6 +13,7 @@
 from sesameroute.ports import Clock, Peers
 from sesameroute.tenants import (
     AllowanceAsk,
+    AllowanceGrant,
     AllowanceLedger,
     AllowanceNeed,
     AllowanceTransfer,
@@ -23,9 +25,12 @@
 __all__ = ['FleetAllowances']
 
 # Longest time for a depot's reply; a request waits meanwhile.
-_CALL_SECONDS = 0.2
+_CALL_SECONDS = 0.4
 # A depot that has not replied is asked again after this time.
-_AVOID_SECONDS = 1.0
+_AVOID_SECONDS = 0.3
+_MAX_ASKED = 2  # depots for one request
+
+_logger = logging.getLogger(__name__)
 
 
 class FleetAllowances:
@@ -85,14 +90,9 @@
         seconds = self.ledger.take(tenant.name, now)
         if seconds is None:
             return None
-        depot = self._depots.find_usable(now)
-        ask = self.ledger.plan_ask(tenant.name, now) if depot else None
-        if ask is None:
-            return seconds
-        try:
-            grant = self.peers.call(depot, ask, _CALL_SECONDS)
-        except PeerError:
-            self._depots.avoid(depot, now + _AVOID_SECONDS)
+        ask = self.ledger.plan_ask(tenant.name, now)
+        grant = self._ask_depot(ask) if ask else None
+        if grant is None:
             return seconds
         now = self.clock.read_monotonic()
         if self.ledger.receive_grant(tenant.name, grant, now):
@@ -114,7 +114,8 @@
         if isinstance(message, AllowanceAsk):
             return self.ledger.grant(message, now)
         if isinstance(message, AllowanceTransfer):
-            self.ledger.receive(sender, message, now)
+            if not self.ledger.receive(sender, message, now):
+                _logger.info('tokens void', extra={'peer': sender})
         elif isinstance(message, AllowanceNeed):
             transfer = self.ledger.answer_need(message, now)
             if transfer.amounts:
@@ -132,6 +133,20 @@
             self._find_depots()
             self._exchange(now)
 
+    def _ask_depot(self, ask: AllowanceAsk) -> AllowanceGrant | None:
+        """Return the reply of the first depot that gives one."""
+        now = self.clock.read_monotonic()
+        for depot in self._depots.list_usable(now):
+            try:
+                return self.peers.call(depot, ask, _CALL_SECONDS)
+            except PeerError as error:
+                self._depots.avoid(depot, now + _AVOID_SECONDS)
+                _logger.info(
+                    'depot not reached',
+                    extra={'peer': depot, 'why': error.code},
+                )
+        return None
+
     def _count_weight(self, now: float) -> float:
         """Return the part of all allowances that this node issues."""
         own_state = self.fleet.own_state
@@ -196,11 +211,16 @@
         with self._lock:
             self._avoided[depot] = until
 
-    def find_usable(self, now: float) -> str:
-        """Return the depot to ask; empty if there is none."""
+    def list_usable(self, now: float) -> list[str]:
+        """Return the depots to ask, that of the own region first.
+
+        There are none if this node is the depot: it asks others ahead.
+        """
+        if self.own == self.own_name:
+            return []
         with self._lock:
-            for depot in (self.own, *self.others):
-                if not depot or self._avoided.get(depot, 0) > now:
-                    continue
-                return '' if depot == self.own_name else depot
-        return ''
+            return [
+                depot
+                for depot in (self.own, *self.others)
+                if depot and self._avoided.get(depot, 0) <= now
+            ][:_MAX_ASKED]
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -222,12 +222,10 @@
         )
         forwarder = self._node_servers.forwarder
         forwarder.observer_ = meter.observe
-        gate = forwarder.guards.tenants
-        gate.tenant_observer_ = meter.tenants_.observe
+        forwarder.guards.tenants.tenant_observer_ = meter.tenants_.observe
         forwarder.refusals_.observer_ = lambda status, reason: meter.count(
             Metric.REFUSALS, status=str(status), reason=reason
         )
-        gate.observer_ = forwarder.refusals_.observer_
         self.allocator.observer_ = meter.observe_try
         self._node_servers.quarantine.evidence.observer_ = lambda result: (
             meter.count(Metric.LOSSES, result=result)
--- a/sesameroute/programs/explain.py
+++ b/sesameroute/programs/explain.py
@@ -25,6 +25,10 @@
         'was refused with {status} by configuration {version} of era {era},'
         ' known for {age_ms} ms from {source}'
     ),
+    'request-over-allowance': (
+        'was refused with 429: {tokens} of the tokens of tenant {tenant}'
+        ' ({rate} a second, {burst} at once) lay at this node'
+    ),
     'request-sent-again': 'failed at {backend} and was sent again',
     'request-failed': 'failed for good at {backend}',
     'connection-replaced': 'lost a kept connection to {target}',
@@ -45,6 +49,16 @@
     'no-configuration': 'this node has only just started: it has not run',
     'no-room': 'no slot could be had in time: it has not run',
     'no-backend': 'no backend server was known: it has not run',
+    'over-allowance': 'its tenant sends too much: it has not run',
+    'no-key': 'it bears no key: it has not run',
+    'several-keys': 'it bears several keys: it has not run',
+    'unknown-key': 'no tenant has its key: it has not run',
+    'unclear-key': (
+        'a tenant that is not understood may have its key: it has not run'
+    ),
+    'no-region': (
+        'its route and its tenant permit no region in common: it has not run'
+    ),
     'stopping': 'this node stops and could not end it: sent nowhere',
     'too-late': 'its time was over before a slot was free: it has not run',
     'unreached': 'the backend server took no connection: it has not run',
--- a/sesameroute/tenants/_stock.py
+++ b/sesameroute/tenants/_stock.py
@@ -20,7 +20,7 @@
 # as the bound; else what it issues from one transfer to the next.
 _OWN_FRACTION = 0.5
 _MIN_OWN_BURST = 2
-_ISSUE_SECONDS = 0.35
+_ISSUE_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
