--- a/sesameroute/node/_allowances.py
+++ b/sesameroute/node/_allowances.py
@@ -1,6 +1,7 @@
 """Moves the tokens of tenants' allowances between nodes."""
 
 import logging
+import random
 import threading
 import uuid
 from typing import Any
@@ -134,18 +135,21 @@
             self._exchange(now)
 
     def _ask_depot(self, ask: AllowanceAsk) -> AllowanceGrant | None:
-        """Return the reply of the first depot that gives one."""
+        """Return the reply of the first depot with enough, or of the last."""
         now = self.clock.read_monotonic()
+        grant = None
         for depot in self._depots.list_usable(now):
             try:
-                return self.peers.call(depot, ask, _CALL_SECONDS)
+                grant = self.peers.call(depot, ask, _CALL_SECONDS)
             except PeerError as error:
                 self._depots.avoid(depot, now + _AVOID_SECONDS)
                 _logger.info(
                     'depot not reached',
                     extra={'peer': depot, 'why': error.code},
                 )
-        return None
+            if grant and grant.amount:
+                break
+        return grant
 
     def _count_weight(self, now: float) -> float:
         """Return the part of all allowances that this node issues."""
@@ -204,7 +208,9 @@
         """Set the depot of each region that has one."""
         with self._lock:
             self.own = by_region.pop(own_region, '')
-            self.others = tuple(by_region.values())
+            others = list(by_region.values())
+            random.shuffle(others)
+            self.others = tuple(others)
 
     def avoid(self, depot: str, until: float) -> None:
         """Ask a depot no more until a time."""
@@ -212,15 +218,11 @@
             self._avoided[depot] = until
 
     def list_usable(self, now: float) -> list[str]:
-        """Return the depots to ask, that of the own region first.
-
-        There are none if this node is the depot: it asks others ahead.
-        """
-        if self.own == self.own_name:
-            return []
+        """Return the depots to ask: of the own region and of another one."""
         with self._lock:
-            return [
+            usable = [
                 depot
                 for depot in (self.own, *self.others)
                 if depot and self._avoided.get(depot, 0) <= now
             ][:_MAX_ASKED]
+        return [depot for depot in usable if depot != self.own_name]
--- a/sesameroute/tenants/_ledger.py
+++ b/sesameroute/tenants/_ledger.py
@@ -33,7 +33,7 @@
 # Silence before a node turns to another depot, which then keeps the room.
 _SWITCH_SECONDS = 2.25
 # Longest time without another ask after a depot had no token.
-_MAX_DRY_SECONDS = 0.1
+_MAX_DRY_SECONDS = 0.2
 _MIN_AMOUNT = 0.001  # less is not worth sending
 # Retry-After for a tenant that this node does not know yet.
 _UNKNOWN_WAIT_SECONDS = 0.5
