--- a/sesameroute/node/_allowances.py
+++ b/sesameroute/node/_allowances.py
@@ -98,7 +98,7 @@
         now = self.clock.read_monotonic()
         if self.ledger.receive_grant(tenant.name, grant, now):
             return None
-        return max(grant.wait, seconds)
+        return grant.wait or seconds
 
     def give_back(self, tenant: Tenant) -> None:
         """Count a request as not sent after all."""
