--- a/sesameroute/forward/_rerouting.py
+++ b/sesameroute/forward/_rerouting.py
@@ -23,7 +23,7 @@
         return
     state.table = table
     route = table.find(state.request.host, state.request.path)
-    if route is not None:
+    if route is not None and route != state.route:
         _follow_route(state, route, active_configuration)
     identify_tenant(state)
 
--- a/sesameroute/forward/tests/test_tenants.py
+++ b/sesameroute/forward/tests/test_tenants.py
@@ -202,3 +202,19 @@
     harness, _servers = build(tenants=(replace(_ONE, rate=0),))
     harness.forwarder.guards.tenants.allowances_ = CountingAllowances(0)
     assert harness.forward(headers=[_KEY])[0] == 200
+
+
+def test_kind_of_an_upload_is_kept():
+    """A request keeps the kind of its route until that changes."""
+    harness, _servers = build(kind=RequestKind.UPLOAD)
+    seen = []
+    gate = harness.forwarder.guards.tenants
+    check_key = gate.check_key
+
+    def record_and_check(state):
+        seen.append(state.route.kind)
+        return check_key(state)
+
+    gate.check_key = record_and_check
+    assert harness.forward(headers=[_KEY], body=b'x')[0] == 200
+    assert set(seen) == {RequestKind.UPLOAD}
