--- a/sesameroute/tenants/_census.py
+++ b/sesameroute/tenants/_census.py
@@ -63,12 +63,12 @@
         self._largest_fleet = max(self._largest_fleet, known_count)
         # One that has started while it was cut off knows none of its region.
         is_alone = live_count * 2 * region_count < self._largest_fleet
-        is_minority = len(heard) * 2 <= len(self._heard_at)
-        fraction = minority_fraction
-        if not (is_alone or is_minority):
+        majority = len(heard) * 2 - len(self._heard_at)
+        if majority > 0 and not is_alone:
             self._forget(now)
             self._largest_fleet = known_count
-            fraction = 1
+        # Of two halves neither takes the part of the other one.
+        fraction = minority_fraction if is_alone or majority < 0 else 1
         node_count = max(len(self._heard_at), 1)
         self.weight_ = fraction / region_count / node_count
         return self.weight_
