--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -83,6 +83,7 @@
             active_configuration, sender.header_codec, clock
         )
         self.waiting_callers_ = WaitingCallers()
+        guards.tenants.record_ = self.refusals_.record
         self._caller_retries = CallerRetryDetector()
 
     def forward(self, request: CallerRequest) -> Answer:
--- a/sesameroute/node/_allowances.py
+++ b/sesameroute/node/_allowances.py
@@ -1,5 +1,7 @@
 """Moves the tokens of tenants' allowances between nodes."""
 
+import logging
+import random
 import threading
 import uuid
 from typing import Any
@@ -12,6 +14,7 @@
 from sesameroute.ports import Clock, Peers
 from sesameroute.tenants import (
     AllowanceAsk,
+    AllowanceGrant,
     AllowanceLedger,
     AllowanceNeed,
     AllowanceTransfer,
@@ -23,9 +26,12 @@
 __all__ = ['FleetAllowances']
 
 # Longest time for a depot's reply; a request waits meanwhile.
-_CALL_SECONDS = 0.2
+_CALL_SECONDS = 0.4
 # A depot that has not replied is asked again after this time.
-_AVOID_SECONDS = 1.0
+_AVOID_SECONDS = 0.3
+_MAX_ASKED = 2  # depots for one request
+
+_logger = logging.getLogger(__name__)
 
 
 class FleetAllowances:
@@ -85,31 +91,32 @@
         seconds = self.ledger.take(tenant.name, now)
         if seconds is None:
             return None
-        depot = self._depots.find_usable(now)
-        ask = self.ledger.plan_ask(tenant.name, now) if depot else None
-        if ask is None:
-            return seconds
-        try:
-            grant = self.peers.call(depot, ask, _CALL_SECONDS)
-        except PeerError:
-            self._depots.avoid(depot, now + _AVOID_SECONDS)
+        ask = self.ledger.plan_ask(tenant.name, now)
+        grant = self._ask_depot(ask) if ask else None
+        if grant is None:
             return seconds
         now = self.clock.read_monotonic()
         if self.ledger.receive_grant(tenant.name, grant, now):
             return None
-        return max(grant.wait, seconds)
+        return grant.wait or seconds
 
     def give_back(self, tenant: Tenant) -> None:
         """Count a request as not sent after all."""
         self.ledger.give_back(tenant.name, self.clock.read_monotonic())
 
+    def read_level(self, tenant: str) -> float:
+        """Return the tokens of a tenant that lie at this node."""
+        stock = self.ledger.stocks_.get(tenant)
+        return stock.level_ if stock else 0
+
     def handle(self, sender: str, message: Any) -> Any:
         """Handle a message of another node; return the reply if any."""
         now = self.clock.read_monotonic()
         if isinstance(message, AllowanceAsk):
             return self.ledger.grant(message, now)
         if isinstance(message, AllowanceTransfer):
-            self.ledger.receive(sender, message, now)
+            if not self.ledger.receive(sender, message, now):
+                _logger.info('tokens void', extra={'peer': sender})
         elif isinstance(message, AllowanceNeed):
             transfer = self.ledger.answer_need(message, now)
             if transfer.amounts:
@@ -127,6 +134,23 @@
             self._find_depots()
             self._exchange(now)
 
+    def _ask_depot(self, ask: AllowanceAsk) -> AllowanceGrant | None:
+        """Return the reply of the first depot with enough, or of the last."""
+        now = self.clock.read_monotonic()
+        grant = None
+        for depot in self._depots.list_usable(now):
+            try:
+                grant = self.peers.call(depot, ask, _CALL_SECONDS)
+            except PeerError as error:
+                self._depots.avoid(depot, now + _AVOID_SECONDS)
+                _logger.info(
+                    'depot not reached',
+                    extra={'peer': depot, 'why': error.code},
+                )
+            if grant and grant.amount:
+                break
+        return grant
+
     def _count_weight(self, now: float) -> float:
         """Return the part of all allowances that this node issues."""
         own_state = self.fleet.own_state
@@ -184,18 +208,21 @@
         """Set the depot of each region that has one."""
         with self._lock:
             self.own = by_region.pop(own_region, '')
-            self.others = tuple(by_region.values())
+            others = list(by_region.values())
+            random.shuffle(others)
+            self.others = tuple(others)
 
     def avoid(self, depot: str, until: float) -> None:
         """Ask a depot no more until a time."""
         with self._lock:
             self._avoided[depot] = until
 
-    def find_usable(self, now: float) -> str:
-        """Return the depot to ask; empty if there is none."""
+    def list_usable(self, now: float) -> list[str]:
+        """Return the depots to ask: of the own region and of another one."""
         with self._lock:
-            for depot in (self.own, *self.others):
-                if not depot or self._avoided.get(depot, 0) > now:
-                    continue
-                return '' if depot == self.own_name else depot
-        return ''
+            usable = [
+                depot
+                for depot in (self.own, *self.others)
+                if depot and self._avoided.get(depot, 0) <= now
+            ][:_MAX_ASKED]
+        return [depot for depot in usable if depot != self.own_name]
--- a/sesameroute/node/_metrics.py
+++ b/sesameroute/node/_metrics.py
@@ -121,6 +121,7 @@
         self._update_leaving()
         for metric, amount, labels in _list_region_gauges(self.allocator):
             self.meter_.set(metric, amount, **labels)
+        self.tenants_.update()
         for name, suspended in self._count_suspended():
             self.meter_.set(Metric.BACKENDS_SUSPENDED, suspended, service=name)
 
--- a/sesameroute/node/_metrics_server.py
+++ b/sesameroute/node/_metrics_server.py
@@ -82,7 +82,9 @@
     forwarder.refusals_.observer_ = lambda status, reason: meter.count(
         Metric.REFUSALS, status=str(status), reason=reason
     )
-    gate.observer_ = forwarder.refusals_.observer_
+    meter.tenants_.read_level_ = lambda tenant: gate.allowances_.read_level(
+        tenant
+    )
     allocator.observer_ = meter.observe_try
     node_servers.quarantine.evidence.observer_ = lambda result: meter.count(
         Metric.LOSSES, result=result
