Find out by the first ask which nodes keep allowances

The field in state messages made them 212 bytes, above the bound of 200 in test_known_nodes. Nodes of builds without allowances fail an ask and are passed over as depots.

--- a/sesameroute/node/_allowances.py
+++ b/sesameroute/node/_allowances.py
@@ -30,6 +30,9 @@
 # A depot that has not replied is asked again after this time.
 _AVOID_SECONDS = 0.3
 _MAX_ASKED = 2  # depots for one request
+# A build that knows no allowances fails the call, and is no depot for so long.
+_FAILED = 'peer-failed'
+_UNABLE_SECONDS = 30.0
 
 _logger = logging.getLogger(__name__)
 
@@ -54,6 +57,8 @@
     ----------
     ledger : AllowanceLedger
         The tokens of this node.
+    depots : _Depots
+        Nodes that keep the tokens of others.
 
     """
 
@@ -73,7 +78,7 @@
             QuotaBounds(), fleet.own_state.address, uuid.uuid4().hex
         )
         self._census = RegionCensus()
-        self._depots = _Depots(fleet.own_state.address)
+        self.depots = _Depots(fleet.own_state.address)
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Apply the bounds of the settings."""
@@ -131,18 +136,18 @@
         now = self.clock.read_monotonic()
         self.ledger.refresh(limited, self._count_weight(now), now)
         if limited:
-            self._find_depots()
+            self._find_depots(now)
             self._exchange(now)
 
     def _ask_depot(self, ask: AllowanceAsk) -> AllowanceGrant | None:
         """Return the reply of the first depot with enough, or of the last."""
         now = self.clock.read_monotonic()
         grant = None
-        for depot in self._depots.list_usable(now):
+        for depot in self.depots.list_usable(now):
             try:
                 grant = self.peers.call(depot, ask, _CALL_SECONDS)
             except PeerError as error:
-                self._depots.avoid(depot, now + _AVOID_SECONDS)
+                self.depots.avoid(depot, now, error.code)
                 _logger.info(
                     'depot not reached',
                     extra={'peer': depot, 'why': error.code},
@@ -166,16 +171,12 @@
         has_started = own_state.is_ready or own_state.is_leaving
         return weight if has_started else 0
 
-    def _find_depots(self) -> None:
-        able = [
-            state
-            for state in self.fleet.list_live()
-            if state.is_ready and state.keeps_allowances
-        ]
+    def _find_depots(self, now: float) -> None:
         by_region: dict[str, list[str]] = {}
-        for state in able:
-            by_region.setdefault(state.region, []).append(state.address)
-        self._depots.replace(
+        for state in self.fleet.list_live():
+            if state.is_ready and self.depots.is_able(state.address, now):
+                by_region.setdefault(state.region, []).append(state.address)
+        self.depots.replace(
             {
                 region: min(addresses, key=hash_key)
                 for region, addresses in by_region.items()
@@ -184,7 +185,7 @@
         )
 
     def _exchange(self, now: float) -> None:
-        own, others = self._depots.own, self._depots.others
+        own, others = self.depots.own, self.depots.others
         if own == self.ledger.name and others:
             need = self.ledger.plan_need(len(others))
             for depot in others if need.amounts else ():
@@ -212,10 +213,16 @@
             random.shuffle(others)
             self.others = tuple(others)
 
-    def avoid(self, depot: str, until: float) -> None:
-        """Ask a depot no more until a time."""
+    def avoid(self, depot: str, now: float, code: str) -> None:
+        """Ask a depot no more for a time that depends on its error."""
+        seconds = _UNABLE_SECONDS if code == _FAILED else _AVOID_SECONDS
         with self._lock:
-            self._avoided[depot] = until
+            self._avoided[depot] = now + seconds
+
+    def is_able(self, name: str, now: float) -> bool:
+        """Return whether a node may be a depot, as far as is known."""
+        with self._lock:
+            return self._avoided.get(name, 0) <= now + _AVOID_SECONDS
 
     def list_usable(self, now: float) -> list[str]:
         """Return the depots to ask: of the own region and of another one."""
--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -55,8 +55,6 @@
         Whether this is such an answer; None for builds that give none.
     answers_callers : bool
         Whether its server for callers has answered lately.
-    keeps_allowances : bool
-        Whether it keeps tokens of tenants' allowances for other nodes.
 
     """
 
@@ -74,7 +72,6 @@
     wants_answer: bool = False
     is_answer: bool | None = None
     answers_callers: bool = True
-    keeps_allowances: bool = False
 
 
 @dataclass(slots=True)
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -72,7 +72,6 @@
             relay=settings.relay_address,
             first_era=-1,
             is_answer=False,
-            keeps_allowances=True,
         )
         self.fleet = Fleet(own_state, self.peers, self.clock)
         self.active_configuration = ActiveConfiguration(is_held_back=True)
--- a/sesameroute/node/tests/test_tenants.py
+++ b/sesameroute/node/tests/test_tenants.py
@@ -179,4 +179,4 @@
     assert wait_for(lambda: is_served(1))
     allowances = cluster.nodes[1]._dispatch.allowances
     assert not allowances.ledger.stocks_
-    assert not allowances._depots.own
+    assert not allowances.depots.own
--- a/sesameroute/tenants/tests/fleet.py
+++ b/sesameroute/tenants/tests/fleet.py
@@ -115,6 +115,7 @@
         self.region = region
         self.side = 0
         self.is_running = True
+        self.is_older = False  # whether its build knows no allowances
         self.boots = 0
         self.clock_offset = fleet.random.uniform(0, 1e6)
         self.start()
@@ -133,7 +134,6 @@
             region=self.region,
             is_ready=True,
             is_leaving=False,
-            keeps_allowances=True,
         )
         self.heard = {}
         self.allowances = FleetAllowances(
@@ -202,6 +202,8 @@
         other = self.world.nodes[name]
         if not (self._reaches(other) and other.is_running):
             raise PeerError(f'{name} is not reached')
+        if other.is_older:
+            raise PeerError('unknown tag', 'peer-failed')
         return other.allowances.handle(self.name, message)
 
     def send_one_way(self, name, message):
@@ -215,7 +217,7 @@
         boot = other.boots
 
         def arrive():
-            if boot == other.boots and other.is_running:
+            if boot == other.boots and other.is_running and not other.is_older:
                 other.allowances.handle(self.name, message)
 
         world.schedule(seconds, arrive)
--- a/sesameroute/tenants/tests/test_allowances.py
+++ b/sesameroute/tenants/tests/test_allowances.py
@@ -158,3 +158,19 @@
     fleet = SimulatedFleet(_SIZES, tenant, _SEED, bounds)
     fleet.load(500, 15)
     assert fleet.count_most() <= fleet.compute_limit()
+
+
+def test_depot_that_knows_no_allowances():
+    """Nodes of an older build beside these are passed over as depots."""
+    fleet = build_fleet(_SIZES, 50, 50, _SEED)
+    for region in fleet.regions:
+        allowances = fleet.nodes[f'{region}/0'].allowances
+        fleet.nodes[allowances.depots.own].is_older = True
+    older = {each for each in fleet.nodes if fleet.nodes[each].is_older}
+    able = [each for each in fleet.nodes if each not in older]
+    fleet.load(30, 5, lambda _now: fleet.random.choice(able))
+    fleet.refused = 0
+    fleet.admitted.clear()
+    fleet.load(30, 20, lambda _now: fleet.random.choice(able))
+    assert measure_refused(fleet) <= _MAX_REFUSED
+    assert fleet.count_most() <= fleet.compute_limit()
