--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -53,8 +53,6 @@
         Whether this is such an answer; None for builds that give none.
     answers_callers : bool
         Whether its server for callers has answered lately.
-    keeps_allowances : bool
-        Whether it keeps tokens of tenants' allowances for other nodes.
     ttl : int
         Seconds for which the state is valid while no other comes; 0 for 3.5,
         and for builds that give none. A node that names a TTL heeds those of
@@ -76,7 +74,6 @@
     wants_answer: bool = False
     is_answer: bool | None = None
     answers_callers: bool = True
-    keeps_allowances: bool = False
     ttl: int = 0
 
 
