--- a/sesameroute/node/_heartbeats.py
+++ b/sesameroute/node/_heartbeats.py
@@ -19,6 +19,9 @@
 _MIN_PEERS = 24
 # One heartbeat in this many carries the state if it has not changed.
 _STATE_INTERVAL = 3
+# A new state is told this often in a row: a stream that is replaced loses what
+# was under way.
+_MIN_TIMES_TOLD = 2
 # Longer than three heartbeats of the largest fleet, by as much as a state of a
 # small one may be late.
 _TTL_SECONDS = 7
@@ -42,6 +45,7 @@
         """Store the parameter."""
         self.states = states
         self._told: NodeState | None = None
+        self._times_told = 0
         self._beats = 0
 
     def choose_ttl(self) -> int:
@@ -71,10 +75,14 @@
         """
         connected = tuple(self.states.peers.list_connected())
         told = replace(state, known=(), revision=0)
-        is_known = told == self._told and not state.known and is_current
-        self._told = told
+        if told != self._told:
+            self._told = told
+            self._times_told = 0
         self._beats += 1
-        if not (is_known and state.ttl and self._beats % _STATE_INTERVAL):
+        is_known = self._times_told >= _MIN_TIMES_TOLD and not state.known
+        is_left_out = state.ttl and self._beats % _STATE_INTERVAL
+        if not (is_known and is_current and is_left_out):
+            self._times_told += 1
             return connected
         return tuple(
             peer for peer in connected if not self.states.heeds_ttl(peer)
--- a/sesameroute/node/tests/test_live_view.py
+++ b/sesameroute/node/tests/test_live_view.py
@@ -182,12 +182,12 @@
     assert (address in live) is is_live
 
 
-def tell(observer, beats, *, is_current=True, **changes):
+def tell(observer, beats, *, is_current=True, changed_at=1, **changes):
     """Return the receivers of each heartbeat after the first one."""
     told = []
     for beat in range(beats + 1):
         observer.beat()
-        if beat == 1:
+        if beat == changed_at:
             observer.fleet.update_own_state(**changes)
         state = observer.fleet.build_state(beat, is_complete=False)
         told.append(
@@ -233,9 +233,16 @@
     assert told == [set(observer.connected)] * 6
 
 
-def test_changes_are_told_to_all():
-    """A state that changes is told at the next heartbeat at the latest."""
+@pytest.mark.parametrize('changed_at', [4, 5, 6])
+def test_changes_are_told_to_all(changed_at):
+    """A state that changes is told twice, at the next heartbeat at the latest.
+
+    A stream that is replaced loses what was under way.
+    """
     observer = Observer()
     for address in observer.connected:
         observer.change(address, ttl=7)
-    assert tell(observer, 3, is_ready=False)[0] == set(observer.connected)
+    told = tell(observer, 7, changed_at=changed_at, is_ready=False)
+    assert (
+        told[changed_at - 1 : changed_at + 1] == [set(observer.connected)] * 2
+    )
