--- a/sesameroute/placement/_messages.py
+++ b/sesameroute/placement/_messages.py
@@ -99,10 +99,10 @@
     excluded: tuple[str, ...] = ()
     tenant: str = ''
     tenant_priority: int = 0
-    allowance: float = 0
+    allowance: float = field(default_factory=float)
     body_bytes: int = 0
     ticket: str = ''
-    caller_time_left: float = 0
+    caller_time_left: float = field(default_factory=float)
 
 
 @register_message('grant', is_nonblocking=True)
@@ -134,9 +134,9 @@
     backend: str
     incarnation: int
     is_warm: bool = False
-    waited: float = 0
+    waited: float = field(default_factory=float)
     holder: str = ''
-    run_seconds: float = 0
+    run_seconds: float = field(default_factory=float)
 
 
 @register_message('refusal', is_nonblocking=True)
@@ -257,4 +257,4 @@
     demand: float
     room: float
     shares: dict[str, dict[str, float]] = field(default_factory=dict)
-    forecast_wait: float = 0
+    forecast_wait: float = field(default_factory=float)
