--- a/sesameroute/placement/_candidates.py
+++ b/sesameroute/placement/_candidates.py
@@ -72,7 +72,7 @@
         return [
             state
             for state in self.states
-            if not self._is_impaired(state) and self.is_warm(state)
+            if self.is_warm(state) and not self._is_impaired(state)
         ]
 
     def pick_warm(
