--- a/sesameroute/adapters/_peer_workers.py
+++ b/sesameroute/adapters/_peer_workers.py
@@ -19,6 +19,9 @@
 class PeerWorkers:
     """Runs work in threads that start on demand and end when idle.
 
+    Starting a thread may last on a busy machine. One that takes work starts a
+    spare one, and the last spare one stays, so that the event loop starts none.
+
     Parameters
     ----------
     name : str
@@ -49,11 +52,9 @@
             if is_full or self._is_stopped:
                 return False
             self._queue.append(work)
-            if self._idle >= len(self._queue):
-                self._changed.notify()
-                return True
-            if self._threads >= self.max_threads:
-                return True
+            self._changed.notify()
+            if self._idle or self._threads >= self.max_threads:
+                return True  # a thread that takes work starts a spare one
             self._threads += 1
         return self._start_thread(work)
 
@@ -84,6 +85,8 @@
 
     def _run(self) -> None:
         for work in iter(self._take, None):
+            if self._needs_thread():
+                self._start_thread(work)
             with survive(self.name):
                 work()
 
@@ -91,12 +94,22 @@
         """Wait for work; return None if this thread has to end."""
         with self._changed:
             self._idle += 1
-            self._changed.wait_for(self._may_proceed, _IDLE_SECONDS)
+            is_last = self._idle == 1
+            self._changed.wait_for(
+                self._may_proceed, None if is_last else _IDLE_SECONDS
+            )
             self._idle -= 1
             if self._queue:
                 return self._queue.popleft()
             self._threads -= 1
         return None
 
+    def _needs_thread(self) -> bool:
+        """Whether no spare thread is left; count a new one if so."""
+        with self._changed:
+            is_short = not self._idle and self._threads < self.max_threads
+            self._threads += is_short
+        return is_short
+
     def _may_proceed(self) -> bool:
         return bool(self._queue) or self._is_stopped
