--- a/sesameroute/node/_allowances.py
+++ b/sesameroute/node/_allowances.py
@@ -202,6 +202,7 @@
         self.own_name = own_name
         self.own = ''
         self.others: tuple[str, ...] = ()
+        self.random = random.Random()
         self._lock = threading.Lock()
         self._avoided: dict[str, float] = {}
 
@@ -210,7 +211,7 @@
         with self._lock:
             self.own = by_region.pop(own_region, '')
             others = list(by_region.values())
-            random.shuffle(others)
+            self.random.shuffle(others)
             self.others = tuple(others)
 
     def avoid(self, depot: str, now: float, code: str) -> None:
--- a/sesameroute/placement/tests/hard_load.py
+++ b/sesameroute/placement/tests/hard_load.py
@@ -92,6 +92,9 @@
         super().__init__(
             {'north': servers}, seed=seed, cache_size=KEPT_OBJECTS, slots=SLOTS
         )
+        for pool in self.pools.values():
+            pool.plan._random.seed(seed)
+            pool._granter.admission._random.seed(seed)
         self.kinds = kinds
         self.allowances = allowances or {}
         self.outcomes = defaultdict(Counter)
--- a/sesameroute/tenants/tests/fleet.py
+++ b/sesameroute/tenants/tests/fleet.py
@@ -146,6 +146,7 @@
             self,
         )
         self.allowances.ledger.bounds = self.world.bounds
+        self.allowances.depots.random = self.world.random
         boot = self.boots
         delay = self.world.random.uniform(0, REFRESH_SECONDS)
         self.world.schedule(delay, lambda: self.refresh(boot))
