--- a/sesameroute/placement/_messages.py
+++ b/sesameroute/placement/_messages.py
@@ -246,8 +246,6 @@
     shares : dict of str to dict of str to float
         Fraction of each region's requests that each other region serves, as
         far as the sender knows.
-    forecast_wait : float
-        Seconds that a request which comes now probably waits for a slot.
 
     """
 
@@ -257,4 +255,3 @@
     demand: float
     room: float
     shares: dict[str, dict[str, float]] = field(default_factory=dict)
-    forecast_wait: float = field(default_factory=float)
