List no stream that is closed

A stream was marked closed before the list of connected peers was dropped; between the two the connection is shut down, which lets other threads run, and these got the peer from the old list.

Change: the table drops the list and marks the stream in one step, list first.

Result: test_closed_stream_is_not_listed looks while the connection is shut down; red before ([('a',)] instead of [()]), green now.

--- a/sesameroute/adapters/_peer_carrier.py
+++ b/sesameroute/adapters/_peer_carrier.py
@@ -86,10 +86,14 @@
         if frame.kind is not FrameKind.HEARTBEAT:
             call_safely(self.dispatcher.dispatch, stream, frame)
 
-    def handle_change(self) -> None:
+    def handle_opened(self) -> None:
         """Look anew at which peers are connected; see `StreamOwner`."""
         self.streams.forget_senders()
 
+    def handle_closed(self, stream: PeerStream) -> None:
+        """List the stream no longer; see `StreamOwner`."""
+        self.streams.mark_closed(stream)
+
     def handle_end(self, stream: PeerStream) -> None:
         """Fail the calls of a stream, and dial again; see `StreamOwner`."""
         self.streams.remove(stream)
--- a/sesameroute/adapters/_peer_stream.py
+++ b/sesameroute/adapters/_peer_stream.py
@@ -30,8 +30,11 @@
     def handle_frame(self, stream: 'PeerStream', frame: Frame) -> None:
         """Handle a received frame."""
 
-    def handle_change(self) -> None:
-        """Note that a stream can be used now, or no longer; any thread."""
+    def handle_opened(self) -> None:
+        """Note that a stream can be used now."""
+
+    def handle_closed(self, stream: 'PeerStream') -> None:
+        """Mark a stream as closed; any thread."""
 
     def handle_end(self, stream: 'PeerStream') -> None:
         """Forget a stream that has closed."""
@@ -183,10 +186,9 @@
         """Shut the connection down; the loop closes it."""
         if self.is_closed:
             return
-        self.is_closed = True
+        self.owner.handle_closed(self)
         with suppress(OSError):
             self.connection.shutdown(socket.SHUT_RDWR)
-        self.owner.handle_change()
         self.owner.loop.call_soon(self.watch)
 
     def _handle_events(self, events: int) -> None:
@@ -204,7 +206,7 @@
         frames = self._receiver.receive()
         if frames is not None and not self.has_received:
             self.has_received = True
-            self.owner.handle_change()
+            self.owner.handle_opened()
         for frame in frames or ():
             self.owner.handle_frame(self, frame)
 
--- a/sesameroute/adapters/_peer_table.py
+++ b/sesameroute/adapters/_peer_table.py
@@ -122,6 +122,14 @@
             self._changes += 1
             self._senders = None
 
+    def mark_closed(self, stream: PeerStream) -> None:
+        """Mark a stream as closed; no list names it from then on."""
+        with self._lock:
+            self._changes += 1
+            # A thread that sees the stream closed must not get the old list.
+            self._senders = None
+            stream.is_closed = True
+
     def list_duplicates(self, own_name: str) -> Iterable[PeerStream]:
         """Yield the duplicate streams that this end has to close.
 
--- a/sesameroute/adapters/tests/test_peers.py
+++ b/sesameroute/adapters/tests/test_peers.py
@@ -6,6 +6,7 @@
 import time
 import zlib
 from contextlib import suppress
+from unittest.mock import Mock
 
 import pytest
 
@@ -255,6 +256,21 @@
     assert two.call('a', Text('x'), 2) == Text('b:x')
 
 
+def test_closed_stream_is_not_listed(fleet):
+    """While the connection of a closed stream ends, the peer isn't listed."""
+    fleet.add('a', 1)
+    two = fleet.add('b', 2)
+    two.set_targets({'a': find_target(1)})
+    assert wait_for(two.list_connected)
+    stream, listed = two.streams.find('a'), []
+    stream.connection = Mock(wraps=stream.connection)
+    stream.connection.shutdown.side_effect = lambda how: listed.append(
+        two.list_connected()
+    )
+    stream.close()
+    assert listed == [()]
+
+
 def test_slow_reader_is_disconnected(fleet):
     """A peer that stops reading is disconnected and blocks no sender."""
     may_return = threading.Event()
