--- a/sesameroute/adapters/tests/test_peer_frames.py
+++ b/sesameroute/adapters/tests/test_peer_frames.py
@@ -49,3 +49,18 @@
     """Values in range arrive unchanged."""
     frame = Frame(FrameKind.CALL, 1, content)
     assert unpack_frame(pack_frame(frame)) == frame
+
+
+@pytest.mark.parametrize(
+    ('content', 'max_bytes'),
+    [
+        ([f'10.1.{number}.34' for number in range(140)], 700),
+        ([[f'servers/{each}', b'{"zone":"a"}'] for each in range(30)], 300),
+        ('short', 9),
+    ],
+)
+def test_lists_take_little_of_a_narrow_link(content, max_bytes):
+    """Lists of 140 nodes were most of the bytes between regions."""
+    packed = pack_frame(Frame(FrameKind.ONE_WAY, 0, content))
+    assert len(packed) <= max_bytes
+    assert unpack_frame(packed).content == content
