Repeat an unchanged state to other regions in turns

Cause: an unchanged state went to each peer with each third heartbeat; at 140 nodes in three regions 734 of 1,619 KB a second between regions. Change: a state of a large fleet is valid for 40 s while its stream is open, and a peer of another region that names as long a TTL hears it again with each twelfth heartbeat, not all in the same one. The stream's heartbeats tell that the node runs; a state that changes goes to all twice, as before, and to each new stream. Builds that name 7 s or none hear states as before.

--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -56,7 +56,7 @@
     ttl : int
         Seconds for which the state is valid while no other comes; 0 for 3.5,
         and for builds that give none. A node that names a TTL heeds those of
-        others.
+        others, up to its own at least.
 
     """
 
--- a/sesameroute/node/_heartbeats.py
+++ b/sesameroute/node/_heartbeats.py
@@ -9,6 +9,7 @@
 
 from sesameroute.gossip import choose_heartbeat_interval
 from sesameroute.node._live_view import LiveStates
+from sesameroute.placement import hash_key
 
 if TYPE_CHECKING:
     from sesameroute.node._fleet import NodeState
@@ -17,22 +18,25 @@
 
 # Fewer peers than this hear each state.
 _MIN_PEERS = 24
-# One heartbeat in this many carries the state if it has not changed.
+# One heartbeat in this many carries the state if it has not changed: for peers
+# in general, and for those of other regions that heed a long TTL.
 _STATE_INTERVAL = 3
+_FAR_STATE_INTERVAL = 12
 # A new state is told this often in a row: a stream that is replaced loses what
 # was under way.
 _MIN_TIMES_TOLD = 2
-# Longer than three heartbeats of the largest fleet, by as much as a state of a
-# small one may be late.
-_TTL_SECONDS = 7
+# Longer than two turns of the largest fleet: a stream that is replaced may lose
+# one. Builds that heed TTLs of 10 s at most hear each third heartbeat.
+_TTL_SECONDS = 40
 
 
 class HeartbeatPlan:
     """Leaves out states that peers know, where the fleet is large.
 
     The frames of a stream tell that the node still runs. A state with a TTL is
-    valid for longer; only nodes that name a TTL themselves are left out, since
-    earlier builds heed none.
+    valid for longer; only nodes that name a TTL themselves are left out, and
+    most often those of other regions that name as long a one, since earlier
+    builds heed shorter ones or none.
 
     Parameters
     ----------
@@ -80,10 +84,21 @@
             self._times_told = 0
         self._beats += 1
         is_known = self._times_told >= _MIN_TIMES_TOLD and not state.known
-        is_left_out = state.ttl and self._beats % _STATE_INTERVAL
-        if not (is_known and is_current and is_left_out):
+        if not (is_known and is_current and state.ttl):
             self._times_told += 1
             return connected
         return tuple(
-            peer for peer in connected if not self.states.heeds_ttl(peer)
+            peer for peer in connected if self._is_due(peer, state.region)
         )
+
+    def _is_due(self, peer: str, region: str) -> bool:
+        """Whether a peer that knows the state hears it again now.
+
+        Peers of other regions do one after the other.
+        """
+        heard = self.states.find(peer)
+        if heard is None or heard.ttl <= 0:
+            return True
+        if heard.ttl < _TTL_SECONDS or heard.region == region:
+            return not self._beats % _STATE_INTERVAL
+        return not (self._beats + hash_key(peer)) % _FAR_STATE_INTERVAL
--- a/sesameroute/node/_live_view.py
+++ b/sesameroute/node/_live_view.py
@@ -20,7 +20,7 @@
 # A node counts as live until its last state message is this old, if the message
 # doesn't name a time itself.
 _STATE_MAX_AGE_SECONDS = 3.5
-_LONGEST_TTL_SECONDS = 10
+_LONGEST_TTL_SECONDS = 60
 
 
 @dataclass(slots=True)
@@ -152,10 +152,10 @@
                 self._view = view
         return view
 
-    def heeds_ttl(self, address: str) -> bool:
-        """Whether a node names a TTL, so that it heeds those of others."""
+    def find(self, address: str) -> 'NodeState | None':
+        """Return the last state heard of a node, also if it is too old."""
         entry = self._received.get(address)
-        return entry is not None and entry.state.ttl > 0
+        return entry.state if entry else None
 
     def _keeps_view(self, known: 'NodeState', state: 'NodeState') -> bool:
         view = self._view
--- a/sesameroute/node/tests/test_live_view.py
+++ b/sesameroute/node/tests/test_live_view.py
@@ -167,7 +167,8 @@
         (0, 4, False),
         (7, 6, True),
         (7, 8, False),
-        (10**9, 11, False),
+        (40, 39, True),
+        (10**9, 61, False),
         (-5, 3, True),
     ],
 )
@@ -216,6 +217,45 @@
     )
 
 
+def test_other_regions_hear_an_unchanged_state_in_turns():
+    """Of 140 nodes, unchanged states were most bytes between regions.
+
+    Earlier builds, which heed 10 s at most, hear them as before.
+    """
+    observer = Observer()
+    everyone, earlier = set(observer.connected), set(observer.connected[:9])
+    for address in everyone:
+        observer.change(address, ttl=7 if address in earlier else 40)
+    near = {
+        address
+        for address, state in observer.states.items()
+        if state.region == observer.own.region
+    }
+    told = tell(observer, 60)
+    far = everyone - near - earlier
+    repeated = [each for each in told if each != everyone]
+    assert sum(len(each & far) for each in repeated) < 5 * len(far)
+    assert all(
+        any((near | earlier) <= each for each in told[first : first + 3])
+        for first in range(58)
+    )
+    # Two turns of 1.4 s each are within the 40 s.
+    assert all(
+        far <= set().union(*told[first : first + 12]) for first in range(49)
+    )
+
+
+@pytest.mark.parametrize('ttl', [0, 7, 40])
+def test_node_without_a_stream_is_lost_at_any_ttl(ttl):
+    """A long TTL keeps no node whose stream has closed."""
+    observer = Observer()
+    leader = observer.find_leader()
+    observer.change(leader, ttl=ttl)
+    lose_stream(observer, leader)
+    assert leader not in {each.address for each in observer.fleet.list_live()}
+    assert observer.find_leader() != leader
+
+
 @pytest.mark.parametrize(
     ('nodes', 'options'),
     [
@@ -233,15 +273,16 @@
     assert told == [set(observer.connected)] * 6
 
 
+@pytest.mark.parametrize('ttl', [7, 40])
 @pytest.mark.parametrize('changed_at', [4, 5, 6])
-def test_changes_are_told_to_all(changed_at):
+def test_changes_are_told_to_all(changed_at, ttl):
     """A state that changes is told twice, at the next heartbeat at the latest.
 
     A stream that is replaced loses what was under way.
     """
     observer = Observer()
     for address in observer.connected:
-        observer.change(address, ttl=7)
+        observer.change(address, ttl=ttl)
     told = tell(observer, 7, changed_at=changed_at, is_ready=False)
     assert (
         told[changed_at - 1 : changed_at + 1] == [set(observer.connected)] * 2
