Let shares lead, and follow sizes, only where regions or servers are uneven

Cause: `shares = by-size` and `forecast = 2` stand in the settings' template of every deployment, so that they acted everywhere. Even regions sent requests away that their own region serves as well.

Change: the plan leads only while a region has less than half of the mean slots of the regions. Shares follow sizes only in a region whose servers differ in slots, or of which one reports its pace, or of which a fifth has joined in the last 30 s.

--- a/sesameroute/placement/_pool.py
+++ b/sesameroute/placement/_pool.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass
 
 from sesameroute.placement._admission import Admission
-from sesameroute.placement._demand import Demand, DemandForecast
 from sesameroute.placement._estimates import Estimates
 from sesameroute.placement._granter import Granter, build_waiter
 from sesameroute.placement._learner import Learner
@@ -26,7 +25,11 @@
 from sesameroute.placement._queue import SettleCallback
 from sesameroute.placement._region_reports import RegionReports
 from sesameroute.placement._rehearsal import Rehearser
-from sesameroute.placement._spillover import RegionLoad, SpilloverPlan
+from sesameroute.placement._spillover import (
+    RegionDemand,
+    RegionLoad,
+    SpilloverPlan,
+)
 from sesameroute.placement._states import UpstreamStates
 from sesameroute.placement._terms import PlacementTerms
 from sesameroute.registry import Announcements, RegistryEntry
@@ -87,9 +90,8 @@
         )
         self._lock = threading.RLock()
         self.states.norms.follows_sizes = terms.follows_sizes
-        self._demand: Demand | DemandForecast = Demand()
+        self._demand = RegionDemand(self.plan, terms.forecast_seconds)
         if terms.forecast_seconds:
-            self._demand = DemandForecast(terms.forecast_seconds)
             self.plan.use_cap(terms.max_shift)
         self._region_reports = RegionReports(identity.region)
         self._granter = Granter(
@@ -121,7 +123,9 @@
         """
         with self._lock:
             has_dropped = self.states.update_backends(entries, regions, now)
-            self.plan.initialize(self.states.count_slots_by_region(), now)
+            slots_by_region = self.states.count_slots_by_region()
+            self.plan.initialize(slots_by_region, now)
+            self.plan.compare_regions(slots_by_region)
             self._update_plan(now)
             if has_dropped:
                 self._granter.settle_stranded(now)
--- a/sesameroute/placement/_region_norms.py
+++ b/sesameroute/placement/_region_norms.py
@@ -6,6 +6,7 @@
 from sesameroute.placement._server_shares import (
     ShareBounds,
     build_share_bounds,
+    is_uneven,
 )
 from sesameroute.placement._upstream import UpstreamState
 
@@ -21,7 +22,8 @@
     Attributes
     ----------
     follows_sizes : bool
-        Whether the servers' shares of the work follow their sizes.
+        Whether the servers' shares of the work follow their sizes where the
+        servers of a region differ.
 
     """
 
@@ -49,6 +51,7 @@
             self._share_bounds = {
                 region: build_share_bounds(members, now)
                 for region, members in by_region.items()
+                if is_uneven(members, now)
             }
 
     def find_baseline(self, region: str) -> float:
@@ -57,10 +60,8 @@
 
     def find_bounds(self, region: str, now: float) -> ShareBounds | None:
         """Return the bounds on shares; None if sizes are not followed."""
-        if not self.follows_sizes:
-            return None
-        bounds = self._share_bounds.get(region, ShareBounds(0, now))
-        return replace(bounds, now=now)
+        bounds = self._share_bounds.get(region)
+        return bounds and replace(bounds, now=now)
 
 
 def _find_baseline(members: list[UpstreamState], now: float) -> float:
--- a/sesameroute/placement/_server_pace.py
+++ b/sesameroute/placement/_server_pace.py
@@ -48,6 +48,11 @@
         weight = max(1 - age / _VALID_SECONDS, 0)
         return 1 + weight * (self._reported - 1)
 
+    @property
+    def is_reported(self) -> bool:
+        """Whether the server says how fast it works."""
+        return math.isfinite(self._reported_at)
+
     def clear(self) -> None:
         """Forget what an earlier incarnation has said."""
         self._reported_at = -math.inf
--- a/sesameroute/placement/_server_shares.py
+++ b/sesameroute/placement/_server_shares.py
@@ -8,13 +8,18 @@
 come first.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from sesameroute.placement._messages import SlotRequest
 from sesameroute.placement._upstream import UpstreamState
 
-__all__ = ['ShareBounds', 'build_share_bounds', 'compute_utilization']
+__all__ = [
+    'ShareBounds',
+    'build_share_bounds',
+    'compute_utilization',
+    'is_uneven',
+]
 
 # A server may have this many times the mean work per slot.
 _MAX_SHARE_RATIO = 1.1
@@ -27,6 +32,10 @@
 _SHORT_UTILIZATION = 0.5
 # Time for the answer to reach the caller, as a fraction of the objective.
 _TRAVEL_FRACTION = 0.1
+# From this part of a region's servers on, those that have joined lately count,
+# for so many seconds.
+_MIN_JOINED_FRACTION = 0.2
+_JOINED_SECONDS = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +95,20 @@
     return ShareBounds(work / slots if slots else 0, now)
 
 
+def is_uneven(states: Collection[UpstreamState], now: float) -> bool:
+    """Whether the servers of a region need shares by size.
+
+    Servers of one size that say nothing of their pace don't, unless many have
+    just joined: there, an object that moves costs more than it brings.
+    """
+    if len({state.slots for state in states}) > 1:
+        return True
+    if any(state.pace.is_reported for state in states):
+        return True
+    joined = sum(now - state.joined_at <= _JOINED_SECONDS for state in states)
+    return joined >= max(_MIN_JOINED_FRACTION * len(states), 1)
+
+
 def compute_utilization(state: UpstreamState, now: float) -> float:
     """Return the part of a server's slots that was busy lately."""
     return state.work.estimate_slots(now) / max(state.slots, 1)
--- a/sesameroute/placement/_shift_limiter.py
+++ b/sesameroute/placement/_shift_limiter.py
@@ -3,7 +3,7 @@
 from collections import Counter, deque
 from collections.abc import Iterable
 
-__all__ = ['SHIFT_WINDOW_SECONDS', 'ShiftLimiter']
+__all__ = ['MAX_SHARE_GROWTH', 'SHIFT_WINDOW_SECONDS', 'ShiftLimiter']
 
 # The window for which the cap on shifts is defined.
 SHIFT_WINDOW_SECONDS = 2.0
@@ -11,7 +11,7 @@
 _BUCKET_SECONDS = 0.25
 _WINDOW_BUCKETS = int(SHIFT_WINDOW_SECONDS / _BUCKET_SECONDS)
 # Fraction of the requests that may move from one window to the next.
-_MAX_SHARE_GROWTH = 0.11
+MAX_SHARE_GROWTH = 0.11
 # A window with fewer requests is too small a sample to be limited.
 _MIN_REQUESTS = 12
 
@@ -38,7 +38,7 @@
 
     """
 
-    def __init__(self, max_growth: float = _MAX_SHARE_GROWTH) -> None:
+    def __init__(self, max_growth: float = MAX_SHARE_GROWTH) -> None:
         """Start without recorded requests."""
         self.max_growth = max_growth
         self._buckets: deque[Counter[str]] = deque(
--- a/sesameroute/placement/_spillover.py
+++ b/sesameroute/placement/_spillover.py
@@ -12,12 +12,14 @@
 from dataclasses import dataclass
 
 from sesameroute.placement._candidates import hash_key
+from sesameroute.placement._demand import Demand, DemandForecast
 from sesameroute.placement._shift_limiter import (
+    MAX_SHARE_GROWTH,
     SHIFT_WINDOW_SECONDS,
     ShiftLimiter,
 )
 
-__all__ = ['RegionLoad', 'SpilloverPlan']
+__all__ = ['RegionDemand', 'RegionLoad', 'SpilloverPlan']
 
 # A region uses this fraction of its slots before requests spill over.
 TARGET_UTILIZATION = 0.72
@@ -30,6 +32,9 @@
 # to the chance of which requests come.
 _USED_CAP_FRACTION = 0.7
 _GUARDED_CAP_FRACTION = 0.75
+# A region with less than this part of the mean room of the regions can't serve
+# its callers when they are spread evenly: the plan leads.
+_SMALL_REGION_RATIO = 0.5
 # Initial shares, as a fraction of those that equal demand in all regions would
 # need, until demand is observed.
 _INITIAL_SHARE_FRACTION = 0.6
@@ -78,6 +83,8 @@
     ----------
     shares_ : dict of str to float
         Fraction of the requests that each other region serves.
+    is_leading_ : bool
+        Whether the shares lead the demand, as far as the cap allows.
 
     """
 
@@ -92,11 +99,14 @@
         self._random = random.Random()
         self._shift_limiter = ShiftLimiter()
         self._change_per_second = _MAX_SHARE_CHANGE_PER_SECOND
-        self._is_leading = False
+        self._max_shift = 0
+        self.is_leading_ = False
         self._initialized_at = math.inf
 
     def use_cap(self, max_shift: float) -> None:
-        """Let the shares change as fast as a cap on shifts allows.
+        """Let the shares lead where the room of the regions is uneven.
+
+        They change as fast as a cap on shifts allows then.
 
         Parameters
         ----------
@@ -105,11 +115,33 @@
             window of two seconds to the next.
 
         """
-        self._change_per_second = (
-            _USED_CAP_FRACTION * max_shift / SHIFT_WINDOW_SECONDS
-        )
-        self._shift_limiter.max_growth = _GUARDED_CAP_FRACTION * max_shift
-        self._is_leading = True
+        self._max_shift = max_shift
+
+    def compare_regions(self, capacities: Mapping[str, float]) -> None:
+        """Lead only while a region is much smaller than the others.
+
+        Answers deployments with even regions: there, a share that leads sends
+        requests away that their own region serves as well, and sooner.
+
+        Parameters
+        ----------
+        capacities : mapping of str to float
+            Slots by region.
+
+        """
+        is_leading = bool(self._max_shift) and _is_uneven(capacities)
+        if is_leading == self.is_leading_:
+            return
+        self.is_leading_ = is_leading
+        self._change_per_second = _MAX_SHARE_CHANGE_PER_SECOND
+        self._shift_limiter.max_growth = MAX_SHARE_GROWTH
+        if is_leading:
+            self._change_per_second = (
+                _USED_CAP_FRACTION * self._max_shift / SHIFT_WINDOW_SECONDS
+            )
+            self._shift_limiter.max_growth = (
+                _GUARDED_CAP_FRACTION * self._max_shift
+            )
 
     def initialize(self, capacities: Mapping[str, float], now: float) -> None:
         """Set the shares from the capacities, assuming equal demand.
@@ -225,13 +257,49 @@
         If all regions together have more demand than that, they share the
         lack evenly.
         """
-        if not self._is_leading:
+        if not self.is_leading_:
             return TARGET_UTILIZATION
         demand = sum(load.demand for load in loads.values())
         capacity = sum(load.capacity for load in loads.values())
         return max(_LEADING_UTILIZATION, demand / max(capacity, 1))
 
 
+def _is_uneven(capacities: Mapping[str, float]) -> bool:
+    mean = sum(capacities.values()) / max(len(capacities), 1)
+    smallest = min(capacities.values(), default=0)
+    return smallest < _SMALL_REGION_RATIO * mean
+
+
+class RegionDemand:
+    """Demand of a region's callers: a forecast while its plan leads.
+
+    Parameters
+    ----------
+    plan : SpilloverPlan
+        The plan of the region.
+    ahead : float
+        Seconds from now to the time of the forecast.
+
+    """
+
+    def __init__(self, plan: SpilloverPlan, ahead: float) -> None:
+        """Start without demand."""
+        self.plan = plan
+        self._demand = Demand()
+        self._forecast = DemandForecast(ahead)
+
+    def add(self, seconds: float, now: float) -> None:
+        """Add one request's expected run time in seconds."""
+        self._demand.add(seconds, now)
+        self._forecast.add(seconds, now)
+
+    def estimate_slots(self, now: float) -> float:
+        """Return the number of slots that the requests need."""
+        if self.plan.is_leading_:
+            return self._forecast.estimate_slots(now)
+        return self._demand.estimate_slots(now)
+
+
 def _compute_boundary_shift(deficit: float) -> float:
     """Return by how much the end of a segment moves for a deficit."""
     return min(
--- a/sesameroute/placement/_states.py
+++ b/sesameroute/placement/_states.py
@@ -23,6 +23,10 @@
 _MIN_LIMIT_PER_SECOND = 0.5
 
 
+# Servers that are first seen later than this after the first one have joined.
+_SETTLE_SECONDS = 5.0
+
+
 @dataclass(frozen=True, slots=True)
 class LimitShares:
     """Parts that a pool may use of the limits that servers name.
@@ -82,6 +86,7 @@
         self.cold_share = 0.8
         self.cold_rate = 1.0
         self._states: dict[str, UpstreamState] = {}
+        self._settled_at = math.inf
 
     def update_backends(
         self,
@@ -105,9 +110,13 @@
             state = previous.get(backend.name)
             if state is None:
                 state = UpstreamState(entry, region, last_outcome_at=now)
+                if now >= self._settled_at:
+                    state.joined_at = now
             state.region = region
             state.update_entry(entry)
             self._states[backend.name] = state
+        if self._states:
+            self._settled_at = min(self._settled_at, now + _SETTLE_SECONDS)
         self._applied_limits = None
         return bool(previous.keys() - self._states.keys())
 
--- a/sesameroute/placement/_upstream.py
+++ b/sesameroute/placement/_upstream.py
@@ -96,6 +96,8 @@
         Run time of this pool's requests over the last seconds.
     pace : ServerPace
         How fast it says that it works.
+    joined_at : float
+        Monotonic time in seconds at which it was added to the others.
 
     """
 
@@ -116,6 +118,7 @@
     warming_until: float = -math.inf
     work: Demand = field(default_factory=_build_work_average)
     pace: ServerPace = field(default_factory=ServerPace)
+    joined_at: float = -math.inf
 
     @property
     def name(self) -> str:
