Read the answer that came while the node was paused

Since a wait for an answer looks up its server every quarter of a second, a node paused between its look at the socket and its look at the clock threw away an answer that had come: 504, a second run, or 502 for a request that must not run twice. The socket is looked at once more before a wait ends; the test fails in its four cases on the code before.

The three listed tests gave each request 0.6 s by the machine's clock. Nothing in them is about time, so that they run on a clock that is twenty times as slow; what they ask for is unchanged.

--- a/sesameroute/forward/_answer_wait.py
+++ b/sesameroute/forward/_answer_wait.py
@@ -70,21 +70,26 @@
 
         """
         while not _is_readable(sock, caller, self._find_seconds(clock)):
-            if self._is_over(clock.read_monotonic()):
-                raise TimeoutError('no byte of an answer in time')
+            end = self._find_end(clock.read_monotonic())
+            if end is None:
+                continue
+            # The process may have been paused since it looked.
+            if _is_readable(sock, caller, 0):
+                return
+            raise end
 
     def _find_seconds(self, clock: Clock) -> float:
         """Return the seconds until the next look at the server."""
         remaining = min(self.deadline, self.retry_at) - clock.read_monotonic()
         return max(min(remaining, _CHECK_SECONDS), _MIN_WAIT_SECONDS)
 
-    def _is_over(self, now: float) -> bool:
-        """Return whether to end the wait after silence."""
+    def _find_end(self, now: float) -> Exception | None:
+        """Return why to end the wait after silence, or None to go on."""
         if now >= self.deadline:
-            return True
+            return TimeoutError('no byte of an answer in time')
         condition = self.find_condition()
         if condition is ServerCondition.ENDED:
-            raise TryError(
+            return TryError(
                 'backend server ended under the request',
                 Outcome.LOST,
                 may_have_run=True,
@@ -94,10 +99,12 @@
             self.retry_at
         )
         if now < self.retry_at and not is_unreached:
-            return False
+            return None
         # Without another server the running try goes on.
         self.retry_at = math.inf
-        return self.may_abandon()
+        if self.may_abandon():
+            return TimeoutError('try given up for one at another server')
+        return None
 
 
 def _is_readable(
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -59,6 +59,17 @@
     return budgets
 
 
+class SlowClock(SystemClock):
+    """A clock for tests in which no time-out is due.
+
+    A pause of the process would let the route's time pass.
+    """
+
+    def read_monotonic(self):
+        """Return monotonic seconds that pass twenty times as slowly."""
+        return super().read_monotonic() / 20
+
+
 class NoPeers:
     """Peer connections of a node without peers."""
 
@@ -70,9 +81,9 @@
 class ForwarderHarness:
     """A forwarder with scripted backend servers and one caller."""
 
-    def __init__(self, *servers, kind=RequestKind.SAFE, attempts=2):
+    def __init__(self, *servers, kind=RequestKind.SAFE, attempts=2, clock=None):
         """Register the servers as a, b, ..."""
-        self.clock = SystemClock()
+        self.clock = clock or SystemClock()
         self.active_configuration = ActiveConfiguration()
         self.active_configuration.apply_if_newer(
             Configuration(
--- a/sesameroute/forward/tests/test_crashing_requests.py
+++ b/sesameroute/forward/tests/test_crashing_requests.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sesameroute.forward import TryError
-from sesameroute.forward.tests.harness import ForwarderHarness
+from sesameroute.forward.tests.harness import ForwarderHarness, SlowClock
 from sesameroute.forward.tests.servers import ScriptedServer
 from sesameroute.routes import RequestKind
 
@@ -141,6 +141,7 @@
     harness = ForwarderHarness(
         *(ScriptedServer(*scripts) for _ in range(5)),
         kind=RequestKind.UNSAFE,
+        clock=SlowClock(),
     )
     statuses = []
     for _ in range(5):
--- a/sesameroute/forward/tests/test_ended_servers.py
+++ b/sesameroute/forward/tests/test_ended_servers.py
@@ -1,12 +1,14 @@
 """Tests of requests whose backend server ends without a word."""
 
+import math
+import socket
 import time
 from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 
-from sesameroute.forward._answer_wait import ServerCondition
+from sesameroute.forward._answer_wait import AnswerWait, ServerCondition
 from sesameroute.forward._ended_servers import find_condition
 from sesameroute.forward.tests.harness import ForwarderHarness
 from sesameroute.forward.tests.servers import ScriptedServer
@@ -146,3 +148,28 @@
     assert len(server.heads) == (status == 200)
     if status == 503:
         assert Reason.TOO_LATE.value in answer[2].decode()
+
+
+@pytest.mark.parametrize(
+    ('deadline', 'retry_at', 'condition'),
+    [
+        (10.0, math.inf, ServerCondition.ALIVE),
+        (99.0, 10.0, ServerCondition.ALIVE),
+        (99.0, 20.0, ServerCondition.UNREACHED),
+        (99.0, math.inf, ServerCondition.ENDED),
+    ],
+)
+def test_answer_that_came_during_a_pause_is_read(deadline, retry_at, condition):
+    """It came between the look at the socket and that at the clock: 504."""
+    node_end, server_end = socket.socketpair()
+    reads = []
+
+    def read_monotonic():
+        reads.append(10.0)
+        if len(reads) == 2:
+            server_end.sendall(b'HTTP/1.1 200')
+        return 10.0
+
+    wait = AnswerWait(deadline, retry_at, lambda: True, lambda: condition)
+    wait.wait(node_end, None, SimpleNamespace(read_monotonic=read_monotonic))
+    assert node_end.recv(4) == b'HTTP'
--- a/sesameroute/forward/tests/test_repeated_refusals.py
+++ b/sesameroute/forward/tests/test_repeated_refusals.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesameroute.forward.tests.harness import ForwarderHarness
+from sesameroute.forward.tests.harness import ForwarderHarness, SlowClock
 from sesameroute.forward.tests.servers import (
     COMPLETE_ANSWER,
     IDENTIFIER_HEADER,
@@ -83,7 +83,7 @@
     """A request that ran was refused, or ran at a second server, too."""
     repeating = RepeatingServer(reason, moment, has_identifier=has_identifier)
     second = ScriptedServer('whole')
-    harness = ForwarderHarness(repeating, second, kind=kind)
+    harness = ForwarderHarness(repeating, second, kind=kind, clock=SlowClock())
     assert harness.forward('/p/1', identifier='first')[0] == 200
     time.sleep(2 * _IDLE_SECONDS)
     harness.allocator.names = ['a']
--- a/sesameroute/forward/tests/test_truncated_heads.py
+++ b/sesameroute/forward/tests/test_truncated_heads.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sesameroute.forward.tests.harness import ForwarderHarness
+from sesameroute.forward.tests.harness import ForwarderHarness, SlowClock
 from sesameroute.forward.tests.servers import (
     COMPLETE_ANSWER,
     IDENTIFIER_HEADER,
@@ -35,7 +35,7 @@
     """A head cut within a header passed for a success with no body."""
     answer = _HEADER_ORDERS[order]
     server = TruncatingServer(answer)
-    harness = ForwarderHarness(server, kind=kind, attempts=1)
+    harness = ForwarderHarness(server, kind=kind, attempts=1, clock=SlowClock())
     head = answer.replace('{0}', 'mine').partition('whole')[0]
     head_bytes = len(head.removesuffix('5\r\n'))
     for size in range(head_bytes):
