Tell large fleets which nodes are new instead of all nodes

Cause: each change of the nodes that are known, and each 23rd heartbeat at 140 nodes, carried the list of all nodes to all peers. Change: in a large fleet a change names the nodes that have become known only: all of them to the own region, those of the own region to the others. The whole list goes to one peer after the other, with each heartbeat to a different one. Peers of earlier builds hear lists as before, small fleets too.

--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -289,10 +289,10 @@
                 self._store.mirror.revision_, is_complete=False
             )
             is_current = is_heartbeat and self._store.is_current()
-            for peer in self.fleet.heartbeats.select_receivers(
-                state, is_current=is_current
+            for peer, message in self.fleet.heartbeats.plan_messages(
+                state, self.fleet.list_live(), is_current=is_current
             ):
-                self.peers.send_one_way(peer, state)
+                self.peers.send_one_way(peer, message)
 
 
 def _stop_servers(servers: list[FrontServer | MetricsServer]) -> None:
--- a/sesameroute/node/tests/test_large_fleet.py
+++ b/sesameroute/node/tests/test_large_fleet.py
@@ -52,8 +52,10 @@
         plan = self.fleet.heartbeats
         while not self.is_off.wait(plan.choose_interval()):
             state = self.fleet.build_state(is_complete=False)
-            for peer in plan.select_receivers(state, is_current=True):
-                self.network.send_one_way(peer, state)
+            for peer, message in plan.plan_messages(
+                state, self.fleet.list_live(), is_current=True
+            ):
+                self.network.send_one_way(peer, message)
 
 
 @pytest.fixture
