Repeat an unchanged state to the own region in turns, too

Change: a peer of the own region that names the long TTL hears an unchanged state with each sixth heartbeat, not all in the same one.

--- a/sesameroute/node/_heartbeats.py
+++ b/sesameroute/node/_heartbeats.py
@@ -20,8 +20,9 @@
 # Fewer peers than this hear each state.
 _MIN_PEERS = 24
 # One heartbeat in this many carries the state if it has not changed: for peers
-# in general, and for those of other regions that heed a long TTL.
+# of earlier builds, and for those of this region and of others.
 _STATE_INTERVAL = 3
+_NEAR_STATE_INTERVAL = 6
 _FAR_STATE_INTERVAL = 12
 # A new state is told this often in a row: a stream that is replaced loses what
 # was under way.
@@ -36,8 +37,8 @@
 
     The frames of a stream tell that the node still runs. A state with a TTL is
     valid for longer; only nodes that name a TTL themselves are left out, and
-    most often those of other regions that name as long a one, since earlier
-    builds heed shorter ones or none.
+    more often those that name as long a one, since earlier builds heed shorter
+    ones or none.
 
     Parameters
     ----------
@@ -131,16 +132,16 @@
     def _is_due(self, peer: str, state: 'NodeState') -> bool:
         """Whether a peer that knows the state hears it again now.
 
-        Peers of other regions do one after the other.
+        Those that heed a long TTL do one after the other.
         """
         heard = self.states.find(peer)
         if heard is None or heard.ttl <= 0:
             return True
         if heard.ttl < _TTL_SECONDS:
             return bool(state.known) or not self._beats % _STATE_INTERVAL
-        if heard.region == state.region:
-            return not self._beats % _STATE_INTERVAL
-        return not (self._beats + hash_key(peer)) % _FAR_STATE_INTERVAL
+        is_near = heard.region == state.region
+        interval = _NEAR_STATE_INTERVAL if is_near else _FAR_STATE_INTERVAL
+        return not (self._beats + hash_key(peer)) % interval
 
     def _select_heeding(
         self, state: 'NodeState'
