--- a/benchmarks/bench_peers.py
+++ b/benchmarks/bench_peers.py
@@ -22,7 +22,13 @@
 _QUICK_PEER_COUNTS = (6, 30)
 _SECONDS = 10
 _MAX_THREADS = 40  # of an idle node with 139 peers
-_UNITS = (('threads', ''), ('core', 'cores'), ('bytes', 'B/s'), ('memory', 'B'))
+_UNITS = (
+    ('threads', ''),
+    ('core', 'cores'),
+    ('bytes', 'B/s'),
+    ('far-bytes', 'B/s'),
+    ('memory', 'B'),
+)
 
 
 def run(seed: int = 1, *, quick: bool = False) -> list[Measurement]:
