Test that a lost change is told again while all nodes stay live

Each peer hears an unchanged state in its turn: a change of which both messages were lost is known within twelve heartbeats, and nobody is taken for lost.

--- a/sesameroute/node/tests/test_known_nodes.py
+++ b/sesameroute/node/tests/test_known_nodes.py
@@ -144,6 +144,23 @@
     assert not fleets.list_ignorant()
 
 
+def test_a_lost_change_is_told_again_while_all_stay_live():
+    """Streams that are replaced lose both messages with a change."""
+    fleets = Fleets(40)
+    fleets.fleets['n1'].update_own_state(is_ready=True)
+    for _ in range(2):
+        fleets.lost = set(fleets.first)
+        fleets.beat()
+    for _ in range(12):
+        fleets.beat()
+        live = [fleets.fleets[name].list_live() for name in fleets.first]
+        assert {len(each) for each in live} == {len(fleets.first)}
+    ready = [
+        [state.address for state in each if state.is_ready] for each in live
+    ]
+    assert ready == [['n1']] * len(fleets.first)
+
+
 @pytest.mark.parametrize('region', ['r0', 'r1', 'r2'])
 def test_earlier_builds_hear_lists_as_before(region):
     """A node of an earlier build hears all lists that were told before."""
