Test apart what a planned stop answers and what a standing queue refuses

Cause: the 503 among the answers of test_planned_stop_answers_accepted_requests is no cut by the stop. Requests that wait for a thread for longer than the admission queue allows (0.25 s, or 0.1 s once it stands) are refused as overloaded, with or without a stop; 300 requests of 5 ms take longer than that on a busy machine. So the test demanded the speed of the machine.

Change: the test lets requests wait for as long as they need and still demands 200 for each, now with whole answers rather than the status line; a second one plays the case that was met by chance, with four threads that never get free: those four are answered 200, all others get a whole 503 with Retry-After, and nothing that was refused has run.

--- a/sesameroute/adapters/tests/test_front_server.py
+++ b/sesameroute/adapters/tests/test_front_server.py
@@ -11,6 +11,7 @@
 from sesameroute.adapters import FrontServer
 from sesameroute.adapters.tests.network import NETWORK
 from sesameroute.exceptions import SesameError
+from sesameroute.limits import ConcurrencyBounds, QueueBounds
 from sesameroute.ports import Answer
 
 ADDRESS = (f'{NETWORK}.6', 18_499)
@@ -109,24 +110,73 @@
                 answer.read()
 
 
+def read_answers(connections):
+    """Return the statuses of the answers; each has to come whole."""
+    for connection in connections:
+        with HTTPResponse(connection) as answer:
+            answer.begin()
+            assert len(answer.read()) == int(answer.headers['Content-Length'])
+            assert answer.status == 200 or answer.headers['Retry-After']
+            yield answer.status
+
+
+@contextlib.contextmanager
+def connect(burst):
+    """Send a request on each of some connections."""
+    with contextlib.ExitStack() as callers:
+        connections = []
+        for _ in range(burst):
+            connection = socket.create_connection(ADDRESS, TIMEOUT_SECONDS)
+            connections.append(callers.enter_context(connection))
+            connection.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+        yield connections
+
+
 @pytest.mark.parametrize('burst', [10, 100, 300])
 def test_planned_stop_answers_accepted_requests(burst):
-    """Requests that waited for a thread or to be accepted were cut off."""
+    """Requests that waited for a thread or to be accepted were cut off.
+
+    Here they may wait for as long as the machine takes to run them all.
+    """
 
     def answer_slowly(_request):
         time.sleep(0.005)
         return Answer(200, (), iter((CHUNK,)), len(CHUNK))
 
     server = FrontServer(ADDRESS, answer_slowly, threads=4)
+    server._pool.queue._waiting.bounds = QueueBounds(*[TIMEOUT_SECONDS] * 3)
     server.start()
-    with contextlib.ExitStack() as callers:
-        connections = []
-        for _ in range(burst):
-            connection = socket.create_connection(ADDRESS, TIMEOUT_SECONDS)
-            connections.append(callers.enter_context(connection))
-            connection.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    with connect(burst) as connections:
+        server.stop_accepting()
+        assert wait_for(lambda: not server.running_.count)
+        server.stop()
+        answers = list(read_answers(connections))
+    assert answers == [200] * burst
+
+
+@pytest.mark.parametrize('burst', [10, 100, 300])
+def test_planned_stop_refuses_requests_that_get_no_turn(burst):
+    """Requests run or are refused; a busy machine can't run all in time."""
+    threads = 4
+    ran = []
+    may_end = threading.Event()
+
+    def answer_late(request):
+        ran.append(request)
+        may_end.wait(TIMEOUT_SECONDS)
+        return Answer(200, (), iter((CHUNK,)), len(CHUNK))
+
+    server = FrontServer(ADDRESS, answer_late, threads=threads)
+    limit = server._pool.queue.limit
+    limit.bounds = ConcurrencyBounds(lowest=threads, highest=threads)
+    limit.limit_ = threads
+    server.start()
+    with connect(burst) as connections:
         server.stop_accepting()
+        assert wait_for(lambda: server.running_.count == threads)
+        may_end.set()
         assert wait_for(lambda: not server.running_.count)
         server.stop()
-        answers = [connection.recv(12) for connection in connections]
-    assert set(answers) == {b'HTTP/1.1 200'}
+        answers = sorted(read_answers(connections))
+    assert answers == [200] * threads + [503] * (burst - threads)
+    assert len(ran) == threads
