--- a/conftest.py
+++ b/conftest.py
@@ -6,7 +6,8 @@
 import pytest
 
 _LIST = Path(__file__).with_name('KNOWN-RED.txt')
-_TEST = re.compile(r'[\w/]+\.py::\w+(?:\[\S+\])?')
+# The name of a case is whole on a line, and may have spaces.
+_TEST = re.compile(r'[\w/]+\.py::\w+(?:\[[^\n\]]+\])?')
 
 
 def pytest_collection_modifyitems(items):
