Let a planned stop wait for an event loop that is late

Cause: a stop gave the event loop one second to close the kept connections, then counted the requests and ended the threads. A loop that got no turn in that second, as on a machine with a load of 76, reads a request afterwards; a thread that has not ended begins it, it is passed on, and the stop ends without its answer (LOST). Found by reading, for test_kept_connection_is_served_or_closed, which was red once at that load; that run's trace is not there.

Change: the stop waits for the loop's turn for as long as requests may be answered, a second at least as before.

--- a/sesameroute/adapters/_front_server.py
+++ b/sesameroute/adapters/_front_server.py
@@ -157,7 +157,9 @@
         self._thread = None
         self._loop.acceptor.stop()
         self._idle.begin_stop()
-        self._idle.has_closed_idle_.wait(_MAX_TURN_SECONDS)
+        # A loop that is late may still read a request; it has to be answered.
+        patience = max(answers_until - time.monotonic(), _MAX_TURN_SECONDS)
+        self._idle.has_closed_idle_.wait(patience)
         while self.running_.count and time.monotonic() < answers_until:
             time.sleep(_ANSWER_POLL_SECONDS)
         self._pool.stop()
--- a/sesameroute/adapters/tests/test_front_server.py
+++ b/sesameroute/adapters/tests/test_front_server.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sesameroute.adapters import FrontServer
+from sesameroute.adapters._connection_loop import TURN_SECONDS
 from sesameroute.adapters.tests.network import NETWORK
 from sesameroute.exceptions import SesameError
 from sesameroute.limits import ConcurrencyBounds, QueueBounds
@@ -180,3 +181,43 @@
         answers = sorted(read_answers(connections))
     assert answers == [200] * threads + [503] * (burst - threads)
     assert len(ran) == threads
+
+
+def test_planned_stop_waits_for_a_late_event_loop(monkeypatch):
+    """A request that the loop read late in a stop was begun and then cut."""
+    began = threading.Event()
+    may_turn = threading.Event()
+    may_turn.set()
+
+    def answer(request):
+        if request.path == b'/late':
+            began.set()
+            time.sleep(1)
+        return Answer(200, (), iter((CHUNK,)), len(CHUNK))
+
+    server = FrontServer(ADDRESS, answer)
+    watched, pool = server._idle.watched, server._pool
+    select, stop_pool = watched.select, pool.stop
+
+    def select_late(pause):
+        may_turn.wait(TIMEOUT_SECONDS)
+        return select(pause)
+
+    def stop_pool_late():
+        began.wait(TIMEOUT_SECONDS)  # the threads end as late as the loop
+        stop_pool()
+
+    monkeypatch.setattr(watched, 'select', select_late)
+    monkeypatch.setattr(pool, 'stop', stop_pool_late)
+    server.start()
+    caller = HTTPConnection(*ADDRESS, timeout=TIMEOUT_SECONDS)
+    caller.request('GET', '/')
+    assert caller.getresponse().read() == CHUNK
+    may_turn.clear()
+    time.sleep(2 * TURN_SECONDS)
+    caller.request('GET', '/late')
+    threading.Timer(1.5, may_turn.set).start()
+    server.stop(time.monotonic() + TIMEOUT_SECONDS)
+    assert not server.running_.count  # the process may end now
+    assert caller.getresponse().read() == CHUNK
+    caller.close()
