Serve what finds a thread free, however late

Cause: the front's queue refuses what has waited for 0.25 s for a thread, also where threads are free and only the processor was not: after a process got no turn for that long, the first thread or the event loop refused all that had come meanwhile as overloaded, with nothing before it.

Change: as many requests as threads are free and may start are never refused by their wait, the newest ones where more wait; the others are refused as before.

--- a/sesameroute/adapters/_request_queue.py
+++ b/sesameroute/adapters/_request_queue.py
@@ -1,5 +1,6 @@
 """Requests that wait for a thread, and those that are served."""
 
+import itertools
 import threading
 import time
 from collections.abc import Callable
@@ -17,6 +18,11 @@
 class RequestQueue:
     """Gives threads their next request, as many as bring the most.
 
+    A request that finds a thread free waits for the processor alone: it is
+    served, however late. Load pattern: the process gets no turn for half a
+    second, and all that has come meanwhile would be refused with nothing
+    before it.
+
     Parameters
     ----------
     limit : ConcurrencyLimit
@@ -54,7 +60,7 @@
         with self._changed:
             waiting.queued_at = now
             self._waiting.push(waiting, now)
-            if self._may_start():
+            if self._count_startable() > 0:
                 self._changed.notify()
 
     def take(self) -> tuple[Waiting | None, list[Waiting]]:
@@ -65,15 +71,20 @@
         with self._changed:
             self.idle_ += 1
             self._changed.wait_for(self._has_turn)
-            self.idle_ -= 1
             now = time.monotonic()
-            expired = list(self._waiting.pop_expired(now))
+            expired = self.pop_expired()
+            self.idle_ -= 1
             return (self._begin(now) if self._waiting else None), expired
 
     def pop_expired(self) -> list[Waiting]:
-        """Remove and return the connections that have waited for too long."""
+        """Remove and return what has waited for too long, for a thread."""
+        now = time.monotonic()
         with self._changed:
-            return list(self._waiting.pop_expired(time.monotonic()))
+            free = min(self.idle_, self._count_startable())
+            excess = max(len(self._waiting) - max(free, 0), 0)
+            return list(
+                itertools.islice(self._waiting.pop_expired(now), excess)
+            )
 
     def read_oldest_seconds(self) -> float:
         """Return how long the first request has waited."""
@@ -97,11 +108,12 @@
             self._changed.notify_all()
 
     def _has_turn(self) -> bool:
-        return self._is_stopping or (bool(self._waiting) and self._may_start())
+        may_start = bool(self._waiting) and self._count_startable() > 0
+        return self._is_stopping or may_start
 
-    def _may_start(self) -> bool:
+    def _count_startable(self) -> int:
         busy = len(self.serving_) - self.count_blocked_()
-        return busy < self.limit.limit_
+        return self.limit.limit_ - busy
 
     def _begin(self, now: float) -> Waiting:
         waiting = self._waiting.pop(now)
--- a/sesameroute/adapters/tests/test_front_server.py
+++ b/sesameroute/adapters/tests/test_front_server.py
@@ -19,6 +19,7 @@
 CHUNK = b'part'
 WHOLE_BYTES = 2 * len(CHUNK)
 TIMEOUT_SECONDS = 5
+_LATE_SECONDS = 0.6  # later than a request may wait for a thread
 
 
 class PausedStreams:
@@ -221,3 +222,30 @@
     assert not server.running_.count  # the process may end now
     assert caller.getresponse().read() == CHUNK
     caller.close()
+
+
+@pytest.mark.parametrize('threads', [1, 4])
+@pytest.mark.parametrize('excess', [0, 3])
+def test_requests_that_find_a_thread_free_are_served_late(threads, excess):
+    """What came while the threads got no turn was refused with none before.
+
+    Those that no thread is free for are refused as ever.
+    """
+    may_run = threading.Event()
+    server = FrontServer(
+        ADDRESS, lambda _: Answer(200, (), iter(()), 0), threads=threads
+    )
+    queue = server._pool.queue
+    has_turn = queue._has_turn
+    queue._has_turn = lambda: may_run.is_set() and has_turn()
+    server.start()
+    assert wait_for(lambda: queue.idle_ == threads)
+    with connect(threads + excess) as connections:
+        assert wait_for(lambda: server.running_.count == threads + excess)
+        time.sleep(_LATE_SECONDS)
+        may_run.set()
+        with queue._changed:
+            queue._changed.notify_all()
+        statuses = sorted(read_answers(connections))
+    server.stop()
+    assert statuses == [200] * threads + [503] * excess
