--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -81,7 +81,14 @@
 class ForwarderHarness:
     """A forwarder with scripted backend servers and one caller."""
 
-    def __init__(self, *servers, kind=RequestKind.SAFE, attempts=2, clock=None):
+    def __init__(
+        self,
+        *servers,
+        kind=RequestKind.SAFE,
+        attempts=2,
+        clock=None,
+        timeout_seconds=0.6,
+    ):
         """Register the servers as a, b, ..."""
         self.clock = clock or SystemClock()
         self.active_configuration = ActiveConfiguration()
@@ -95,7 +102,7 @@
                         '/p/',
                         kind,
                         (WeightedService('s', 1),),
-                        0.6,
+                        timeout_seconds,
                         0.3,
                         1,
                         attempts,
