Take no keys at a node out of touch where strict_revoke is set

Cause: deployments with strict_revoke = true were not served as they ask: a node that hears neither of the store nor of nodes went on with keys that may have been taken away.

Change: settings strict_revoke and revoke_ms, left out or empty: false and 5000. It is looked up before each try.

Result: tests on the decision, the settings (also empty values, as the template gives them for deployments without these), the forwarder without a network, and two real nodes, one cut off from the store (served by what the other one tells), then from both (503), then in touch (200): passed.

--- a/sesameroute/forward/_tenants.py
+++ b/sesameroute/forward/_tenants.py
@@ -64,10 +64,9 @@
     """
     state.tenant = None
     state.denial = None
-    tenants = state.table.tenants
-    if not tenants.is_used or state.route.is_anonymous:
+    if not _needs_key(state):
         return
-    found = tenants.identify(state.request_metadata.keys)
+    found = state.table.tenants.identify(state.request_metadata.keys)
     if isinstance(found, Denial):
         state.denial = found
         return
@@ -89,6 +88,8 @@
         Logs and counts an answer to a key, see `Refusals.record`.
     tenant_observer_ : callable
         Called with the tenant and the result of each request of a tenant.
+    may_take_keys_ : callable
+        Returns whether this node knows well enough which keys are in force.
 
     """
 
@@ -97,10 +98,13 @@
         self.allowances_: Allowances = NoAllowances()
         self.record_: Callable[..., None] = _ignore
         self.tenant_observer_: Callable[[Tenant, str], None] = _ignore
+        self.may_take_keys_: Callable[[], bool] = _permit
 
     def check_key(self, state: RequestState) -> Answer | None:
         """Return the answer to a request that is not let through, or None."""
         denial = state.denial
+        if _needs_key(state) and not self.may_take_keys_():
+            denial = Denial.OUT_OF_TOUCH
         if denial is None:
             return None
         status = (
@@ -164,6 +168,10 @@
             self.allowances_.give_back(charged)
 
 
+def _needs_key(state: RequestState) -> bool:
+    return state.table.tenants.is_used and not state.route.is_anonymous
+
+
 def _hash_keys(keys: tuple[str, ...]) -> str:
     """Return a short hash of the keys of a request, '-' for none.
 
@@ -179,5 +187,9 @@
     return digest.hexdigest()[:_HASH_CHARACTERS]
 
 
+def _permit() -> bool:
+    return True
+
+
 def _ignore(*_arguments: object, **_details: object) -> None:
     """Do nothing; the default observer."""
--- a/sesameroute/forward/tests/test_tenants.py
+++ b/sesameroute/forward/tests/test_tenants.py
@@ -8,7 +8,7 @@
 from sesameroute.forward.tests.servers import ScriptedServer, find_header
 from sesameroute.forward.tests.test_changed_routes import ChangingAllocator
 from sesameroute.routes import RequestKind
-from sesameroute.tenants import Tenant
+from sesameroute.tenants import RevocationBounds, Tenant
 
 _ONE = Tenant('one', frozenset({'k1'}), 3, 5, homes=frozenset({'north'}))
 _KEY = ('X-Api-Key', 'k1')
@@ -88,6 +88,40 @@
     assert read_tenants(servers) == tenants
 
 
+@pytest.mark.parametrize(
+    ('headers', 'terms', 'status'),
+    [
+        ([_KEY], {}, 503),
+        ([('X-Api-Key', 'k2')], {}, 503),
+        ([], {}, 503),
+        ([_KEY], {'is_anonymous': True}, 200),
+        ([_KEY], {'tenants': ()}, 200),
+    ],
+)
+def test_node_out_of_touch_takes_no_keys(headers, terms, status):
+    """Nothing is sent nor refused for good; in touch again, all is served."""
+    harness, servers = build(**terms)
+    age = 4.0
+    bounds = RevocationBounds(is_strict=True, seconds=5)
+    gate = harness.forwarder.guards.tenants
+    gate.may_take_keys_ = lambda: bounds.may_take_keys(age)
+    assert harness.forward(headers=[_KEY])[0] == 200
+    age = 6.0
+    assert harness.forward(headers=headers)[0] == status
+    assert len(list_heads(servers)) == 1 + (status == 200)
+    age = 0.3
+    assert harness.forward(headers=[_KEY])[0] == 200
+
+
+def test_node_falls_out_of_touch_between_tries():
+    """What has run already is not called "not run"."""
+    harness, servers = build('no answer', 'whole')
+    gate = harness.forwarder.guards.tenants
+    gate.may_take_keys_ = lambda: not list_heads(servers)
+    assert harness.forward(headers=[_KEY])[0] in {502, 504}
+    assert len(list_heads(servers)) == 1
+
+
 @pytest.mark.parametrize('headers', [[], [_KEY], [_KEY, _KEY, _FORGED]])
 def test_anonymous_route_needs_no_key(headers):
     """A key is not handed on there either, nor a tenant that is claimed."""
--- a/sesameroute/node/_node.py
+++ b/sesameroute/node/_node.py
@@ -140,6 +140,9 @@
         self._dispatch.allowances.apply_bounds(settings.bounds)
         gate = self._node_servers.forwarder.guards.tenants
         gate.allowances_ = self._dispatch.allowances
+        gate.may_take_keys_ = lambda: self.settings.revocation.may_take_keys(
+            self._store.measure_age()
+        )
         self.loops = LoopWatch(
             {
                 'tick': lambda: self._ticked_at + _IDLE_INTERVAL_SECONDS,
--- a/sesameroute/node/_settings.py
+++ b/sesameroute/node/_settings.py
@@ -7,6 +7,7 @@
 
 from sesameroute.exceptions import InputError, describe_error
 from sesameroute.placement import PlacementTerms
+from sesameroute.tenants import RevocationBounds
 
 __all__ = ['NodeSettings', 'parse_node_settings']
 
@@ -57,7 +58,9 @@
     """Bounds set by the operators; times in seconds.
 
     In any span of `quota_window` at most ``(rate * quota_window + burst) * (1
-    + quota_excess) + quota_slack`` requests of a tenant run.
+    + quota_excess) + quota_slack`` requests of a tenant run. If `strict_revoke`
+    is set, a node that is out of touch for `revoke_ms` milliseconds takes no
+    more keys.
     """
 
     grace: Seconds = 6.0
@@ -67,6 +70,8 @@
     quota_window: Seconds = 5.0
     quota_excess: Number = 0.1
     quota_slack: Number = 20
+    strict_revoke: bool = False
+    revoke_ms: Number = 5000
     # Part of a region's requests that may change the region in which they
     # run from one window of two seconds to the next.
     max_shift: Fraction = 0.15
@@ -120,6 +125,13 @@
             self.bounds.max_shift,
         )
 
+    @property
+    def revocation(self) -> RevocationBounds:
+        """How long this node takes keys while it is out of touch."""
+        return RevocationBounds(
+            self.bounds.strict_revoke, self.bounds.revoke_ms / 1000
+        )
+
     @property
     def relay_address(self) -> str:
         """Address for requests that other nodes pass on; empty: not served."""
--- a/sesameroute/node/_store_connection.py
+++ b/sesameroute/node/_store_connection.py
@@ -97,8 +97,11 @@
 
     def is_current(self) -> bool:
         """Whether the copy of the store was up to date a moment ago."""
-        age = self.clock.read_monotonic() - self.mirror.verified_at_
-        return age <= _CURRENT_SECONDS
+        return self.measure_age() <= _CURRENT_SECONDS
+
+    def measure_age(self) -> float:
+        """Return the seconds since the copy was known to be up to date."""
+        return self.clock.read_monotonic() - self.mirror.verified_at_
 
     def start(self) -> None:
         """Start watching the store and keeping this node's entry."""
--- a/sesameroute/node/tests/test_placement_settings.py
+++ b/sesameroute/node/tests/test_placement_settings.py
@@ -5,6 +5,7 @@
 from sesameroute.exceptions import InputError
 from sesameroute.node._settings import parse_node_settings
 from sesameroute.placement import PlacementTerms
+from sesameroute.tenants import RevocationBounds
 
 _TEXT = """
 [node]
@@ -44,9 +45,31 @@
     assert parse_node_settings(_TEXT + section).placement_terms == terms
 
 
+@pytest.mark.parametrize(
+    ('section', 'revocation'),
+    [
+        ('', RevocationBounds()),
+        ('[bounds]\nstrict_revoke =\nrevoke_ms =', RevocationBounds()),
+        (
+            '[bounds]\nstrict_revoke = false\nrevoke_ms = 4000',
+            RevocationBounds(is_strict=False, seconds=4),
+        ),
+        (
+            '[bounds]\nstrict_revoke = True\nrevoke_ms = 3000',
+            RevocationBounds(is_strict=True, seconds=3),
+        ),
+    ],
+)
+def test_revocation_of_settings(section, revocation):
+    """A deployment that leaves them out takes keys when out of touch."""
+    assert parse_node_settings(_TEXT + section).revocation == revocation
+
+
 @pytest.mark.parametrize(
     'section',
     [
+        '[bounds]\nstrict_revoke = perhaps',
+        '[bounds]\nrevoke_ms = -1',
         '[placement]\nshares = all',
         '[placement]\nforecast = -1',
         '[bounds]\nmax_shift = 2',
--- a/sesameroute/node/tests/test_tenants.py
+++ b/sesameroute/node/tests/test_tenants.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 
+import msgspec
 import pytest
 
 from sesameroute.forward.tests.servers import find_header
@@ -112,6 +113,30 @@
     assert exchange_pipelined() == [401, 200]
 
 
+def test_strict_node_out_of_touch_takes_no_keys(cluster, server):
+    """It turns keys away while neither store nor nodes tell it of changes."""
+    cluster.start_nodes(1, 2)
+    assert wait_for(lambda: is_served(1) and is_served(2))
+    node = cluster.nodes[1]
+    bounds = msgspec.structs.replace(
+        node.settings.bounds, strict_revoke=True, revoke_ms=2500
+    )
+    node.apply_settings(msgspec.structs.replace(node.settings, bounds=bounds))
+    text = f'{_HEAD}X-Api-Key: k1\r\n\r\n'
+    with connect(1) as exchange:
+        cluster.store.rejected_clients.add(f'{NETWORK_PREFIX}.1')
+        ends = time.monotonic() + 3
+        while time.monotonic() < ends:
+            assert exchange(text) == [200]
+        cluster.isolate(1)
+        assert wait_for(lambda: exchange(text) == [503], 4)
+        heads = len(server.heads)
+        assert exchange(text.replace('k1', 'k9')) == [503]
+        assert len(server.heads) == heads
+        cluster.rejoin()
+        assert wait_for(lambda: exchange(text) == [200], 6)
+
+
 def exchange_pipelined():
     """Return the statuses of two requests that are sent at once."""
     rows = ''.join(f'{_HEAD}X-Api-Key: {key}\r\n\r\n' for key in ('k1', 'k2'))
--- a/sesameroute/tenants/__init__.py
+++ b/sesameroute/tenants/__init__.py
@@ -11,6 +11,7 @@
     AllowanceTransfer,
 )
 from sesameroute.tenants._model import Tenant
+from sesameroute.tenants._revocation import RevocationBounds
 
 __all__ = [
     'Allowance',
@@ -22,6 +23,7 @@
     'Denial',
     'QuotaBounds',
     'RegionCensus',
+    'RevocationBounds',
     'Tenant',
     'TenantIndex',
 ]
--- a/sesameroute/tenants/_keys.py
+++ b/sesameroute/tenants/_keys.py
@@ -23,11 +23,17 @@
     UNCLEAR_KEY = 'unclear-key'
     # The regions of the tenant and those of the route have none in common.
     NO_REGION = 'no-region'
+    # Keys may have been taken away that this node would still take.
+    OUT_OF_TOUCH = 'out-of-touch'
 
     @property
     def is_final(self) -> bool:
         """Whether the request is refused for good, not turned away."""
-        return self not in {Denial.UNCLEAR_KEY, Denial.NO_REGION}
+        return self not in {
+            Denial.UNCLEAR_KEY,
+            Denial.NO_REGION,
+            Denial.OUT_OF_TOUCH,
+        }
 
 
 class TenantIndex:
