Tell operators the tenant of a request and where its allowance lies

Cause: `sesame-explain where` placed each request as one of no tenant: in the regions of the route alone, with the priority of the route, and said nothing of keys and allowances.

A message asks a depot what lies there; builds without it fail the call and are left out. Nothing is taken, moved or counted.

--- a/sesameroute/forward/_request_state.py
+++ b/sesameroute/forward/_request_state.py
@@ -147,8 +147,7 @@
     def homes(self) -> frozenset[str]:
         """Regions that route and tenant both permit; empty means all."""
         own = self.route.homes
-        others = self.tenant.homes if self.tenant else frozenset()
-        return own & others if own and others else own | others
+        return self.tenant.limit_homes(own) if self.tenant else own
 
     def describe_tenant(self) -> dict[str, object]:
         """Return the fields of a slot request that tell whose it is."""
--- a/sesameroute/forward/_tenants.py
+++ b/sesameroute/forward/_tenants.py
@@ -1,6 +1,5 @@
 """Lets requests pass by the key and the allowance of their tenant."""
 
-import hashlib
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from http import HTTPStatus
@@ -14,7 +13,7 @@
 from sesameroute.forward._request_state import RequestState
 from sesameroute.placement import Reason, Refusal
 from sesameroute.ports import Answer
-from sesameroute.tenants import Denial, Tenant
+from sesameroute.tenants import AllowanceView, Denial, Tenant, hash_keys
 
 __all__ = [
     'Allowances',
@@ -41,6 +40,12 @@
     def read_level(self, tenant: str) -> float:
         """Return what this node alone may still let through."""
 
+    def list_views(self, tenant: str) -> list[AllowanceView]:
+        """Return what lies at this node, then at the nodes that it asks.
+
+        Counts nothing, and moves nothing.
+        """
+
 
 class NoAllowances:
     """Lets all requests pass; for a node without other nodes."""
@@ -55,6 +60,10 @@
         """Return nothing."""
         return 0
 
+    def list_views(self, _tenant: str) -> list[AllowanceView]:
+        """Return nothing."""
+        return []
+
 
 def identify_tenant(state: RequestState) -> None:
     """Set the tenant of a request, or why it is not let through.
@@ -183,8 +192,7 @@
     """
     if not keys:
         return '-'
-    digest = hashlib.sha256('\0'.join(keys).encode())
-    return digest.hexdigest()[:_HASH_CHARACTERS]
+    return hash_keys(*keys)[:_HASH_CHARACTERS]
 
 
 def _permit() -> bool:
--- a/sesameroute/node/_allowances.py
+++ b/sesameroute/node/_allowances.py
@@ -4,6 +4,7 @@
 import random
 import threading
 import uuid
+from contextlib import suppress
 from typing import Any
 
 from sesameroute.exceptions import PeerError
@@ -17,7 +18,9 @@
     AllowanceGrant,
     AllowanceLedger,
     AllowanceNeed,
+    AllowanceQuery,
     AllowanceTransfer,
+    AllowanceView,
     QuotaBounds,
     RegionCensus,
     Tenant,
@@ -114,11 +117,30 @@
         stock = self.ledger.stocks_.get(tenant)
         return stock.level_ if stock else 0
 
+    def list_views(self, tenant: str) -> list[AllowanceView]:
+        """Return what lies at this node, then at the depots that it asks.
+
+        Counts nothing, and moves nothing. A depot that does not reply, or
+        whose build does not know the question, is left out.
+        """
+        now = self.clock.read_monotonic()
+        views = [_view(self.ledger, tenant)]
+        for depot in self.depots.list_usable(now):
+            with suppress(PeerError):
+                views.append(
+                    self.peers.call(
+                        depot, AllowanceQuery(tenant), _CALL_SECONDS
+                    )
+                )
+        return views
+
     def handle(self, sender: str, message: Any) -> Any:
         """Handle a message of another node; return the reply if any."""
         now = self.clock.read_monotonic()
         if isinstance(message, AllowanceAsk):
             return self.ledger.grant(message, now)
+        if isinstance(message, AllowanceQuery):
+            return _view(self.ledger, message.tenant)
         if isinstance(message, AllowanceTransfer):
             if not self.ledger.receive(sender, message, now):
                 _logger.info('tokens void', extra={'peer': sender})
@@ -195,6 +217,14 @@
             self.peers.send_one_way(own, transfer)
 
 
+def _view(ledger: AllowanceLedger, tenant: str) -> AllowanceView:
+    stock = ledger.stocks_.get(tenant)
+    if stock is None:
+        return AllowanceView(ledger.name)
+    wait = 0 if stock.level_ >= 1 else stock.wait
+    return AllowanceView(ledger.name, stock.level_, stock.capacity, wait)
+
+
 class _Depots:
     """Depots of the own and of other regions, and those without a reply."""
 
--- a/sesameroute/node/_dispatch.py
+++ b/sesameroute/node/_dispatch.py
@@ -24,6 +24,7 @@
 from sesameroute.tenants import (
     AllowanceAsk,
     AllowanceNeed,
+    AllowanceQuery,
     AllowanceTransfer,
 )
 
@@ -75,6 +76,7 @@
             NodeState: self._handle_state,
             AllowanceAsk: self.allowances.handle,
             AllowanceNeed: self.allowances.handle,
+            AllowanceQuery: self.allowances.handle,
             AllowanceTransfer: self.allowances.handle,
             HeldItems: store.sync.receive_held,
             MirrorUpdate: store.sync.receive,
--- a/sesameroute/node/_metrics_server.py
+++ b/sesameroute/node/_metrics_server.py
@@ -32,11 +32,11 @@
 
     def __init__(self, address: str, meter: NodeMeter) -> None:
         """Build the server without listening."""
-        placement_page = PlacementPage(meter.allocator)
+        self.placement_page = PlacementPage(meter.allocator)
         super().__init__(
             parse_address(address),
             lambda request: (
-                placement_page(request)
+                self.placement_page(request)
                 if request.path == PLACEMENT_PATH
                 else meter(request)
             ),
@@ -93,4 +93,8 @@
     store.ignored_items.observer_ = lambda kind: meter.count(
         Metric.IGNORED_ITEMS, kind=kind
     )
-    return MetricsServer(address, meter)
+    server = MetricsServer(address, meter)
+    server.placement_page.list_views_ = lambda tenant: (
+        gate.allowances_.list_views(tenant)
+    )
+    return server
--- a/sesameroute/node/_placement_page.py
+++ b/sesameroute/node/_placement_page.py
@@ -1,8 +1,8 @@
 """Operators' page: where a given request would go now, and why."""
 
 import math
-from collections.abc import Iterator, Mapping
-from dataclasses import asdict
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import asdict, replace
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qsl
@@ -11,9 +11,15 @@
 
 from sesameroute.exceptions import InputError, PeerError
 from sesameroute.node._slot_allocator import FleetSlotAllocator
+from sesameroute.node._tenant_view import (
+    TenantFinding,
+    describe_finding,
+    find_tenant,
+)
 from sesameroute.placement import PlacementQuery, SlotRequest
 from sesameroute.ports import Answer
 from sesameroute.routes import Route, RouteTable
+from sesameroute.tenants import AllowanceView
 
 __all__ = ['PLACEMENT_PATH', 'PlacementPage']
 
@@ -27,19 +33,27 @@
     """Answers operators' questions about requests; sends and counts nothing.
 
     The query has ``host`` and ``path``, and may have ``object`` (the affinity
-    key), ``zone`` (of the caller, by default this node's) and
-    ``deadline_ms``.
+    key), ``zone`` (of the caller, by default this node's), ``deadline_ms``,
+    and ``tenant`` (its name) or ``key_hash`` (the SHA-256 of its key, or the
+    beginning of that).
 
     Parameters
     ----------
     allocator : FleetSlotAllocator
         Knows the fleet, the configuration and the pools.
 
+    Attributes
+    ----------
+    list_views_ : callable
+        Returns where the allowance of a tenant lies, see
+        `forward.Allowances`.
+
     """
 
     def __init__(self, allocator: FleetSlotAllocator) -> None:
         """Store the parameter."""
         self.allocator = allocator
+        self.list_views_: Callable[[str], list[AllowanceView]] = lambda _: []
 
     def __call__(self, request: Any) -> Answer:
         """Return the explanation as JSON."""
@@ -72,14 +86,23 @@
         }
         route = table and table.find(query['host'], query['path'])
         if route:
-            services = [
-                self._explain_service(part.service, route, region, query)
+            finding = find_tenant(table, route, query)
+            explanation['route'] = {
+                **dict(_list_terms(route)),
+                'is_anonymous': route.is_anonymous,
+            }
+            if table.tenants.is_used and not route.is_anonymous:
+                explanation['tenant'] = describe_finding(
+                    finding, self.list_views_
+                )
+            slot_request = _build_slot_request(route, finding, query)
+            explanation['services'] = [
+                self._explain_service(
+                    replace(slot_request, service=part.service), region
+                )
                 for part in route.parts
             ]
-            return explanation | {
-                'route': dict(_list_terms(route)),
-                'services': services,
-            }
+            return explanation
         return explanation | {'refusal': _find_refusal(table, query).value}
 
     def _find_region(self, query: Mapping[str, str]) -> str:
@@ -91,11 +114,11 @@
         return region
 
     def _explain_service(
-        self, service: str, route: Route, region: str, query: Mapping[str, str]
+        self, slot_request: SlotRequest, region: str
     ) -> dict[str, Any]:
         fleet = self.allocator.fleet
+        service = slot_request.service
         leader = fleet.find_leader(service, region)
-        slot_request = _build_slot_request(service, route, query)
         described: dict[str, Any] = {'service': service, 'leader': leader}
         if leader == fleet.own_state.address:
             now = self.allocator.clock.read_monotonic()
@@ -140,18 +163,18 @@
 
 
 def _build_slot_request(
-    service: str, route: Route, query: Mapping[str, str]
+    route: Route, finding: TenantFinding, query: Mapping[str, str]
 ) -> SlotRequest:
     seconds = min(route.timeout, _read_deadline(query))
     return SlotRequest(
-        service,
+        '',
         route.name,
         query.get('object', '') if route.has_object_affinity else '',
         route.priority,
         route.latency_target,
         route.latency_target,
         seconds,
-        homes=tuple(sorted(route.homes)),
+        **finding.slot_fields,
     )
 
 
--- a/sesameroute/node/tests/test_placement_page.py
+++ b/sesameroute/node/tests/test_placement_page.py
@@ -1,5 +1,6 @@
 """Nodes tell where a request would go, without sending it."""
 
+import io
 import json
 from urllib.parse import urlencode
 
@@ -14,6 +15,7 @@
     wait_for,
 )
 from sesameroute.programs._placement_query import run_query
+from sesameroute.tenants import hash_keys
 
 
 def ask(number, **query):
@@ -65,6 +67,74 @@
         assert explanation['refusal'] == refusal
 
 
+_SCHOOL = {
+    'name': 'school',
+    'api_keys': ['k1'],
+    'priority': 2,
+    'rate_per_s': 50,
+    'burst': 50,
+    'allowed_regions': ['north', 'south'],
+}
+
+
+@pytest.fixture(name='with_tenants')
+def _with_tenants(cluster, served):
+    cluster.configure(tenants=[_SCHOOL], allowed_regions=['north'])
+    assert wait_for(lambda: 'tenant' in ask(1)[1])
+    return served
+
+
+@pytest.mark.parametrize(
+    ('query', 'expected'),
+    [
+        ({'tenant': 'school'}, {'name': 'school', 'homes': ['north']}),
+        ({'key_hash': hash_keys('k1')}, {'name': 'school', 'priority': 2}),
+        ({'key_hash': hash_keys('k1')[:8]}, {'rate': 50, 'burst': 50}),
+        ({'key_hash': hash_keys('k9')}, {'status': 401, 'why': 'unknown-key'}),
+        ({}, {'status': 401, 'why': 'no-key'}),
+    ],
+)
+def test_tenant_is_told(with_tenants, query, expected):
+    """Its terms are those that the request would be served by."""
+    explanation = ask(1, **query)[1]
+    assert expected.items() <= explanation['tenant'].items()
+    assert not explanation['route']['is_anonymous']
+
+
+def test_allowance_is_told_without_a_count(with_tenants):
+    """Tokens of this node and of the depot; none is taken or moved."""
+
+    def look():
+        return ask(1, tenant='school')[1]['tenant']
+
+    assert wait_for(
+        lambda: sum(each['tokens'] for each in look()['tokens']) > 9
+    )
+    for _ in range(30):
+        assert 'status' not in look()
+
+
+def test_command_tells_the_tenant(with_tenants, capsys, monkeypatch):
+    """The key itself is neither printed nor sent."""
+    node = f'{NETWORK_PREFIX}.1:{METRICS_PORT}'
+    words = ['where', node, '--host', 'h', '--path', '/a/x', '--ask_key']
+    monkeypatch.setattr('sys.stdin', io.StringIO('k1\n'))
+    assert run_query(words) is ExitCode.OK
+    text = capsys.readouterr().out
+    assert 'tenant school: priority 2, 50.0 requests a second' in text
+    assert '(this node): ' in text
+
+
+@pytest.mark.parametrize(
+    'query', [{'tenant': 'x'}, {'key_hash': 'k1'}, {'key_hash': 'secret-key'}]
+)
+def test_odd_tenants_are_told(with_tenants, query):
+    """What is no digest is not repeated: it may be a key."""
+    status, message = ask(1, **query)
+    assert status == 400
+    assert 'secret' not in message
+
+
 def test_metrics_are_still_served(served):
     """All other paths have the metrics."""
     assert b'sesame_threads' in call(1, METRICS_PORT, '/metrics')[2]
--- a/sesameroute/programs/_placement_query.py
+++ b/sesameroute/programs/_placement_query.py
@@ -1,5 +1,6 @@
 """`sesame-explain where`: where a request would go now, and why."""
 
+import getpass
 import json
 import sys
 from collections.abc import Iterator, Sequence
@@ -10,6 +11,7 @@
 from absl import flags
 
 from sesameroute.exceptions import ExitCode
+from sesameroute.tenants import hash_keys
 
 __all__ = ['describe', 'run_query']
 
@@ -18,12 +20,23 @@
 _USAGE = """Tells where a request would go now, and why. It sends nothing.
 
   sesame-explain where NODE --host HOST --path PATH [--object KEY]
-      [--zone ZONE] [--deadline_ms N] [--json]
+      [--zone ZONE] [--deadline_ms N] [--tenant NAME | --key_hash HASH |
+      --ask_key] [--json]
 
 NODE is the address of a node's metrics, IP:PORT. Any node can be asked; it
-asks the one that leads the pool.
+asks the one that leads the pool. HASH is the SHA-256 of a tenant's key or its
+first eight digits, as in the nodes' lines; with --ask_key the key is read from
+the terminal or standard input, and only its SHA-256 is sent.
 """
-_QUERY_FIELDS = ('host', 'path', 'object', 'zone', 'deadline_ms')
+_QUERY_FIELDS = (
+    'host',
+    'path',
+    'object',
+    'zone',
+    'deadline_ms',
+    'tenant',
+    'key_hash',
+)
 
 
 def run_query(arguments: Sequence[str]) -> ExitCode:
@@ -49,6 +62,8 @@
         for name in _QUERY_FIELDS
         if options[name].value
     }
+    if options['ask_key'].value:
+        query['key_hash'] = hash_keys(_read_key())
     return _ask(command_line[0], query, as_json=options['json'].value)
 
 
@@ -73,11 +88,36 @@
         'route {name}: {kind}, priority {priority}, {latency_target} s to be'
         ' on time, {timeout} s at most, homes {homes}, services {weights}'
     ).format(**route)
+    if route.get('is_anonymous'):
+        yield 'the route is anonymous: it needs no key'
+    tenant = explanation.get('tenant')
+    if tenant:
+        yield from _describe_tenant(tenant)
     for service in explanation['services']:
         yield from _describe_service(service)
     yield 'nothing was sent'
 
 
+def _describe_tenant(tenant: dict[str, Any]) -> Iterator[str]:
+    if 'name' in tenant:
+        yield (
+            'tenant {name}: priority {priority}, {rate} requests a second and'
+            ' a burst of {burst}, homes with the route {homes}'
+        ).format(**tenant)
+    for place, view in enumerate(tenant.get('tokens') or ()):
+        label = 'a depot that it asks' if place else 'this node'
+        yield (
+            '  {node} ({0}): {tokens:.2f} tokens, room for {room:.2f}'
+        ).format(label, **view)
+    if 'why' in tenant:
+        yield '  by its key it would get {status} ({why})'.format(**tenant)
+    elif 'status' in tenant:
+        yield (
+            '  beyond its allowance: it would get {status}, Retry-After'
+            ' {retry_after:.3f} s'
+        ).format(**tenant)
+
+
 def _describe_service(described: dict[str, Any]) -> Iterator[str]:
     label = 'service {service}, pool led by {leader}'.format(**described)
     placement = described.get('placement')
@@ -141,8 +181,20 @@
     return ExitCode.OK
 
 
+def _read_key() -> str:
+    if sys.stdin.isatty():
+        return getpass.getpass('key: ')
+    return sys.stdin.readline().rstrip('\n')
+
+
 def _define_flags() -> flags.FlagValues:
     options = flags.FlagValues()
+    flags.DEFINE_boolean(
+        'ask_key',
+        default=False,
+        help='Read the key; send its digest only.',
+        flag_values=options,
+    )
     for name in _QUERY_FIELDS:
         flags.DEFINE_string(
             name, default='', help=f'The {name}.', flag_values=options
--- a/sesameroute/tenants/_keys.py
+++ b/sesameroute/tenants/_keys.py
@@ -4,12 +4,14 @@
 their connections are kept and their requests wait.
 """
 
+import hashlib
 from collections.abc import Iterable
 from enum import StrEnum, unique
 
+from sesameroute.exceptions import InputError
 from sesameroute.tenants._model import Tenant
 
-__all__ = ['Denial', 'TenantIndex']
+__all__ = ['Denial', 'TenantIndex', 'hash_keys']
 
 
 @unique
@@ -36,6 +38,18 @@
         }
 
 
+def hash_keys(*keys: str) -> str:
+    """Return a digest of the keys of a request, for logs and operators.
+
+    Examples
+    --------
+    >>> hash_keys('secret')[:8]
+    '2bb80d53'
+
+    """
+    return hashlib.sha256('\0'.join(keys).encode()).hexdigest()
+
+
 class TenantIndex:
     """Tenants of one configuration, indexed by key.
 
@@ -92,3 +106,23 @@
         if tenant is not None:
             return tenant
         return Denial.UNCLEAR_KEY if self.has_unreadable else Denial.UNKNOWN_KEY
+
+    def find_by_hash(self, beginning: str) -> Tenant | Denial:
+        """Return the tenant of the key whose digest begins so.
+
+        Raises
+        ------
+        InputError
+            Keys of several tenants do.
+
+        """
+        found = {
+            tenant.name: tenant
+            for key, tenant in self._by_key.items()
+            if hash_keys(key).startswith(beginning)
+        }
+        if len(found) > 1:
+            raise InputError(f'key {beginning}: {len(found)} tenants have one')
+        if found:
+            return next(iter(found.values()))
+        return Denial.UNCLEAR_KEY if self.has_unreadable else Denial.UNKNOWN_KEY
--- a/sesameroute/tenants/_messages.py
+++ b/sesameroute/tenants/_messages.py
@@ -8,7 +8,9 @@
     'AllowanceAsk',
     'AllowanceGrant',
     'AllowanceNeed',
+    'AllowanceQuery',
     'AllowanceTransfer',
+    'AllowanceView',
 ]
 
 
@@ -87,3 +89,35 @@
     boot: str
     sent_at: float
     weight: float = 0
+
+
+@register_message('allowance-query', is_nonblocking=True)
+@dataclass(frozen=True, slots=True)
+class AllowanceQuery:
+    """Asks what lies at a node, for operators; the reply is a view."""
+
+    tenant: str
+
+
+@register_message('allowance-view', is_nonblocking=True)
+@dataclass(frozen=True, slots=True)
+class AllowanceView:
+    """What of a tenant's allowance lies at a node; nothing is moved.
+
+    Attributes
+    ----------
+    node : str
+        Its address.
+    tokens : float
+        Requests that it may let through, or hand out as a depot.
+    room : float
+        Most tokens that may lie there.
+    wait : float
+        Seconds until there probably is a token; 0 if there is one.
+
+    """
+
+    node: str
+    tokens: float = 0
+    room: float = 0
+    wait: float = 0
--- a/sesameroute/tenants/_model.py
+++ b/sesameroute/tenants/_model.py
@@ -30,3 +30,16 @@
     rate: float = 0
     burst: float = 0
     homes: frozenset[str] = frozenset()
+
+    def limit_homes(self, homes: frozenset[str]) -> frozenset[str]:
+        """Return the regions that a route and the tenant both permit.
+
+        Examples
+        --------
+        >>> one = Tenant('t', frozenset(), homes=frozenset({'north', 'south'}))
+        >>> one.limit_homes(frozenset({'north'}))
+        frozenset({'north'})
+
+        """
+        others = self.homes
+        return homes & others if homes and others else homes | others
