Test answers without a status through a relaying peer and on the own path

Cause: statuses that are none (000, 099, 1000, 600, 999, letters, empty and others) were tested where a node asks a server itself, not behind a peer that passes the request on, nor at sesame-entry.

Change: tests. A cut node whose peer asks the server (safe and unsafe, one run, 502 with no byte of the server); HttpUpstreams on new and kept connections (lost, may have run); HttpRelay to a home that answers so (lost, whatever verdict it claims).

--- a/sesameroute/adapters/tests/test_upstreams.py
+++ b/sesameroute/adapters/tests/test_upstreams.py
@@ -10,11 +10,14 @@
 import pytest
 
 from sesameroute.adapters import HttpUpstreams
+from sesameroute.adapters._relay import HttpRelay
+from sesameroute.adapters._verdict_http import VERDICT_HEADER
 from sesameroute.adapters.tests.scripted import (
     ScriptedServer,
     build_http_answer,
 )
-from sesameroute.exceptions import RequestError
+from sesameroute.exceptions import PeerError, RequestError
+from sesameroute.forward.tests.test_odd_statuses import ODD_STATUSES
 from sesameroute.ports import (
     BACKEND_STOP_SECONDS,
     Request,
@@ -82,6 +85,53 @@
     assert (caught.value.code, caught.value.verdict) == (code, verdict)
 
 
+@pytest.mark.parametrize(
+    ('method', 'is_kept'), [('GET', False), ('POST', False), ('GET', True)]
+)
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_status_that_is_none_is_no_answer(adapter, status, is_kept, method):
+    """The request may have run; nothing of the server's bytes is an answer."""
+    odd = (f'HTTP/1.1 {status} X\r\nContent-Length: 5\r\n\r\nwhole').encode(
+        'latin-1'
+    )
+    whole = build_http_answer(b'first')
+
+    def script(*numbers):
+        return whole if is_kept and numbers == (1, 1) else odd
+
+    with serve(script) as server:
+        upstream = build_upstream(server.port)
+        if is_kept:
+            answer = adapter.send(
+                upstream, build_request(), new_connection=True
+            )
+            assert b''.join(answer.chunks) == b'first'
+        request = replace(build_request(), method=method)
+        with pytest.raises(RequestError) as caught:
+            adapter.send(upstream, request, new_connection=not is_kept)
+        runs = len(server.requests)
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+    assert caught.value.code == 'lost'
+    assert 'whole' not in caught.value.message
+    assert runs <= (3 if is_kept else 1)
+
+
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_home_whose_status_is_none_has_not_answered(status):
+    """An entry VM that answers so counts as lost, whatever it says beside."""
+    odd = (
+        f'HTTP/1.1 {status} X\r\n{VERDICT_HEADER}: {Verdict.RAN}\r\n'
+        'Content-Length: 5\r\n\r\nwhole'
+    ).encode('latin-1')
+    with serve(lambda _connection_number, _request_number: odd) as server:
+        target = _ADDRESS, server.port
+        relay = HttpRelay(TcpWire(), _ADDRESS, SystemClock(), lambda _: target)
+        with pytest.raises(PeerError) as caught:
+            relay.send('home', build_request(), 1)
+        relay.close()
+    assert 'whole' not in caught.value.message
+
+
 def test_refused_connection_means_not_run(adapter):
     """The verdict of a refused connection is `NOT_RUN`."""
     with serve(lambda _connection_number, _request_number: b'') as server:
--- a/sesameroute/node/tests/test_relay.py
+++ b/sesameroute/node/tests/test_relay.py
@@ -11,10 +11,15 @@
 
 from sesameroute.forward.tests.harness import earn_retries
 from sesameroute.forward.tests.servers import ScriptedServer
+from sesameroute.forward.tests.test_odd_statuses import (
+    ODD_STATUSES,
+    answer_with,
+)
 from sesameroute.node.tests.backends import BackendStandIn
 from sesameroute.node.tests.cluster import (
     FRONT_PORT,
     NETWORK_PREFIX,
+    call,
     send,
     wait_for,
 )
@@ -118,6 +123,24 @@
     assert len(list_senders(servers, '/a/lost')) == runs
 
 
+@pytest.mark.parametrize('kind', ['safe', 'unsafe'])
+@pytest.mark.parametrize('status', ODD_STATUSES)
+def test_status_that_is_none_is_not_passed_on(cluster, status, kind):
+    """The peer that asked the server says that it may have run."""
+    server = ScriptedServer(answer_with(status))
+    cluster.register('server', server)
+    cluster.configure(kind=kind, max_attempts=1, timeout_ms=1900)
+    cluster.start_nodes(1, 2)
+    cut_off(cluster, 1)
+    sent = {'Host': 'h', 'Sesameroute-Attempt-Id': 'mine'}
+    answered, headers, body = call(1, FRONT_PORT, '/a/odd', sent)
+    assert (answered, body) == (502, b'lost\n')
+    assert 'server-seal' not in str(headers.items()).lower()
+    paths = [head.split()[1] for head in server.heads]
+    assert paths.count('/a/odd') == 1
+    server.stop()
+
+
 def test_refusal_of_a_peer_does_not_deny_an_earlier_run(cluster, servers):
     """A request that had run was told as not run by a second node."""
     cluster.configure(timeout_ms=1900, max_attempts=4)
