Tell the pool the bytes of bodies whose length was not said

Cause: the release of a slot had the lengths that request and answer name, so 0 for bodies that come in chunks.

Change: the bytes of both bodies are counted as they come, also those of an answer that is cut.

--- a/sesameroute/forward/_answers.py
+++ b/sesameroute/forward/_answers.py
@@ -3,13 +3,14 @@
 from collections.abc import Iterator
 from typing import Protocol
 
+from sesameroute.forward._caller_body import count_bytes
 from sesameroute.forward._message import TryError
 from sesameroute.forward._request_state import (
     HOP_BY_HOP_HEADERS,
     MAX_BUFFERED_BYTES,
 )
 from sesameroute.forward._sender import ReceivedAnswer
-from sesameroute.placement import ObservedAnswer, Outcome, SlotRequest
+from sesameroute.placement import ObservedAnswer, Outcome
 from sesameroute.ports import Answer
 
 __all__ = ['EndObserver', 'observe_answer', 'pass_on']
@@ -74,12 +75,18 @@
         observe_end(outcome, failure)
 
 
-def observe_answer(
-    slot_request: SlotRequest, received: ReceivedAnswer
-) -> ObservedAnswer:
-    """Return what an answer tells the pool that granted its slot."""
-    body_bytes = max(slot_request.body_bytes, 0)
+def observe_answer(body: object, received: ReceivedAnswer) -> ObservedAnswer:
+    """Return what an answer tells the pool that granted its slot.
+
+    Parameters
+    ----------
+    body : bytes, iterable of bytes or None
+        Body of the request.
+    received : ReceivedAnswer
+        The answer, as far as it was read.
+
+    """
     return ObservedAnswer(
         received.answer_metadata.load,
-        body_bytes + (received.answer.length or 0),
+        count_bytes(body) + received.body.byte_count_,
     )
--- a/sesameroute/forward/_body.py
+++ b/sesameroute/forward/_body.py
@@ -41,6 +41,11 @@
     connections : ConnectionPool
         Pool that the connection is returned to.
 
+    Attributes
+    ----------
+    byte_count_ : int
+        Bytes of the body that have been read.
+
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         self.pooled_connection = pooled_connection
         self.connections = connections
         self._is_done = False
+        self.byte_count_ = 0
 
     def read_up_to(self, limit: int) -> tuple[bytes, bool]:
         """Return the start of the body and whether it is the whole body.
@@ -102,6 +108,7 @@
                 self.close()
                 raise self._classify_error(error) from error
             if chunk:
+                self.byte_count_ += len(chunk)
                 yield chunk
             else:
                 self._finish()
--- a/sesameroute/forward/_caller_body.py
+++ b/sesameroute/forward/_caller_body.py
@@ -4,7 +4,13 @@
 
 from sesameroute.forward._message import CallerRequest
 
-__all__ = ['MAX_BUFFERED_BYTES', 'CallerBody', 'is_consumed', 'read_body']
+__all__ = [
+    'MAX_BUFFERED_BYTES',
+    'CallerBody',
+    'count_bytes',
+    'is_consumed',
+    'read_body',
+]
 
 # Bodies up to this size can be sent again.
 MAX_BUFFERED_BYTES = 131_072
@@ -31,6 +37,8 @@
     ----------
     is_consumed : bool
         Whether it can't be sent once more.
+    byte_count_ : int
+        Bytes that have come.
 
     """
 
@@ -40,7 +48,7 @@
         self.first = first
         self.is_consumed = False
         self._kept = [first]
-        self._size = len(first)
+        self.byte_count_ = len(first)
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield all parts."""
@@ -50,8 +58,8 @@
             yield part
 
     def _keep(self, part: bytes) -> None:
-        self._size += len(part)
-        self.is_consumed = self._size > MAX_BUFFERED_BYTES
+        self.byte_count_ += len(part)
+        self.is_consumed = self.byte_count_ > MAX_BUFFERED_BYTES
         if self.is_consumed:
             self._kept.clear()
         else:
@@ -78,6 +86,20 @@
     return CallerBody(request, first)
 
 
+def count_bytes(body: object) -> int:
+    """Return how many bytes of a body have come.
+
+    Examples
+    --------
+    >>> count_bytes(None), count_bytes(b'four')
+    (0, 4)
+
+    """
+    if isinstance(body, CallerBody):
+        return body.byte_count_
+    return len(body or b'')
+
+
 def is_consumed(body: object) -> bool:
     """Return whether a body has been read and can't be sent again."""
     return isinstance(body, CallerBody) and body.is_consumed
--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -310,7 +310,7 @@
                 if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                     outcome = Outcome.FAILED
             self.allocator.release(
-                *slot, outcome, seconds, observe_answer(slot[0], received)
+                *slot, outcome, seconds, observe_answer(state.body, received)
             )
 
         return pass_on(received, observe_end)
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -36,6 +36,7 @@
         self.names = list(names)
         self.asks = []
         self.releases = []
+        self.observed = []
 
     def place(self, slot_request):
         """Grant the first server that is not excluded."""
@@ -50,6 +51,7 @@
     def release(self, slot_request, grant, outcome, seconds, observed=None):
         """Record the outcome of a try."""
         self.releases.append((grant.backend, outcome))
+        self.observed.append(observed)
 
 
 def earn_retries(budgets, service='s'):
--- a/sesameroute/forward/tests/test_uploads.py
+++ b/sesameroute/forward/tests/test_uploads.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sesameroute.forward.tests.harness import ForwarderHarness
-from sesameroute.forward.tests.servers import SEAL_HEADER
+from sesameroute.forward.tests.servers import SEAL_HEADER, ScriptedServer
 from sesameroute.routes import RequestKind
 
 PART = b'0123456789abcdef' * 1024
@@ -133,3 +133,25 @@
     )
     assert answered[0] == 503
     assert len(unread) == PARTS - 1
+
+
+_CHUNKS = f'HTTP/1.1 200 X\r\n{SEAL_HEADER}Transfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize('length', [3, WHOLE_BYTES, None])
+@pytest.mark.parametrize(
+    ('answer', 'answered'),
+    [
+        (ANSWER.format(200), 2),
+        (f'{_CHUNKS}5\r\nwhole\r\n0\r\n\r\n', 5),
+        (f'{_CHUNKS}30000\r\n{"x" * 0x30000}\r\n0\r\n\r\n', 0x30000),
+    ],
+)
+def test_release_tells_the_bytes_of_both_bodies(length, answer, answered):
+    """Also of those whose length nobody has said before."""
+    body = b'abc' if length == 3 else PART * PARTS
+    server = ScriptedServer((answer, 'keep'))
+    harness = ForwarderHarness(server, kind=RequestKind.UNSAFE, attempts=1)
+    assert harness.forward(body=body, length=length)[0] == 200
+    byte_counts = [each.byte_count for each in harness.allocator.observed]
+    assert byte_counts == [len(body) + answered]
