Write the requests of the benchmarks on callers in one place

Cause: bench_rows and bench_slow_readers each wrote the platform's header names and listed the source trees that they compare.

Change: benchmarks/_callers.py does both.

--- a/benchmarks/bench_rows.py
+++ b/benchmarks/bench_rows.py
@@ -13,6 +13,7 @@
 import time
 from http.client import HTTPResponse
 
+from benchmarks._callers import build_request, list_sources
 from benchmarks._measurement import Measurement
 from sesameroute.node.tests.pressed_node import (
     ADDRESS,
@@ -31,10 +32,7 @@
 _MAX_RATIO = 1.2
 _TIMEOUT_SECONDS = 5
 _OK = 200
-_HEAD = (
-    'GET /a/{0} HTTP/1.1\r\nHost: h\r\nSesameroute-Attempt-Id: {0}\r\n'
-    'Sesameroute-Affinity-Key: {1}\r\nSesameroute-Deadline-Ms: 1000\r\n\r\n'
-)
+_DEADLINE_MILLISECONDS = 1000
 _KEYS = 24
 
 
@@ -68,9 +66,12 @@
 
     def _send_row(self, number: int) -> None:
         names = [f'{id(self)}-{number}-{place}' for place in range(self.size)]
-        row = ''.join(_HEAD.format(name, hash(name) % _KEYS) for name in names)
+        row = b''.join(
+            build_request(name, hash(name) % _KEYS, _DEADLINE_MILLISECONDS)
+            for name in names
+        )
         sent_at = time.monotonic()
-        self.sock.sendall(row.encode())
+        self.sock.sendall(row)
         for _ in names:
             answer = HTTPResponse(self)
             answer.begin()
@@ -116,7 +117,7 @@
 
 def main(sources: list[str]) -> None:
     """Print medians and failures of each source tree."""
-    for source in (*sources, str(REPOSITORY)):
+    for source in list_sources(sources):
         for size in (1, _ROW):
             median, failed = measure_latency(source, size, _SECONDS)
             print(source, size, f'{median:.4f} s', failed, flush=True)
--- a/benchmarks/bench_slow_readers.py
+++ b/benchmarks/bench_slow_readers.py
@@ -13,6 +13,7 @@
 from http.client import HTTPException, HTTPResponse
 from pathlib import Path
 
+from benchmarks._callers import build_request, list_sources
 from benchmarks._measurement import Direction, Measurement
 from sesameroute.node.tests.press import ask
 from sesameroute.node.tests.pressed_node import (
@@ -33,10 +34,7 @@
 _MAX_MEGABYTES = 64
 _MIN_ANSWERED = 0.9
 _OK = 200
-_HEAD = (
-    'GET /a/{0} HTTP/1.1\r\nHost: h\r\nSesameroute-Attempt-Id: {0}\r\n'
-    'Sesameroute-Affinity-Key: {0}\r\nSesameroute-Deadline-Ms: 9000\r\n\r\n'
-)
+_DEADLINE_MILLISECONDS = 9000
 
 
 def _read_peak(process: object) -> float:
@@ -50,7 +48,7 @@
     reader = socket.socket()
     reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
     reader.connect(ADDRESS)
-    reader.sendall(_HEAD.format(number).encode())
+    reader.sendall(build_request(number, number, _DEADLINE_MILLISECONDS))
     return reader
 
 
@@ -100,7 +98,7 @@
 
 def main(sources: list[str]) -> None:
     """Print the figures of each source tree."""
-    for source in (*sources, str(REPOSITORY)):
+    for source in list_sources(sources):
         megabytes, answered, statuses = measure_memory(source)
         print(source, f'{megabytes:.1f} MB', answered, dict(statuses))
 
