--- a/sesameroute/forward/_tenants.py
+++ b/sesameroute/forward/_tenants.py
@@ -1,6 +1,5 @@
 """Lets requests pass by the key and the allowance of their tenant."""
 
-import hashlib
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from http import HTTPStatus
@@ -14,7 +13,7 @@
 from sesameroute.forward._request_state import RequestState
 from sesameroute.placement import Reason, Refusal
 from sesameroute.ports import Answer
-from sesameroute.tenants import Denial, Tenant
+from sesameroute.tenants import AllowanceView, Denial, Tenant, hash_keys
 
 __all__ = [
     'Allowances',
@@ -41,6 +40,12 @@
     def read_level(self, tenant: str) -> float:
         """Return what this node alone may still let through."""
 
+    def list_views(self, tenant: str) -> list[AllowanceView]:
+        """Return what lies at this node, then at the nodes that it asks.
+
+        Counts nothing, and moves nothing.
+        """
+
 
 class NoAllowances:
     """Lets all requests pass; for a node without other nodes."""
@@ -55,6 +60,10 @@
         """Return nothing."""
         return 0
 
+    def list_views(self, _tenant: str) -> list[AllowanceView]:
+        """Return nothing."""
+        return []
+
 
 def identify_tenant(state: RequestState) -> None:
     """Set the tenant of a request, or why it is not let through.
@@ -64,10 +73,9 @@
     """
     state.tenant = None
     state.denial = None
-    tenants = state.table.tenants
-    if not tenants.is_used or state.route.is_anonymous:
+    if not _needs_key(state):
         return
-    found = tenants.identify(state.request_metadata.keys)
+    found = state.table.tenants.identify(state.request_metadata.keys)
     if isinstance(found, Denial):
         state.denial = found
         return
@@ -89,6 +97,8 @@
         Logs and counts an answer to a key, see `Refusals.record`.
     tenant_observer_ : callable
         Called with the tenant and the result of each request of a tenant.
+    may_take_keys_ : callable
+        Returns whether this node knows well enough which keys are in force.
 
     """
 
@@ -97,10 +107,13 @@
         self.allowances_: Allowances = NoAllowances()
         self.record_: Callable[..., None] = _ignore
         self.tenant_observer_: Callable[[Tenant, str], None] = _ignore
+        self.may_take_keys_: Callable[[], bool] = _permit
 
     def check_key(self, state: RequestState) -> Answer | None:
         """Return the answer to a request that is not let through, or None."""
         denial = state.denial
+        if _needs_key(state) and not self.may_take_keys_():
+            denial = Denial.OUT_OF_TOUCH
         if denial is None:
             return None
         status = (
@@ -164,6 +177,10 @@
             self.allowances_.give_back(charged)
 
 
+def _needs_key(state: RequestState) -> bool:
+    return state.table.tenants.is_used and not state.route.is_anonymous
+
+
 def _hash_keys(keys: tuple[str, ...]) -> str:
     """Return a short hash of the keys of a request, '-' for none.
 
@@ -175,8 +192,11 @@
     """
     if not keys:
         return '-'
-    digest = hashlib.sha256('\0'.join(keys).encode())
-    return digest.hexdigest()[:_HASH_CHARACTERS]
+    return hash_keys(*keys)[:_HASH_CHARACTERS]
+
+
+def _permit() -> bool:
+    return True
 
 
 def _ignore(*_arguments: object, **_details: object) -> None:
