Compare kept appointments by value in a test

With doctests collected first, the module is imported twice, and its enum is another one: the test failed then, and only then. It asks for the same result.

--- a/sesameroute/placement/tests/test_waiting.py
+++ b/sesameroute/placement/tests/test_waiting.py
@@ -206,7 +206,8 @@
     queue.now += 0.5
     returned = build_request(caller_time_left=2.0)
     appointments = queue.pool._granter.appointments
-    assert appointments.find(returned, queue.now).kept is Return.KEPT
+    found = appointments.find(returned, queue.now)
+    assert found.kept.value == Return.KEPT.value
 
 
 def test_promised_slots_are_apart():
