Take no copy that was made for a build without eras

Cause: a node that has just started knows of no peer whether it knows eras, and sends such a peer its copy with the held items in the places of the store's. A peer that enters the new era by this copy takes them for written: it holds nothing, and tells all others that it knows the earlier era. They end what they hold as removed.

Change: such a copy says so in a field with a default, which earlier builds neither send nor read; a build that knows eras asks for another one instead. Earlier builds may still send one without saying so.

Measured: the copy replayed to a node without network ends the hold before ("() == (HeldItem(...),)"), not since.

--- a/sesameroute/mirror/_copies_without_era.py
+++ b/sesameroute/mirror/_copies_without_era.py
@@ -42,10 +42,12 @@
     """
     items = {item.key: item for item in copy.items}
     start = Position(find_era(copy.revision), 0).pack()
+    has_held = False
     for each in held:
+        has_held = True
         key = each.item.key
         if each.item.content is None:
             items.pop(key, None)
         else:
             items[key] = replace(each.item, revision=each.replaces or start)
-    return replace(copy, items=tuple(items.values()))
+    return replace(copy, items=tuple(items.values()), has_held=has_held)
--- a/sesameroute/mirror/_messages.py
+++ b/sesameroute/mirror/_messages.py
@@ -48,6 +48,9 @@
         Changed items, or all items of a full copy.
     age : float
         Seconds since the store was known to have no later revision.
+    has_held : bool
+        Whether held items are in the places of the store's, for a build
+        without eras.
 
     """
 
@@ -55,6 +58,7 @@
     revision: int
     items: tuple[MirrorItem, ...]
     age: float = 0
+    has_held: bool = False
 
 
 @register_message('mirror-query')
--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -115,6 +115,11 @@
     def receive(self, sender: str, update: MirrorUpdate) -> None:
         """Apply a peer's update; query its full copy if updates are missing."""
         now = self.clock.read_monotonic()
+        if update.has_held:
+            # Sent before the peer knew that this build knows eras: what it
+            # holds would count as written by the store.
+            self._request_copy(sender)
+            return
         if update.base == 0:
             copied = self.copied_.get(sender, 0)
             self.copied_[sender] = max(copied, update.revision)
--- a/sesameroute/node/tests/test_mirror_sync.py
+++ b/sesameroute/node/tests/test_mirror_sync.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from sesameroute.mirror import Mirror, MirrorCopyRequest, MirrorItem, Position
+from sesameroute.mirror import (
+    HeldItem,
+    Mirror,
+    MirrorCopyRequest,
+    MirrorItem,
+    Position,
+)
 from sesameroute.mirror import MirrorUpdate as Update
 from sesameroute.node._era_translation import EraTranslation
 from sesameroute.node._fleet import Fleet
@@ -56,3 +62,27 @@
     assert (reply is not None) == (known == 0)
     _held, *others = sync.peers.sent
     assert [type(message) for _, message in others] == sent
+
+
+def test_copy_for_a_build_without_eras_does_not_end_what_is_held(sync):
+    """A node that had just started knew nothing of its peers' builds.
+
+    One that entered the new era by its copy took what was held for written,
+    held nothing, and told all others so: an evacuation was over everywhere.
+    """
+    sync.is_starting_ = False
+    sync.clock.now += 1
+    sync.eras.observe_peer('started', 0)
+    sync.receive('old', Update(0, 13, (_SERVER, _EVACUATION)))
+    eras = EraTranslation(int)
+    restored = Update(0, Position(1, 11).pack(), (_SERVER,))
+    held = HeldItem(_EVACUATION, 0)
+    sync.peers.sent.clear()
+    sync.receive('started', eras.encode('own', restored, [held]))
+    assert [type(message) for _, message in sync.peers.sent] == [
+        MirrorCopyRequest
+    ]
+    eras.observe_peer('own', 0)
+    sync.receive('started', eras.encode('own', restored, [held]))
+    assert sync.mirror.era_ == 1
+    assert sync.mirror.list_held().held == (held,)
