--- a/sesameroute/ports/_message.py
+++ b/sesameroute/ports/_message.py
@@ -1,8 +1,7 @@
 """Encoding of messages between peers: data classes with a tag."""
 
-from collections.abc import Callable, Mapping
-from dataclasses import MISSING, asdict, fields
-from types import MappingProxyType
+from collections.abc import Callable
+from dataclasses import asdict
 from typing import Any, TypeVar
 
 import msgspec
@@ -17,7 +16,6 @@
 _ENCODING_ERRORS = (OverflowError, RecursionError, TypeError, ValueError)
 _DECODING_ERRORS = (KeyError, RecursionError, TypeError, ValueError)
 _CLASSES_BY_TAG: dict[str, type] = {}  # noqa: WPS407
-_DEFAULTS_BY_TAG: dict[str, Mapping[str, Any]] = {}  # noqa: WPS407
 
 
 def register_message(
@@ -27,9 +25,6 @@
 ) -> Callable[[MessageType], MessageType]:
     """Return a decorator that registers a data class as a message.
 
-    A field with its default value is not sent, so that the default of a field
-    must stay the same in later builds.
-
     Parameters
     ----------
     tag : str
@@ -45,32 +40,18 @@
         cls.wire_tag = tag
         cls.is_nonblocking = is_nonblocking
         _CLASSES_BY_TAG[tag] = cls
-        _DEFAULTS_BY_TAG[tag] = MappingProxyType(
-            {
-                each.name: each.default
-                for each in fields(cls)
-                if each.default is not MISSING
-            }
-        )
         return cls
 
     return decorate
 
 
 def encode_message(message: Any) -> list[Any]:
-    """Return the tag and the fields of a message, ready for msgpack.
-
-    Fields that have their default value are left out.
-    """
-    tag = message.wire_tag
+    """Return the tag and the fields of a message, ready for msgpack."""
     try:
-        encoded = msgspec.to_builtins(message, builtin_types=_NATIVE_TYPES)
+        fields = msgspec.to_builtins(message, builtin_types=_NATIVE_TYPES)
     except _ENCODING_ERRORS:  # the frame can't be packed, and tells why
-        return [tag, asdict(message)]
-    for name, default in _DEFAULTS_BY_TAG[tag].items():
-        if getattr(message, name) == default:
-            encoded.pop(name)
-    return [tag, encoded]
+        fields = asdict(message)
+    return [message.wire_tag, fields]
 
 
 def decode_message(parts: Any) -> Any:
