--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -361,13 +361,7 @@
         )
 
     def _answer_refusal(self, state: RequestState, refusal: Refusal) -> Answer:
-        log_event(
-            state,
-            'request turned away',
-            refusal.reason.value,
-            '',
-            retry_after_s=round(refusal.retry_after, 3),
-        )
+        log_event(state, 'request turned away', refusal.reason.value, '')
         if state.may_have_run:
             return _build_final_answer(state, 0)
         return build_refusal_answer(refusal)
--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -19,7 +19,7 @@
 from sesameroute.placement._upstream import UpstreamState
 from sesameroute.placement._wait_forecasts import WaitForecasts
 
-__all__ = ['RETRY_FRACTION', 'Admission', 'Decision', 'Verdict', 'is_full']
+__all__ = ['Admission', 'Decision', 'Verdict', 'is_full']
 
 # From this utilization on, a request for a cached object starts on no server
 # that does not have the object cached.
@@ -30,7 +30,7 @@
 _MIN_RETRY_SECONDS = 0.05
 # The longest retry delay as a fraction of the time left; callers don't wait
 # longer than that.
-RETRY_FRACTION = 1 / 3
+_RETRY_FRACTION = 1 / 3
 # The shortest retry delay as a fraction of the longest; delays are random, so
 # that the retries are spread.
 _MIN_RETRY_RATIO = 0.5
@@ -68,8 +68,6 @@
         Why the request was refused.
     retry_after : float
         Seconds after which the caller of a refused request should retry.
-    is_early : bool
-        Whether the caller is told once more what it was told before.
 
     """
 
@@ -78,7 +76,6 @@
     wait_until: float = 0
     reason: Reason = Reason.NO_ROOM
     retry_after: float = 0
-    is_early: bool = False
 
 
 def is_full(candidates: Candidates) -> bool:
@@ -176,9 +173,7 @@
             chosen = candidates.pick_warm(candidates.list_warm())
         if self.can_end(candidates, waiter, chosen):
             return Decision(Verdict.GRANT, chosen)
-        return Decision(
-            Verdict.REFUSE, retry_after=due - candidates.now, is_early=True
-        )
+        return Decision(Verdict.REFUSE, retry_after=due - candidates.now)
 
     def decide_without_wait(
         self,
@@ -219,7 +214,7 @@
     ) -> Decision:
         """Refuse a request, with a random retry delay to spread the retries."""
         left = max(waiter.deadline - candidates.now, 0)
-        longest = max(left * RETRY_FRACTION, _MIN_RETRY_SECONDS)
+        longest = max(left * _RETRY_FRACTION, _MIN_RETRY_SECONDS)
         pause = longest * self._random.uniform(_MIN_RETRY_RATIO, 1)
         return Decision(Verdict.REFUSE, reason=reason, retry_after=pause)
 
@@ -241,7 +236,7 @@
             (True, wait_until),
         ):
             waiter.is_late = is_late
-            if is_late and not waiter.is_promised and is_full(candidates):
+            if is_late and is_full(candidates):
                 return None
             start = self._estimate_start(
                 candidates, waiter, warm_states, count_ahead(waiter)
@@ -282,8 +277,6 @@
         warm_slots = sum(server.slots for server in warm_states)
         first_wait = run / max(warm_slots, 1)
         wait = first_wait + run * ahead / max(slots, 1)
-        if waiter.is_promised:
-            return candidates.now + wait
         return candidates.now + self.wait_forecasts.correct(
             waiter.flow_class, wait, candidates.now
         )
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -5,18 +5,12 @@
 
 from sesameroute.placement._active_grants import ActiveGrant, ActiveGrants
 from sesameroute.placement._admission import (
-    RETRY_FRACTION,
     Admission,
     Decision,
     Verdict,
     is_full,
 )
-from sesameroute.placement._appointments import (
-    Appointments,
-    ExpectedRoom,
-    Return,
-    Terms,
-)
+from sesameroute.placement._appointments import Appointments, Return
 from sesameroute.placement._candidates import Candidates, hash_key
 from sesameroute.placement._messages import (
     Grant,
@@ -67,8 +61,6 @@
         Requests that wait for a slot.
     appointments : Appointments
         When the callers of refused requests may come back.
-    expected_room : ExpectedRoom
-        Slots that are expected for returns.
     tenant_shares : TenantShares
         Recent grants of each tenant.
     active_grants : ActiveGrants
@@ -91,7 +83,6 @@
         self.travel = TravelTimes(plan, admission.estimates)
         self.waiting = WaitingRequests()
         self.appointments = Appointments()
-        self.expected_room = ExpectedRoom()
         self.tenant_shares = TenantShares()
         self.active_grants = ActiveGrants()
 
@@ -118,10 +109,6 @@
         """Decide on a request that has just arrived; None if it waits."""
         candidates = self.list_candidates(waiter, now)
         decision = self.consider(waiter, candidates)
-        if not (waiter.is_returning or decision.is_early):
-            self.expected_room.add_work(
-                waiter.region, _find_run(self, waiter), now
-            )
         if decision.verdict is Verdict.WAIT:
             waiter.wait_until = _limit_wait(
                 waiter, self.node, decision.wait_until
@@ -137,14 +124,11 @@
         appointment = self.appointments.find(slot_request, now)
         if appointment.kept is Return.EARLY:
             return self.admission.decide_early(
-                candidates, waiter, appointment.told
+                candidates, waiter, appointment.due
             )
         waiter.is_returning = (
             slot_request.is_returning or appointment.kept is Return.KEPT
         )
-        waiter.is_promised = (
-            appointment.kept is Return.KEPT and appointment.is_promised
-        )
         waiter.advance_latest_start(
             appointment.on_time_until
             - self.admission.estimate_response_time(slot_request)
@@ -229,14 +213,12 @@
         if decision.verdict is Verdict.GRANT:
             # Too many requests have started on the cold server just now.
             decision = self.admission.refuse(candidates, waiter, Reason.NO_ROOM)
-        if waiter.is_promised:
-            self.expected_room.observe_return(
-                waiter.slot_request.flow, candidates.now, was_served=False
+        now = candidates.now
+        if decision.reason is not Reason.NO_BACKEND:
+            self.appointments.add(
+                waiter.slot_request, now + decision.retry_after, now
             )
-        if decision.reason is Reason.NO_BACKEND or decision.is_early:
-            return Refusal(decision.reason, decision.retry_after)
-        retry_after = _find_return(self, candidates, waiter, decision)
-        return Refusal(decision.reason, retry_after)
+        return Refusal(decision.reason, decision.retry_after)
 
     def _grant(
         self,
@@ -245,10 +227,6 @@
         waiter: Waiter,
     ) -> Grant:
         now = candidates.now
-        if waiter.is_promised:
-            self.expected_room.observe_return(
-                waiter.slot_request.flow, now, was_served=True
-            )
         slot_request = waiter.slot_request
         is_warm = candidates.is_warm(state)
         active_grant = ActiveGrant(
@@ -341,54 +319,8 @@
     """Whether a waiting request gets a free slot of a server."""
     if not candidates.list_warm():
         return False
-    is_last = waiter.is_late and not waiter.is_promised
-    if is_last and is_full(granter.list_candidates(waiter, candidates.now)):
+    if waiter.is_late and is_full(
+        granter.list_candidates(waiter, candidates.now)
+    ):
         return False
     return granter.admission.can_end(candidates, waiter, state)
-
-
-def _find_return(
-    granter: Granter,
-    candidates: Candidates,
-    waiter: Waiter,
-    decision: Decision,
-) -> float:
-    """Return the seconds after which the caller should come back.
-
-    Where no slot is expected for as long as callers wait, it is told all
-    the time that it has left.
-    """
-    now, slot_request = candidates.now, waiter.slot_request
-    left = slot_request.caller_time_left or slot_request.time_left
-    due: float | None = now + decision.retry_after
-    unlimited = [
-        state for state in candidates.states if not state.start_limit.is_set
-    ]
-    if unlimited:
-        due = granter.expected_room.promise(
-            Terms(
-                waiter.region,
-                slot_request.flow,
-                _find_run(granter, waiter),
-                sum(state.slots for state in unlimited),
-                len(granter.waiting),
-                waiter.latest_start,
-                now + left * RETRY_FRACTION,
-            ),
-            now,
-        )
-    is_promised = bool(unlimited) and due is not None
-    told = due
-    if due is None:
-        due, told = now + left * RETRY_FRACTION, now + left
-    granter.appointments.add(
-        slot_request, due, now, told=told, is_promised=is_promised
-    )
-    return told - now
-
-
-def _find_run(granter: Granter, waiter: Waiter) -> float:
-    slot_request = waiter.slot_request
-    return granter.admission.estimates.find_hit(
-        slot_request.flow, slot_request.objective
-    ).seconds
--- a/sesameroute/placement/_queue.py
+++ b/sesameroute/placement/_queue.py
@@ -46,8 +46,6 @@
         Monotonic time in seconds at which the wait ends.
     is_returning : bool
         Whether it has come back as it was told.
-    is_promised : bool
-        Whether a slot was expected for its return.
     tenant_level : int
         How far its tenant is above its fair share; 0 if it is not.
     is_late : bool
@@ -64,7 +62,6 @@
     deadline: float
     wait_until: float = 0
     is_returning: bool = False
-    is_promised: bool = False
     tenant_level: int = 0
     is_late: bool = False
 
