Keep the cap on shifts in any fleet, and count travel wherever time is short

Cause, found in review: in even regions the plan moved by 0.11 whatever max_shift said; a server that restarts switched a plan to lead and back, and servers of an unknown zone counted as a small region; travel was taken out of the run times, but late and returning requests were granted slots abroad without the time for the way; travel that was first seen as nothing stayed nothing, and runs on slow servers counted as travel.

Change: the settings' cap binds while the plan follows, too; it leads from half of the mean room until 0.6 of it; what is needed, the latest start of returns and the end of a wait include the travel; it is learned from typical runs only.

--- a/sesameroute/node/_fleet.py
+++ b/sesameroute/node/_fleet.py
@@ -34,8 +34,8 @@
     is_leaving : bool
         Whether the node is shutting down.
     known : tuple of str
-        IP addresses of the nodes that it considers live; empty if they are
-        the same as in an earlier message.
+        IP addresses of live nodes: all that it knows, or those that are new
+        since an earlier message.
     reaches_servers : bool
         Whether it reaches any backend server.
     relay : str
--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -254,9 +254,8 @@
         if not waiter.is_returning:
             return waiter.latest_start
         late_start = now + _LATE_WAIT_FRACTION * slot_request.objective
-        deadline_start = waiter.deadline - self.estimate_response_time(
-            slot_request
-        )
+        response_time = self.estimate_response_time(slot_request)
+        deadline_start = waiter.deadline - response_time - waiter.travel
         return max(waiter.latest_start, min(late_start, deadline_start))
 
     def _estimate_start(
--- a/sesameroute/placement/_granter.py
+++ b/sesameroute/placement/_granter.py
@@ -132,6 +132,7 @@
         waiter.advance_latest_start(
             appointment.on_time_until
             - self.admission.estimate_response_time(slot_request)
+            - waiter.travel
         )
         waiter.tenant_level = self.tenant_shares.find_level(
             slot_request.tenant, now
@@ -296,6 +297,7 @@
         now,
         now + slot_request.on_time - run - travel,
         now + slot_request.time_left,
+        travel=travel,
     )
 
 
--- a/sesameroute/placement/_learner.py
+++ b/sesameroute/placement/_learner.py
@@ -58,7 +58,6 @@
             seconds = release.seconds - self.travel.find(state.region)
             seconds = max(seconds, _MIN_RUN_SECONDS)
             state.work.add(seconds, now)
-            self._observe_travel(grant, release.seconds, seconds)
             self._observe_answer(grant, release, seconds, now)
             if key and state.recent.find_depth(key, now) is None:
                 # A failed try with the same object removed the key meanwhile.
@@ -67,25 +66,16 @@
             # The request did not run, so it did not load the object.
             state.recent.discard(key)
 
-    def _observe_travel(
-        self, grant: ActiveGrant, seconds: float, run_seconds: float
-    ) -> None:
-        flow = grant.slot_request.flow
-        if grant.is_warm and self.estimates.is_hit(flow, run_seconds):
-            self.travel.observe_hit(
-                grant.slot_request, grant.state.region, seconds
-            )
-
     def _observe_answer(
         self, grant: ActiveGrant, release: Release, seconds: float, now: float
     ) -> None:
         if grant.incarnation == grant.state.entry.backend.incarnation:
             grant.state.pace.observe(release.load, now)
         if read_pace(release.load) <= _MAX_TYPICAL_PACE:
-            self._observe_run(grant, seconds, now)
+            self._observe_run(grant, release, seconds, now)
 
     def _observe_run(
-        self, grant: ActiveGrant, seconds: float, now: float
+        self, grant: ActiveGrant, release: Release, seconds: float, now: float
     ) -> None:
         slot_request = grant.slot_request
         state = grant.state
@@ -106,8 +96,11 @@
             state.observe_slowdown(
                 seconds / max(estimate.seconds, _MIN_RUN_SECONDS)
             )
-        if is_typical:
-            estimate.observe(seconds)
+        if not is_typical:
+            return
+        if grant.is_warm and was_hit:
+            self.travel.observe_hit(slot_request, state.region, release.seconds)
+        estimate.observe(seconds)
 
 
 def _log_suspension(grant: ActiveGrant, release: Release, now: float) -> None:
--- a/sesameroute/placement/_queue.py
+++ b/sesameroute/placement/_queue.py
@@ -50,6 +50,8 @@
         How far its tenant is above its fair share; 0 if it is not.
     is_late : bool
         Whether it was found too late for its objective.
+    travel : float
+        Seconds to servers of its region and back, which are no run time.
 
     """
 
@@ -64,6 +66,7 @@
     is_returning: bool = False
     tenant_level: int = 0
     is_late: bool = False
+    travel: float = 0
 
     def __post_init__(self) -> None:
         """Compute whether it is late from the start."""
--- a/sesameroute/placement/_remaining_time.py
+++ b/sesameroute/placement/_remaining_time.py
@@ -33,15 +33,15 @@
 ) -> float:
     """Return the time in seconds that a request needs when it is sent.
 
-    At most the objective: a request with that much time is worth a try. 0
-    until runs have been observed.
+    With the travel to another region. At most the objective: a request with
+    that much time is worth a try. 0 until runs have been observed.
     """
     slot_request = waiter.slot_request
     find = estimates.find_hit if is_warm else estimates.find_miss
     estimate = find(slot_request.flow, slot_request.objective)
     if not estimate.runs:
         return 0
-    return min(estimate.seconds, slot_request.objective)
+    return min(estimate.seconds + waiter.travel, slot_request.objective)
 
 
 def can_end(
--- a/sesameroute/placement/_spillover.py
+++ b/sesameroute/placement/_spillover.py
@@ -36,6 +36,9 @@
 # A region with less than this part of the mean room of the regions can't serve
 # its callers when they are spread evenly: the plan leads.
 _SMALL_REGION_RATIO = 0.5
+# It leads on until each region has this part, so that a server that restarts
+# does not move objects to and fro.
+_EVEN_REGION_RATIO = 0.6
 # Initial shares, as a fraction of those that equal demand in all regions would
 # need, until demand is observed.
 _INITIAL_SHARE_FRACTION = 0.6
@@ -102,7 +105,7 @@
         self._random = random.Random()
         self._shift_limiter = ShiftLimiter()
         self._change_per_second = _MAX_SHARE_CHANGE_PER_SECOND
-        self._max_shift = 0
+        self._max_shift: float | None = None
         self.homes_abroad = HomesAbroad(region)
         self.is_leading_ = False
         self._initialized_at = math.inf
@@ -120,6 +123,7 @@
 
         """
         self._max_shift = max_shift
+        self._limit_changes()
 
     def compare_regions(self, capacities: Mapping[str, float]) -> None:
         """Lead only while a region is much smaller than the others.
@@ -130,23 +134,14 @@
         Parameters
         ----------
         capacities : mapping of str to float
-            Slots by region.
+            Slots by region; an empty name for servers of unknown regions.
 
         """
-        self.homes_abroad.use_room(capacities)
-        is_leading = bool(self._max_shift) and _is_uneven(capacities)
-        if is_leading == self.is_leading_:
-            return
-        self.is_leading_ = is_leading
-        self._change_per_second = _MAX_SHARE_CHANGE_PER_SECOND
-        self._shift_limiter.max_growth = MAX_SHARE_GROWTH
-        if is_leading:
-            self._change_per_second = (
-                _USED_CAP_FRACTION * self._max_shift / SHIFT_WINDOW_SECONDS
-            )
-            self._shift_limiter.max_growth = (
-                _GUARDED_CAP_FRACTION * self._max_shift
-            )
+        known = {name: slots for name, slots in capacities.items() if name}
+        self.homes_abroad.use_room(known)
+        ratio = _EVEN_REGION_RATIO if self.is_leading_ else _SMALL_REGION_RATIO
+        self.is_leading_ = bool(self._max_shift) and _is_uneven(known, ratio)
+        self._limit_changes()
 
     def initialize(self, capacities: Mapping[str, float], now: float) -> None:
         """Set the shares from the capacities, assuming equal demand.
@@ -258,6 +253,18 @@
             )
         return chosen
 
+    def _limit_changes(self) -> None:
+        """Keep the shares within the cap on shifts, if there is one."""
+        if self._max_shift is None:
+            return
+        change = _USED_CAP_FRACTION * self._max_shift / SHIFT_WINDOW_SECONDS
+        growth = _GUARDED_CAP_FRACTION * self._max_shift
+        if not self.is_leading_:
+            change = min(change, _MAX_SHARE_CHANGE_PER_SECOND)
+            growth = min(growth, MAX_SHARE_GROWTH)
+        self._change_per_second = change
+        self._shift_limiter.max_growth = growth
+
     def _find_target(self, loads: Mapping[str, RegionLoad]) -> float:
         """Return the utilization above which requests spill over.
 
@@ -271,10 +278,10 @@
         return max(_LEADING_UTILIZATION, demand / max(capacity, 1))
 
 
-def _is_uneven(capacities: Mapping[str, float]) -> bool:
+def _is_uneven(capacities: Mapping[str, float], ratio: float) -> bool:
     mean = sum(capacities.values()) / max(len(capacities), 1)
     smallest = min(capacities.values(), default=0)
-    return smallest < _SMALL_REGION_RATIO * mean
+    return smallest < ratio * mean
 
 
 class RegionDemand:
--- a/sesameroute/placement/_travel.py
+++ b/sesameroute/placement/_travel.py
@@ -11,6 +11,9 @@
 
 __all__ = ['TravelTimes']
 
+# An estimate of nothing would stay so: it grows by a part of itself at a time.
+_MIN_SECONDS = 0.01
+
 
 class TravelTimes:
     """Travel to other regions, beside the run, while the plan leads.
@@ -35,7 +38,7 @@
         travel = self._travel.get(region)
         if travel is None or not self.plan.is_leading_:
             return 0
-        return max(travel.seconds, 0)
+        return travel.seconds
 
     def observe_hit(
         self, slot_request: SlotRequest, region: str, seconds: float
@@ -46,4 +49,4 @@
         if not (is_abroad and hit.runs and self.plan.is_leading_):
             return
         travel = self._travel.setdefault(region, Estimate(0))
-        travel.observe(max(seconds - hit.seconds, 0))
+        travel.observe(max(seconds - hit.seconds, _MIN_SECONDS))
