Wake a thread for what was kept for it; tell a closed stream from a refusal

Cause, found in review: a request that is kept because a thread is free waited for the next request when the limit rose after it had come (no wake-up). And a call whose stream closed failed like one that the peer refused.

Change: the look for expired requests wakes the threads that they are kept for; a call on a closed stream ends as peer-silent, since the peer may have acted.

--- a/sesameroute/adapters/_peer_table.py
+++ b/sesameroute/adapters/_peer_table.py
@@ -6,7 +6,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from sesameroute.adapters._peer_frames import Frame, FrameKind
+from sesameroute.adapters._peer_frames import Frame
 from sesameroute.adapters._peer_stream import PeerStream
 from sesameroute.exceptions import PeerError
 from sesameroute.gossip import (
@@ -151,7 +151,10 @@
 
 @dataclass(slots=True)
 class PendingCall:
-    """A call that is waiting for its reply."""
+    """A call that is waiting for its reply.
+
+    It is done without a reply if its stream has closed.
+    """
 
     number: int
     stream: PeerStream
@@ -205,8 +208,6 @@
 
     def fail(self, stream: PeerStream) -> None:
         """Fail all pending calls of a closed stream."""
-        for number, call in list(self._calls.items()):
+        for call in list(self._calls.values()):
             if call.stream is stream:
-                self.complete(
-                    stream, Frame(FrameKind.FAILURE, number, 'closed')
-                )
+                call.done.set()
--- a/sesameroute/adapters/_peers.py
+++ b/sesameroute/adapters/_peers.py
@@ -198,8 +198,8 @@
         PeerError
             Code ``peer-unreachable``: nothing was sent; ``peer-silent``: no
             reply within `timeout` seconds, the peer may have acted on the
-            message; ``peer-failed``: the peer refused the call, its handler
-            failed, or the stream closed.
+            message, also if the stream closed; ``peer-failed``: the peer
+            refused the call, or its handler failed.
 
         """
         stream = self.streams.find(vm)
@@ -232,7 +232,7 @@
 
 def _read_reply(vm: str, frame: Frame | None) -> Any:
     if frame is None:
-        raise PeerError(f'{vm} sent no reply in time', 'peer-silent')
+        raise PeerError(f'{vm} sent no reply', 'peer-silent')
     if frame.kind is FrameKind.FAILURE:
         raise PeerError(f'{vm} failed: {frame.content}', 'peer-failed')
     if frame.content is None:
--- a/sesameroute/adapters/_request_queue.py
+++ b/sesameroute/adapters/_request_queue.py
@@ -81,7 +81,10 @@
         now = time.monotonic()
         with self._changed:
             free = min(self.idle_, self._count_startable())
-            excess = max(len(self._waiting) - max(free, 0), 0)
+            kept = min(max(free, 0), len(self._waiting))
+            # The threads may have become free to start since these came.
+            self._changed.notify(kept)
+            excess = len(self._waiting) - kept
             return list(
                 itertools.islice(self._waiting.pop_expired(now), excess)
             )
