--- a/sesameroute/node/_mirror_sync.py
+++ b/sesameroute/node/_mirror_sync.py
@@ -199,18 +199,11 @@
         if self.mirror.revision_:
             return
         for peer in self.peers.list_connected():
-            try:
-                copy = self.peers.call(
-                    peer, MirrorCopyRequest(0), _QUERY_TIMEOUT_SECONDS
-                )
-            except PeerError as error:
-                _logger.info(
-                    'store copy not received from peer',
-                    extra={'why': error.code},
-                )
+            copy = _call_for_copy(self.peers, peer)
+            if copy is None or not copy.revision:
                 continue
-            if copy is not None and copy.revision:
-                self.receive(peer, copy)
+            self.receive(peer, copy)
+            if not copy.has_held:
                 return
 
     def _has_unknown_era(self, peer: str, now: float) -> bool:
@@ -236,3 +229,14 @@
             known = max(self.mirror.revision_, 1)
             revision = self.eras.encode_revision(peer, known)
             self.peers.send_one_way(peer, MirrorCopyRequest(revision))
+
+
+def _call_for_copy(peers: Peers, vm: str) -> MirrorUpdate | None:
+    """Return a peer's copy, or None if it has none or does not reply."""
+    try:
+        return peers.call(vm, MirrorCopyRequest(0), _QUERY_TIMEOUT_SECONDS)
+    except PeerError as error:
+        _logger.info(
+            'store copy not received from peer', extra={'why': error.code}
+        )
+    return None
--- a/sesameroute/programs/_placement_query.py
+++ b/sesameroute/programs/_placement_query.py
@@ -184,7 +184,7 @@
 def _read_key() -> str:
     if sys.stdin.isatty():
         return getpass.getpass('key: ')
-    return sys.stdin.readline().rstrip('\n')
+    return sys.stdin.readline().rstrip('\r\n')
 
 
 def _define_flags() -> flags.FlagValues:
