--- a/sesameroute/node/_allowances.py
+++ b/sesameroute/node/_allowances.py
@@ -29,7 +29,7 @@
 __all__ = ['FleetAllowances']
 
 # Longest time for a depot's reply; a request waits meanwhile.
-_CALL_SECONDS = 0.4  # for all depots that are asked for one request
+_CALL_SECONDS = 0.4
 # A depot that has not replied is asked again after this time.
 _AVOID_SECONDS = 0.3
 _MAX_ASKED = 3  # depots for one request
@@ -164,20 +164,17 @@
     def _ask_depot(self, ask: AllowanceAsk) -> AllowanceGrant | None:
         """Return the reply of the first depot with enough, or of the last."""
         now = self.clock.read_monotonic()
-        end = now + _CALL_SECONDS
         grant = None
         for depot in self.depots.list_usable(now):
             try:
-                grant = self.peers.call(depot, ask, end - now)
+                grant = self.peers.call(depot, ask, _CALL_SECONDS)
             except PeerError as error:
-                now = self.clock.read_monotonic()
                 self.depots.avoid(depot, now, error.code)
                 _logger.info(
                     'depot not reached',
                     extra={'peer': depot, 'why': error.code},
                 )
-            now = self.clock.read_monotonic()
-            if now >= end or (grant and grant.amount):
+            if grant and grant.amount:
                 break
         return grant
 
