Send nothing to a backend server that asks for a pause

Change: the server's own 503 with Retry-After (seconds, bounded by 600; all else says nothing) is kept in its announcement, per incarnation, to the latest end that it has named. It is asked after each grant and before a request is sent again. Pools leave such a server out, settle who waits for it alone, refuse at once while all pause with a Retry-After that begins at the first end, and then try it with one request at a time. Nodes that have read it tell their peers, in a field with a default.

--- a/sesameroute/forward/_forwarder.py
+++ b/sesameroute/forward/_forwarder.py
@@ -174,9 +174,10 @@
         follow_configuration(state, self.active_configuration)
         if not (is_of_route(slot_request, state) and may_run_again(state)):
             return False
+        server = grant.backend, grant.incarnation
         if not self.registry.may_receive_requests(
-            grant.backend, grant.incarnation
-        ):
+            *server
+        ) or self.guards.is_paused(*server):
             state.excluded = (*state.excluded, grant.backend)
             return False
         # Servers, or all links, may have been lost, or a stop have begun.
--- a/sesameroute/forward/_guards.py
+++ b/sesameroute/forward/_guards.py
@@ -93,10 +93,11 @@
     def may_resend(self, state: RequestState) -> bool:
         """Whether the same backend server may get the request again.
 
-        Not if it leaves, or has named a limit: the grant is for one request.
+        Not if it leaves or pauses, or has named a limit: the grant is for one
+        request.
         """
         server = state.backend, state.incarnation
-        if self.announcements.is_leaving(*server):
+        if self.announcements.is_leaving(*server) or self.is_paused(*server):
             return False
         return (
             self.announcements.find_limit(*server) is None
@@ -105,6 +106,11 @@
             and self.retries.acquire(state.service)
         )
 
+    def is_paused(self, backend: str, incarnation: int) -> bool:
+        """Whether a server wants no requests now, also if one is granted."""
+        ends = self.announcements.find_pause_end(backend, incarnation)
+        return self.clock.read_monotonic() < ends
+
     def find_condition(
         self, state: RequestState, *, is_cut_off: bool
     ) -> ServerCondition:
@@ -132,13 +138,15 @@
         self, state: RequestState, metadata: AnswerMetadata
     ) -> None:
         """Record what a server says of itself in its answer."""
+        now = self.clock.read_monotonic()
         self.announcements.record(
             Announcement(
                 state.backend,
                 state.incarnation,
-                self.clock.read_monotonic(),
+                now,
                 metadata.request_limit,
                 is_leaving=metadata.is_leaving,
+                paused_until=now + metadata.pause,
             )
         )
 
--- a/sesameroute/forward/_message.py
+++ b/sesameroute/forward/_message.py
@@ -127,6 +127,9 @@
         Whether the server says that it takes no new requests until its end.
     load : ServerLoad or None
         What the server says of its load; None if not given.
+    pause : float
+        Seconds for which a server that has turned a request away wants no
+        others; 0 if it doesn't say.
 
     """
 
@@ -138,6 +141,7 @@
     request_limit: float | None = None
     is_leaving: bool = False
     load: ServerLoad | None = field(default=None, compare=False)
+    pause: float = 0
 
 
 class HeaderCodec:
--- a/sesameroute/node/_announcement_exchange.py
+++ b/sesameroute/node/_announcement_exchange.py
@@ -1,11 +1,17 @@
 """Shares what backend servers say of themselves among the nodes."""
 
 import logging
+import math
 from dataclasses import dataclass
 
 from sesameroute.gossip import Gossip
 from sesameroute.ports import Clock, Peers, register_message
-from sesameroute.registry import Announcement, Registry, list_leaving
+from sesameroute.registry import (
+    MAX_PAUSE_SECONDS,
+    Announcement,
+    Registry,
+    list_leaving,
+)
 
 __all__ = ['AnnouncementExchange', 'AnnouncementReport']
 
@@ -20,6 +26,8 @@
 # A limit is told at once if it differs by more than this part of the one told
 # before; smaller changes are told with the next gossip.
 _MIN_CHANGE = 0.1
+# A pause that lasts longer by less than this is not told at once.
+_MIN_LONGER_SECONDS = 0.25
 
 _logger = logging.getLogger(__name__)
 
@@ -41,6 +49,9 @@
         Age of its answer in seconds when the message was sent.
     is_leaving : bool
         Whether it takes no new requests until its end.
+    pause : float
+        Seconds for which it wanted no requests when the message was sent, as
+        the sender has read in an answer.
 
     """
 
@@ -49,6 +60,7 @@
     limit: float | None
     seconds_ago: float
     is_leaving: bool = False
+    pause: float = 0
 
 
 @register_message('named-limits')
@@ -90,13 +102,16 @@
         self.registry = registry
         self.clock = clock
         self._told_limits: dict[str, float | None] = {}
+        self._told_pauses: dict[tuple[str, int], float] = {}
 
     def build_message(self) -> AnnouncementReport | None:
         """Return the latest announcements, and those of servers that leave."""
         now = self.clock.read_monotonic()
         newest = self.registry.announcements.list_newest()[:_MAX_RECENT]
         recent = [
-            each for each in newest if now - each.said_at <= _MAX_AGE_SECONDS
+            each
+            for each in newest
+            if now - each.said_at <= _MAX_AGE_SECONDS or now < each.paused_until
         ]
         leaving = list_leaving(self.registry)[:_MAX_LEAVING]
         announcements = tuple(
@@ -106,6 +121,7 @@
                 each.limit,
                 max(now - each.said_at, 0),
                 each.is_leaving,
+                0 if each.pause_source else max(each.paused_until - now, 0),
             )
             for each in dict.fromkeys((*leaving, *recent))
         )
@@ -121,6 +137,12 @@
                 announcement,
                 limit=announcement.limit,
             )
+        elif self._is_new_pause(announcement):
+            _log_change(
+                'backend server paused',
+                announcement,
+                seconds=announcement.paused_until - self.clock.read_monotonic(),
+            )
         else:
             return
         if not announcement.source:
@@ -138,6 +160,8 @@
                     told.limit,
                     sender,
                     told.is_leaving,
+                    _find_end(told, now),
+                    sender,
                 )
             )
 
@@ -151,6 +175,18 @@
         self._told_limits[announcement.backend] = announcement.limit
         return True
 
+    def _is_new_pause(self, announcement: Announcement) -> bool:
+        """Whether a pause ends later than the one that was told before."""
+        now = self.clock.read_monotonic()
+        server = announcement.backend, announcement.incarnation
+        known = max(self._told_pauses.get(server, now), now)
+        if announcement.paused_until <= known + _MIN_LONGER_SECONDS:
+            return False
+        if len(self._told_pauses) >= _MAX_TOLD_LIMITS:
+            self._told_pauses.clear()
+        self._told_pauses[server] = announcement.paused_until
+        return True
+
 
 def _log_change(
     event: str, announcement: Announcement, **details: float | None
@@ -165,6 +201,13 @@
     )
 
 
+def _find_end(told: ToldAnnouncement, now: float) -> float:
+    """Return the end of a pause that another node has told of."""
+    if told.pause <= 0:
+        return -math.inf
+    return now + min(told.pause, MAX_PAUSE_SECONDS)
+
+
 def _differs(told: float | None, limit: float | None) -> bool:
     if told is None or limit is None:
         return told is not limit
--- a/sesameroute/node/tests/test_announcement_exchange.py
+++ b/sesameroute/node/tests/test_announcement_exchange.py
@@ -164,3 +164,30 @@
     nodes.second.exchange.receive(message, 'old')
     nodes.first.exchange.receive(message, 'old')
     assert not nodes.first.registry.may_receive_requests('i-1', 7)
+
+
+def test_pause_is_told_by_who_has_read_it(nodes, caplog):
+    """A pause that is told on and on would get longer with each message."""
+    caplog.set_level('INFO')
+    first, second = nodes.first, nodes.second
+    for seconds in (2, 2.1):
+        first.registry.announcements.record(
+            Announcement('i-1', 7, first.now, paused_until=first.now + seconds)
+        )
+    assert len(first.sent) == 1
+    find_end = second.registry.announcements.find_pause_end
+    assert find_end('i-1', 7) == pytest.approx(second.now + 2)
+    second.now += 1
+    first.exchange.share_with_next()
+    assert find_end('i-1', 7) == pytest.approx(second.now + 2.1)
+    second.exchange.share_with_next()
+    assert [each.pause for each in second.sent[-1].limits] == [0]
+    known = first.registry.announcements.find_pause_end('i-1', 7)
+    assert known == pytest.approx(first.now + 2.1)
+    first.now += _DAY_SECONDS
+    assert first.exchange.build_message() is None
+    assert [
+        (each.backend, each.source)
+        for each in caplog.records
+        if each.msg == 'backend server paused'
+    ] == [('i-1', '-'), ('i-1', 'first'), ('i-1', 'first')]
--- a/sesameroute/placement/_admission.py
+++ b/sesameroute/placement/_admission.py
@@ -212,10 +212,15 @@
         waiter: Waiter,
         reason: Reason,
     ) -> Decision:
-        """Refuse a request, with a random retry delay to spread the retries."""
+        """Refuse a request, with a random retry delay to spread the retries.
+
+        It begins at the end of the pause if all servers have asked for one.
+        """
         left = max(waiter.deadline - candidates.now, 0)
         longest = max(left * _RETRY_FRACTION, _MIN_RETRY_SECONDS)
         pause = longest * self._random.uniform(_MIN_RETRY_RATIO, 1)
+        if not candidates.states:
+            pause += max(candidates.resumes_at - candidates.now, 0)
         return Decision(Verdict.REFUSE, reason=reason, retry_after=pause)
 
     def _find_wait(
--- a/sesameroute/placement/_candidates.py
+++ b/sesameroute/placement/_candidates.py
@@ -1,5 +1,6 @@
 """Chooses a backend server of one region for a request."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -47,6 +48,9 @@
         need not follow the sizes of the servers.
     warm_run, cold_run : float
         Run time in seconds on a server with the object and without it.
+    resumes_at : float
+        Monotonic time in seconds at which the first server is back if all
+        have asked for a pause.
 
     """
 
@@ -59,6 +63,7 @@
     share_bounds: ShareBounds | None = None
     warm_run: float = 0
     cold_run: float = 0
+    resumes_at: float = -math.inf
 
     def is_warm(self, state: UpstreamState) -> bool:
         """Whether the backend server probably has the object cached."""
--- a/sesameroute/placement/_pool.py
+++ b/sesameroute/placement/_pool.py
@@ -190,6 +190,8 @@
     def tick(self, now: float) -> None:
         """Settle requests whose wait has ended and remove lost grants."""
         with self._lock:
+            if self.states.take_pauses():
+                self._granter.settle_stranded(now)
             self._granter.active_grants.expire(now)
             self._granter.settle_expired(now)
 
--- a/sesameroute/placement/_states.py
+++ b/sesameroute/placement/_states.py
@@ -86,6 +86,7 @@
         self.cold_share = 0.8
         self.cold_rate = 1.0
         self._states: dict[str, UpstreamState] = {}
+        self._has_paused = False
         self._settled_at = math.inf
 
     def update_backends(
@@ -148,6 +149,8 @@
             if state.region == region
             and state.name not in slot_request.excluded
         ]
+        resumes_at = min((each.pause.until for each in states), default=now)
+        states = [state for state in states if not state.pause.is_on(now)]
         is_own = region == self.region
         share = self.cold_share if is_own else _REMOTE_COLD_SHARE
         rate = share * self.cold_rate
@@ -165,8 +168,16 @@
             self.estimates.find_miss(
                 slot_request.flow, slot_request.objective
             ).seconds,
+            resumes_at,
         )
 
+    def take_pauses(self) -> bool:
+        """Return whether a server has paused since the last call."""
+        self._apply_limits()
+        has_paused = self._has_paused
+        self._has_paused = False
+        return has_paused
+
     def take_report(self, sender: str, report: PoolReport, now: float) -> None:
         """Record the slots in use by the grants of another node."""
         for name, state in self._states.items():
@@ -207,12 +218,12 @@
             state
             for state in self._states.values()
             if state.region == self.region
-            and not state.is_cold(now)
+            and not (state.is_cold(now) or state.pause.is_on(now))
             and state.entry.is_listed()
         ]
 
     def _apply_limits(self) -> None:
-        """Set the rates of the servers if limits or shares have changed."""
+        """Set rates and pauses of the servers if any or shares have changed."""
         current = self.announcements.change_count_, self.limit_shares
         if current == self._applied_limits:
             return
@@ -222,6 +233,12 @@
             limit = self.announcements.find_limit(
                 backend.name, backend.incarnation
             )
+            pause_end = self.announcements.find_pause_end(
+                backend.name, backend.incarnation
+            )
+            self._has_paused |= state.pause.extend(
+                pause_end, state.total_grants
+            )
             share = self.limit_shares.remote
             if state.region == self.region:
                 share = self.limit_shares.own
--- a/sesameroute/placement/_upstream.py
+++ b/sesameroute/placement/_upstream.py
@@ -6,6 +6,7 @@
 from sesameroute.placement._demand import Demand
 from sesameroute.placement._messages import Outcome
 from sesameroute.placement._object_cache import RecentKeys
+from sesameroute.placement._pause import Pause
 from sesameroute.placement._server_pace import ServerPace
 from sesameroute.placement._start_budget import StartBudget, StartLimit
 from sesameroute.registry import RegistryEntry
@@ -96,6 +97,8 @@
         Run time of this pool's requests over the last seconds.
     pace : ServerPace
         How fast it says that it works.
+    pause : Pause
+        The pause that it has asked for.
     joined_at : float
         Monotonic time in seconds at which it was added to the others.
 
@@ -118,6 +121,7 @@
     warming_until: float = -math.inf
     work: Demand = field(default_factory=_build_work_average)
     pace: ServerPace = field(default_factory=ServerPace)
+    pause: Pause = field(default_factory=Pause)
     joined_at: float = -math.inf
 
     @property
@@ -144,7 +148,9 @@
             return 0
         if self.failure_streak:
             return 1 - self.granted_slots
-        return self.slots - self.count_busy(now)
+        return self.pause.limit_free(
+            self.slots - self.count_busy(now), self.total_grants, now
+        )
 
     def is_cold(self, now: float) -> bool:
         """Whether it has just started or was unreachable recently."""
@@ -176,6 +182,7 @@
             self.failure_rate = 0
             self.slowdown = 1.0
             self.pace.clear()
+            self.pause.clear()
         self.entry = entry
 
     def record_outcome(self, outcome: Outcome, now: float) -> bool:
@@ -187,6 +194,9 @@
             Whether the backend server has been suspended.
 
         """
+        self.pause.observe_end(
+            self.total_grants, now, is_answer=outcome is Outcome.ANSWERED
+        )
         if outcome is Outcome.CANCELLED:
             return False
         age = max(now - self.last_outcome_at, 0)
@@ -207,8 +217,8 @@
         return self.suspended_until > suspended_until
 
     def is_suspended(self, now: float) -> bool:
-        """Whether it gets no requests after a failure."""
-        return now < self.suspended_until
+        """Whether it gets no requests after a failure, or as it asked."""
+        return now < self.suspended_until or self.pause.is_on(now)
 
     def observe_slowdown(self, ratio: float) -> None:
         """Update the slowdown after a run of `ratio` times the estimate."""
--- a/sesameroute/platform/_header_codec.py
+++ b/sesameroute/platform/_header_codec.py
@@ -3,6 +3,7 @@
 import math
 import re
 from collections.abc import Iterator
+from http import HTTPStatus
 
 from sesameroute.forward import AnswerMetadata, HeaderCodec, RequestMetadata
 from sesameroute.placement import ServerLoad
@@ -16,10 +17,12 @@
     LIMIT_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
+    PAUSE_HEADER,
     SEAL_HEADER,
     TENANT_HEADER,
 )
 from sesameroute.ports import Answer, Headers
+from sesameroute.registry import MAX_PAUSE_SECONDS
 
 __all__ = ['PlatformHeaderCodec']
 
@@ -27,6 +30,7 @@
 _MISDIRECTED = 421  # HTTP status `Misdirected Request`
 # Larger numbers are not valid.
 _WHOLE_NUMBER = re.compile('[0-9]{1,15}')
+_SECONDS = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 # The load header has the fields `running,waiting,slots` and, from servers that
 # say how fast they work, `pace` in percent of the usual time.
 _COUNT_FIELDS = 3
@@ -101,9 +105,31 @@
             _parse_limit(by_name.get(LIMIT_HEADER.lower(), '')),
             by_name.get(LEAVING_HEADER.lower(), '').strip() == _IS_LEAVING,
             load,
+            _read_pause(answer.status, by_name),
         )
 
 
+def _read_pause(status: int, by_name: dict[str, str]) -> float:
+    """Return for how many seconds a server wants no requests; 0 if it may.
+
+    Dates, signs, exponents and words say nothing.
+
+    Examples
+    --------
+    >>> _read_pause(503, {'retry-after': '2.5'}), _read_pause(503, {})
+    (2.5, 0)
+    >>> _read_pause(200, {'retry-after': '2'})
+    0
+
+    """
+    text = by_name.get(PAUSE_HEADER.lower(), '').strip()
+    if status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return 0
+    if not _SECONDS.fullmatch(text):
+        return 0
+    return min(float(text), MAX_PAUSE_SECONDS)
+
+
 def _index_headers(headers: Headers) -> dict[str, str]:
     return {name.lower(): text for name, text in headers}
 
--- a/sesameroute/platform/_names.py
+++ b/sesameroute/platform/_names.py
@@ -14,6 +14,7 @@
     'MEMBER_PREFIX',
     'ERA_HEADER',
     'NOT_RUN_HEADER',
+    'PAUSE_HEADER',
     'OPERATOR_PREFIX',
     'READY_PATH',
     'REGISTRY_PREFIX',
@@ -38,6 +39,8 @@
 LIMIT_HEADER = 'Server-Limit'
 # `1` if the backend server takes no new requests until its end.
 LEAVING_HEADER = 'Server-Leaving'
+# With a 503, seconds for which a backend server wants no requests.
+PAUSE_HEADER = 'Retry-After'
 # Guarantees that the backend server has not run the request.
 NOT_RUN_HEADER = 'Sesameroute-Not-Run'
 # Number in the store's answers that rises when it is restored from a copy.
--- a/sesameroute/registry/__init__.py
+++ b/sesameroute/registry/__init__.py
@@ -1,6 +1,10 @@
 """Registry of the backend servers listed by the platform."""
 
-from sesameroute.registry._announcements import Announcement, Announcements
+from sesameroute.registry._announcements import (
+    MAX_PAUSE_SECONDS,
+    Announcement,
+    Announcements,
+)
 from sesameroute.registry._backend import Backend, BackendState
 from sesameroute.registry._registry import (
     Registry,
@@ -9,6 +13,7 @@
 )
 
 __all__ = [
+    'MAX_PAUSE_SECONDS',
     'Announcement',
     'Announcements',
     'Backend',
--- a/sesameroute/registry/_announcements.py
+++ b/sesameroute/registry/_announcements.py
@@ -1,10 +1,14 @@
 """What backend servers say of themselves in their answers."""
 
+import math
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-__all__ = ['Announcement', 'Announcements']
+__all__ = ['MAX_PAUSE_SECONDS', 'Announcement', 'Announcements']
+
+# Longest time that a server gets no requests because it said so once.
+MAX_PAUSE_SECONDS = 600.0
 
 # Words of servers that the registry no longer lists are kept up to this many.
 _MAX_ANNOUNCEMENTS = 4096
@@ -29,6 +33,10 @@
         Address of the node that told of it; empty for this node.
     is_leaving : bool
         Whether it takes no new requests until its end.
+    paused_until : float
+        Monotonic time in seconds until which it wants no requests.
+    pause_source : str
+        Address of the node that told of the pause; empty for this node.
 
     """
 
@@ -38,6 +46,8 @@
     limit: float | None = None
     source: str = ''
     is_leaving: bool = False
+    paused_until: float = -math.inf
+    pause_source: str = ''
 
 
 class Announcements:
@@ -46,12 +56,14 @@
     A later incarnation replaces an earlier one; for the same incarnation, the
     later answer counts, whoever read it. The first that says that the server
     leaves is the last that counts: answers that were under way don't
-    withdraw it.
+    withdraw it. A pause lasts to the latest end that the server has named,
+    whatever it answers meanwhile.
 
     Attributes
     ----------
     change_count_ : int
-        Counter that increases when a limit is named, changed or withdrawn.
+        Counter that increases when a limit is named, changed or withdrawn,
+        or a pause begins or lasts longer.
     leaving_count_ : int
         Counter that increases when a backend server says that it leaves.
     listener_ : callable
@@ -71,17 +83,19 @@
         """Record an announcement; return whether it changes something."""
         with self._lock:
             known = self._newest.get(announcement.backend)
-            if not _is_news(known, announcement):
+            is_news = _is_news(known, announcement)
+            longer = _compute_longer(known, announcement)
+            if not is_news and longer <= 0:
                 return False
-            self._store(announcement)
-            has_new_limit = _find_limit(known, announcement.incarnation) != (
-                announcement.limit
-            )
-            self.change_count_ += has_new_limit
-            self.leaving_count_ += announcement.is_leaving
-        has_changed = has_new_limit or announcement.is_leaving
+            kept = _merge(known, announcement, is_news=is_news)
+            self._store(kept)
+            has_new_limit = _find_limit(known, kept.incarnation) != kept.limit
+            is_leaving = is_news and kept.is_leaving
+            self.change_count_ += has_new_limit or longer > 0
+            self.leaving_count_ += is_leaving
+        has_changed = has_new_limit or is_leaving or longer > 0
         if has_changed:
-            self.listener_(announcement)
+            self.listener_(replace(kept, source=announcement.source))
         return has_changed
 
     def find_limit(self, backend: str, incarnation: int) -> float | None:
@@ -97,6 +111,10 @@
             and known.incarnation == incarnation
         )
 
+    def find_pause_end(self, backend: str, incarnation: int) -> float:
+        """Return the end of this incarnation's pause; past if there is none."""
+        return _find_pause_end(self._newest.get(backend), incarnation)
+
     @property
     def has_any(self) -> bool:
         """Whether any backend server has said something of itself."""
@@ -151,5 +169,38 @@
     return known.limit
 
 
+def _find_pause_end(known: Announcement | None, incarnation: int) -> float:
+    if known is None or known.incarnation != incarnation:
+        return -math.inf
+    return known.paused_until
+
+
+def _compute_longer(
+    known: Announcement | None, announcement: Announcement
+) -> float:
+    """Return by how many seconds an announcement makes a pause longer."""
+    if announcement.paused_until <= announcement.said_at:
+        return 0
+    if known is not None and known.incarnation > announcement.incarnation:
+        return 0
+    return announcement.paused_until - _find_pause_end(
+        known, announcement.incarnation
+    )
+
+
+def _merge(
+    known: Announcement | None, announcement: Announcement, *, is_news: bool
+) -> Announcement:
+    """Return what to keep: the newest word, and the latest end of a pause."""
+    if known is None or known.incarnation != announcement.incarnation:
+        return announcement
+    last = max(known, announcement, key=lambda each: each.paused_until)
+    return replace(
+        announcement if is_news else known,
+        paused_until=last.paused_until,
+        pause_source=last.pause_source,
+    )
+
+
 def _ignore_change(_announcement: Announcement) -> None:
     """Ignore a change; the default listener."""
--- a/sesameroute/registry/tests/test_announcements.py
+++ b/sesameroute/registry/tests/test_announcements.py
@@ -18,6 +18,13 @@
     return Announcement(name, incarnation, said_at, limit, source)
 
 
+def pause(until, incarnation=7, said_at=5, limit=None, source=''):
+    """Return the announcement of a server that asks for a pause."""
+    return Announcement(
+        'i-1', incarnation, said_at, limit, source, False, until, source
+    )
+
+
 def leave(incarnation=7, said_at=5, limit=None, source='', name='i-1'):
     """Return the announcement of a server that leaves."""
     return Announcement(name, incarnation, said_at, limit, source, True)
@@ -122,3 +129,41 @@
         announcements.record(leave(name=f'leaving-{number}'))
     assert not announcements.is_leaving('first', 7)
     assert len(announcements.list_newest()) == 3
+
+
+@pytest.mark.parametrize(
+    ('said', 'ends'),
+    [
+        ([say()], None),
+        ([pause(5)], None),
+        ([pause(9)], 9),
+        ([pause(9), say(said_at=6)], 9),
+        ([pause(9), say(said_at=6, limit=4), say(said_at=7)], 9),
+        ([say(said_at=6, limit=4), pause(9, said_at=5)], 9),
+        ([pause(9), pause(7, said_at=6)], 9),
+        ([pause(9), pause(12, said_at=6)], 12),
+        ([pause(9), pause(12, said_at=6, source='peer')], 12),
+        ([pause(9), leave(said_at=6)], 9),
+        ([pause(9, incarnation=6)], None),
+        ([pause(9), say(incarnation=8, limit=4)], None),
+        ([pause(9, incarnation=8), pause(12, incarnation=7)], None),
+    ],
+)
+def test_pause_lasts_to_the_latest_end_for_one_incarnation(said, ends):
+    """Nothing had read that a server wanted no requests."""
+    announcements = Announcements()
+    for each in said:
+        announcements.record(each)
+    found = announcements.find_pause_end('i-1', 7)
+    assert (found if found > 0 else None) == ends
+
+
+def test_pause_leaves_the_newer_limit():
+    """An answer that was read late withdrew no limit."""
+    announcements = Announcements()
+    announcements.record(say(said_at=6, limit=4))
+    known = announcements.change_count_
+    assert announcements.record(pause(9))
+    assert announcements.find_limit('i-1', 7) == 4
+    assert announcements.change_count_ == known + 1
+    assert not announcements.record(pause(9))
