--- a/sesameroute/node/tests/conftest.py
+++ b/sesameroute/node/tests/conftest.py
@@ -22,6 +22,17 @@
     running.stop()
 
 
+@pytest.fixture
+def servers(cluster):
+    """Return three registered backend servers."""
+    running = [BackendStandIn(work_seconds=0.01) for _ in range(3)]
+    for number, each in enumerate(running):
+        cluster.register(f'server-{number}', each)
+    yield running
+    for each in running:
+        each.stop()
+
+
 @pytest.fixture
 def added():
     """Return a backend server that is not registered."""
--- a/sesameroute/node/tests/test_leaving_servers.py
+++ b/sesameroute/node/tests/test_leaving_servers.py
@@ -10,7 +10,6 @@
 
 import pytest
 
-from sesameroute.node.tests.backends import BackendStandIn
 from sesameroute.node.tests.callers import Callers
 from sesameroute.node.tests.cluster import (
     METRICS_PORT,
@@ -40,17 +39,6 @@
 }
 
 
-@pytest.fixture
-def servers(cluster):
-    """Return three registered backend servers."""
-    running = [BackendStandIn(work_seconds=0.01) for _ in range(3)]
-    for number, each in enumerate(running):
-        cluster.register(f'server-{number}', each)
-    yield running
-    for each in running:
-        each.stop()
-
-
 @pytest.fixture
 def callers_of():
     """Return a function that starts callers; they stop with the test."""
--- a/sesameroute/node/tests/test_named_limits.py
+++ b/sesameroute/node/tests/test_named_limits.py
@@ -5,7 +5,6 @@
 import pytest
 
 from sesameroute.forward.tests.servers import LONG_BODY_BYTES
-from sesameroute.node.tests.backends import BackendStandIn
 from sesameroute.node.tests.callers import Callers
 from sesameroute.ports import DeferredReply
 
@@ -19,17 +18,6 @@
 _GRACE_SECONDS = 3.0
 
 
-@pytest.fixture
-def servers(cluster):
-    """Return three registered backend servers."""
-    running = [BackendStandIn(work_seconds=0.01) for _ in range(3)]
-    for number, each in enumerate(running):
-        cluster.register(f'server-{number}', each)
-    yield running
-    for each in running:
-        each.stop()
-
-
 def name_limit(server, limit=_LIMIT_PER_SECOND):
     """Let a server name a limit in its answers; return since when."""
     server.headers = f'Server-Limit: {limit}\r\n'
--- a/sesameroute/node/tests/test_paused_servers.py
+++ b/sesameroute/node/tests/test_paused_servers.py
@@ -2,9 +2,6 @@
 
 import time
 
-import pytest
-
-from sesameroute.node.tests.backends import BackendStandIn
 from sesameroute.node.tests.callers import Callers
 
 _PAUSE_SECONDS = 3
@@ -15,17 +12,6 @@
 _MAX_REQUESTS = 2
 
 
-@pytest.fixture
-def servers(cluster):
-    """Return three registered backend servers."""
-    running = [BackendStandIn(work_seconds=0.01) for _ in range(3)]
-    for number, each in enumerate(running):
-        cluster.register(f'server-{number}', each)
-    yield running
-    for each in running:
-        each.stop()
-
-
 def ask_for_pause(server):
     """Let a server turn all requests away; return since when."""
     server.headers = _REFUSAL
