Take no answer for complete that is reset while its request is sent

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete 200, with the server's seal and a Content-Length of ours.

Cause: the system reports the error of a connection once. The write of the upload got it, and was passed over since a server may answer a long body early. The read behind it got the bytes that had come and then an end of file, by which a body without a length ends in order.

Why this works: the connection keeps the error of a write, and the one reader of all answers raises it in place of the end of file. A length, the last chunk or a status without content still shows that an answer is complete, and such an answer is passed on as before. A server that closes in order, without a length, while its upload is being written can't be told from one that broke off, and counts as one.

--- a/sesameroute/adapters/_checked_response.py
+++ b/sesameroute/adapters/_checked_response.py
@@ -92,6 +92,9 @@
         The connection.
     limit : ReadLimit or None
         Ends the reading of the response.
+    write_error : OSError or None
+        Error of the writing of the request. Only its framing shows then that
+        the response is complete.
     options : dict
         Further arguments of `http.client.HTTPResponse`.
 
@@ -104,11 +107,17 @@
     """
 
     def __init__(
-        self, sock: socket.socket, limit: ReadLimit | None, **options: object
+        self,
+        sock: socket.socket,
+        limit: ReadLimit | None,
+        write_error: OSError | None = None,
+        **options: object,
     ) -> None:
         """Read from the socket within the limit."""
         super().__init__(sock, **options)
-        self._limited_reader = LimitedReader(self.fp.detach(), limit)
+        self._limited_reader = LimitedReader(
+            self.fp.detach(), limit, write_error
+        )
         self.fp = BufferedReader(self._limited_reader)
         self.has_trailing_bytes = False
         self._socket = sock
--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -60,6 +60,15 @@
         self.response_class = self._build_response
         self._last_response: CheckedResponse | None = None
         self._opened_socket: socket.socket | None = None
+        self._write_error: OSError | None = None
+
+    def send(self, content: object) -> None:
+        """Send bytes of a request; remember an error for its response."""
+        try:
+            super().send(content)
+        except OSError as error:
+            self._write_error = error
+            raise
 
     def abort(self) -> None:
         """Break off the exchange: waits for the server end at once."""
@@ -98,7 +107,10 @@
         **options: object,
     ) -> CheckedResponse:
         self._last_response = CheckedResponse(
-            sock, self.read_limit or self._build_default_limit(), **options
+            sock,
+            self.read_limit or self._build_default_limit(),
+            self._write_error,
+            **options,
         )
         return self._last_response
 
@@ -111,6 +123,7 @@
         seconds = self.timeout
         if not isinstance(seconds, (int, float)):
             seconds = _CONNECT_SECONDS
+        self._write_error = None
         try:
             self._opened_socket = self.wire.connect(
                 self.source,
--- a/sesameroute/adapters/_limited_reader.py
+++ b/sesameroute/adapters/_limited_reader.py
@@ -78,14 +78,24 @@
         Unbuffered reader of the socket.
     limit : ReadLimit or None
         The limit; None leaves it to the socket's time-out.
+    write_error : OSError or None
+        Error of an earlier write to the socket. The system reports the error
+        of a connection once: after a write has got it, the end of a reset
+        connection reads like that of a closed one.
 
     """
 
-    def __init__(self, raw: RawIOBase, limit: ReadLimit | None) -> None:
+    def __init__(
+        self,
+        raw: RawIOBase,
+        limit: ReadLimit | None,
+        write_error: OSError | None = None,
+    ) -> None:
         """Store the parameters."""
         super().__init__()
         self.raw = raw
         self.limit = limit
+        self.write_error = write_error
 
     def readable(self) -> bool:
         """Return that this can be read."""
@@ -102,15 +112,21 @@
         ------
         TimeoutError, RequestError
             As `ReadLimit.wait`.
+        ConnectionResetError
+            The connection has ended after a write to it had failed.
         OSError
             The answer is too long.
 
         """
-        if self.limit is None:
-            return self.raw.readinto(buffer)
-        self.limit.wait(self.raw)
+        if self.limit is not None:
+            self.limit.wait(self.raw)
         size = self.raw.readinto(buffer)
-        self.limit.count(size)
+        if size == 0 and self.write_error is not None:
+            raise ConnectionResetError(
+                'connection ended while the request was sent'
+            ) from self.write_error
+        if self.limit is not None:
+            self.limit.count(size)
         return size
 
     def close(self) -> None:
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -137,8 +137,7 @@
         if end == 'close late':
             time.sleep(LATE_LOSS_SECONDS)
         if end == 'reset':
-            linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            reset_at_close(connection)
         return end == 'keep'
 
     def _read_head(self, connection):
@@ -230,8 +229,49 @@
             time.sleep(self.pause_seconds)
 
 
-def read_request(connection):
-    """Return head and body of a request, None and b'' at the end."""
+class ResettingServer(ScriptedServer):
+    """Answers within the body of a request, then resets the connection.
+
+    Attributes
+    ----------
+    has_reset : threading.Event
+        Set once the connection has been reset.
+
+    """
+
+    def __init__(self, answer, read_bytes=0, pause_seconds=0):
+        """Store the answer, the bytes to read before it, and the pause."""
+        self.answer = answer
+        self.read_bytes = read_bytes
+        self.pause_seconds = pause_seconds
+        self.has_reset = threading.Event()
+        super().__init__()
+
+    def _serve(self, connection):
+        head, received = read_head(connection)
+        self.heads.append(head)
+        while len(received) < self.read_bytes:
+            received += connection.recv(self.read_bytes - len(received))
+        identifier = find_header(head, 'sesameroute-attempt-id')
+        answer = self.answer.replace('{0}', identifier)
+        connection.sendall(answer.encode('latin-1'))
+        time.sleep(self.pause_seconds)
+        reset_at_close(connection)
+        connection.close()
+        self.has_reset.set()
+
+
+def reset_at_close(connection):
+    """Let a connection end with a reset in place of an orderly close."""
+    linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def read_head(connection):
+    """Return the head of a request and what came behind it.
+
+    The head is None if the connection ends before it.
+    """
     received = b''
     while b'\r\n\r\n' not in received:
         try:
@@ -242,7 +282,14 @@
             return None, b''
         received += part
     head, _, body = received.partition(b'\r\n\r\n')
-    text = head.decode('latin-1')
+    return head.decode('latin-1'), body
+
+
+def read_request(connection):
+    """Return head and body of a request, None and b'' at the end."""
+    text, body = read_head(connection)
+    if text is None:
+        return None, b''
     length = int(find_header(text, 'content-length') or 0)
     while len(body) < length:
         body += connection.recv(65536)
