Take no answer whose head does not tell where its body ends

What callers saw: a backend server in trouble sent an answer with a spoilt Content-Length or Transfer-Encoding. The caller got a complete 200 with the server's seal, a Content-Length of ours and a body that was not the server's: the chunk framing, or all bytes up to the end of the connection.

Cause: `http.client` takes what `int` takes for a length, one coding that is not exactly "chunked" for none, and a length or coding that it can't read for a body that ends with the connection. Of several fields it takes the first one.

Why this works: all answers come through one reader of heads. It admits one framing field at most, a length of digits alone, "chunked" alone and only from HTTP/1.1 on, in interim heads too; anything else ends the connection, and the request may have run: 502, or another try for safe requests. It hands fields on without extra blanks, so that `http.client` reads the same. The sender has no reading of the length of its own any more.

A server's second Content-Length is refused also if both are equal, as a caller's is.

test_cut_answers.py: an answer with an invalid length counted as one without a length until a stop.

--- a/sesameroute/adapters/_checked_response.py
+++ b/sesameroute/adapters/_checked_response.py
@@ -10,7 +10,6 @@
     HTTPException,
     HTTPResponse,
     IncompleteRead,
-    RemoteDisconnected,
 )
 from io import BufferedReader
 
@@ -20,69 +19,15 @@
     parse_chunk_size,
 )
 from sesameroute.adapters._limited_reader import LimitedReader, ReadLimit
+from sesameroute.adapters._response_head import HeadReader
 
 __all__ = ['CheckedResponse']
 
-# Interim responses that may come before the final one.
-_MAX_INTERIM_RESPONSES = 64
 _INTERIM_STATUS = re.compile('1[0-9]{2}')
 _FINAL_STATUS = re.compile('[2-5][0-9]{2}')
 _SWITCHING = str(HTTPStatus.SWITCHING_PROTOCOLS.value)
 
 
-class _HeadReader:
-    """Reads the lines of a head; raises an error if they end too early.
-
-    `http.client` takes the end of a connection for the end of the head, so
-    a head that lacks its last headers would look complete. It also skips any
-    number of interim responses.
-
-    Parameters
-    ----------
-    reader : BufferedReader
-        Reads the response.
-
-    Attributes
-    ----------
-    last_line : bytes
-        The line that was read last.
-
-    """
-
-    def __init__(self, reader: BufferedReader) -> None:
-        """Store the reader; no line has been read yet."""
-        self.reader = reader
-        self.last_line = b''
-        self._has_status = False
-        self._head_count = 0
-
-    def readline(self, limit: int) -> bytes:
-        """Return the next line.
-
-        Raises
-        ------
-        RemoteDisconnected
-            The connection ended after the status line and before the head
-            was complete.
-        BadStatusLine
-            More interim responses came than are read.
-
-        """
-        line = self.reader.readline(limit)
-        self.last_line = line
-        if self._has_status and not line:
-            raise RemoteDisconnected('connection closed within the head')
-        self._has_status = True
-        self._head_count += not line.strip()
-        if self._head_count > _MAX_INTERIM_RESPONSES:
-            raise BadStatusLine('too many interim responses')
-        return line
-
-    def close(self) -> None:
-        """Close the reader."""
-        self.reader.close()
-
-
 class CheckedResponse(HTTPResponse):
     """A response that detects incomplete framing and bytes after its end.
 
@@ -130,8 +75,8 @@
         RemoteDisconnected
             The connection ended before the head was complete.
         HTTPException
-            More interim responses came than are read, or the length is above
-            the limit.
+            The head is not valid, more interim responses came than are read,
+            or the length is above the limit.
 
         """
         with self._checked_head():
@@ -163,7 +108,7 @@
     @contextlib.contextmanager
     def _checked_head(self) -> Iterator[None]:
         reader = self.fp
-        self.fp = _HeadReader(reader)
+        self.fp = HeadReader(reader)
         try:
             yield
         finally:
--- /dev/null
+++ b/sesameroute/adapters/_response_head.py
@@ -0,0 +1,114 @@
+"""Reads the heads of responses, strictly (RFC 9112, sections 4 to 6).
+
+`http.client` reads what it can of a head: the end of the connection counts as
+the end of the head, and a body whose length or coding it can't read as one
+that ends with the connection.
+"""
+
+import re
+from http.client import BadStatusLine, HTTPException, RemoteDisconnected
+from io import BufferedReader
+
+__all__ = ['HeadReader']
+
+# Interim responses that may come before the final one.
+_MAX_INTERIM_RESPONSES = 64
+_BLANKS = b' \t'
+_LINE_ENDS = (b'\r\n', b'\n')
+_CONTENT_LENGTH = b'content-length'
+# Fields that say how a body ends.
+_FRAMING_FIELDS = frozenset((_CONTENT_LENGTH, b'transfer-encoding'))
+_LENGTH = re.compile(b'[0-9]{1,18}')
+# The only coding that may be sent to a client that has named none.
+_CODING = b'chunked'
+_FIRST_VERSION = b'HTTP/1.0'  # has no codings
+
+
+class HeadReader:
+    """Reads the lines of the heads of a response, interim ones included.
+
+    Parameters
+    ----------
+    reader : BufferedReader
+        Reads the response.
+
+    Attributes
+    ----------
+    last_line : bytes
+        The line that was read last.
+
+    """
+
+    def __init__(self, reader: BufferedReader) -> None:
+        """Store the reader; no line has been read yet."""
+        self.reader = reader
+        self.last_line = b''
+        self._status_line = b''
+        self._framing: list[tuple[bytes, bytes]] = []
+        self._head_count = 0
+
+    def readline(self, limit: int) -> bytes:
+        """Return the next line; a field is returned without extra blanks.
+
+        Raises
+        ------
+        RemoteDisconnected
+            The connection ended after the status line and before the head
+            was complete.
+        HTTPException
+            The head does not tell where the body ends, or more interim
+            responses came than are read.
+
+        """
+        line = self.reader.readline(limit)
+        self.last_line = line
+        if not self._status_line:
+            self._status_line = line
+            return line
+        if not line.endswith(b'\n'):
+            return self._end_early(line, limit)
+        if line in _LINE_ENDS:
+            self._end_head()
+            return line
+        return self._read_field(line)
+
+    def close(self) -> None:
+        """Close the reader."""
+        self.reader.close()
+
+    def _end_early(self, line: bytes, limit: int) -> bytes:
+        if len(line) < limit:
+            raise RemoteDisconnected('connection closed within the head')
+        return line  # `http.client` finds it too long
+
+    def _read_field(self, line: bytes) -> bytes:
+        line = line.removesuffix(b'\n').removesuffix(b'\r')
+        name, colon, text = line.partition(b':')
+        text = text.strip(_BLANKS)
+        if name.lower() in _FRAMING_FIELDS:
+            self._framing.append((name.lower(), text))
+        return b'%b%b%b\r\n' % (name, colon, text)
+
+    def _end_head(self) -> None:
+        self._head_count += 1
+        if self._head_count > _MAX_INTERIM_RESPONSES:
+            raise BadStatusLine('too many interim responses')
+        self._check_framing()
+        self._status_line = b''
+        self._framing.clear()
+
+    def _check_framing(self) -> None:
+        """Raise an error unless one field at most says how the body ends."""
+        if len(self._framing) > 1:
+            raise HTTPException('several lengths or transfer codings')
+        for name, text in self._framing:
+            if not _is_framing_valid(name, text, self._status_line):
+                raise HTTPException(f'{name.decode()} is not valid')
+
+
+def _is_framing_valid(name: bytes, text: bytes, status_line: bytes) -> bool:
+    if name == _CONTENT_LENGTH:
+        return _LENGTH.fullmatch(text) is not None
+    return text.lower() == _CODING and not status_line.startswith(
+        _FIRST_VERSION
+    )
--- /dev/null
+++ b/sesameroute/adapters/tests/malformed_answers.py
@@ -0,0 +1,88 @@
+"""Answers for tests: some that are not valid HTTP, and valid ones beside.
+
+Each table gives a text by name. Its `{fields}` stands for the fields that the
+reader of the test asks for, one line each; its body is `BODY`, where there is
+one.
+"""
+
+BODY = 'whole'
+CHUNKS = f'5\r\n{BODY}\r\n0\r\n\r\n'
+_LENGTH = 'Content-Length: 5\r\n'
+_CODING = 'Transfer-Encoding: chunked\r\n'
+
+
+def build_text(lines, body=BODY, status_line='HTTP/1.1 200 X'):
+    """Return an answer whose head has these lines ahead of the fields."""
+    return f'{status_line}\r\n{lines}{{fields}}\r\n{body}'
+
+
+_LENGTHS = (
+    *('+5', '-5', '0x5', '5x', 'x5', 'five', '', ' ', '5 5', '5 0', '\r\n 5'),
+    *('5,5', '5, 5', '5, 6', '5;', '5.0', '5e0', '0_5', '"5"', '\xb2', '5\r'),
+    *('5\x00', '\x005', '\x0b5', '5\x0c', '5\x1f', '5\x7f', '\xa05', '5\x85'),
+    *('9' * 30, '9' * 5000),
+)
+_CODINGS = (
+    *('gzip', 'identity', 'x-chunked', 'chunke', 'chunkedd', 'ch unked', ''),
+    *('chunked x', 'chunked;q=1', 'chunked,', ',chunked', '"chunked"'),
+    *('gzip, chunked', 'chunked, gzip', 'chunked, chunked', '\r\n chunked'),
+    *('chunked\x00', '\x00chunked', '\x0bchunked', 'chunked\x0c', 'chunked\r'),
+    *('chunked\xa0', '\x85chunked'),
+)
+MALFORMED_FRAMINGS = {
+    **{
+        f'length {text[:12]!r}': build_text(f'Content-Length: {text}\r\n')
+        for text in _LENGTHS
+    },
+    **{
+        f'coding {text!r}': build_text(f'Transfer-Encoding: {text}\r\n', CHUNKS)
+        for text in _CODINGS
+    },
+    'length twice': build_text(_LENGTH * 2),
+    'two lengths': build_text(f'{_LENGTH}Content-Length: 6\r\n'),
+    'coding twice': build_text(_CODING * 2, CHUNKS),
+    'two codings': build_text(f'Transfer-Encoding: gzip\r\n{_CODING}', CHUNKS),
+    'length and coding': build_text(f'{_LENGTH}{_CODING}', CHUNKS),
+    'coding and length': build_text(f'{_CODING}{_LENGTH}', CHUNKS),
+    'coding in HTTP/1.0': build_text(_CODING, CHUNKS, 'HTTP/1.0 200 X'),
+    'interim length': (
+        f'HTTP/1.1 103 X\r\nContent-Length: +5\r\n\r\n{build_text(_LENGTH)}'
+    ),
+}
+
+UNUSUAL_ANSWERS = {
+    'no blank': build_text('Content-Length:5\r\n'),
+    'blanks': build_text('Content-Length: \t 5 \t\r\n'),
+    'leading zeros': build_text('Content-Length: 005\r\n'),
+    'capitals': build_text('CONTENT-LENGTH: 5\r\n'),
+    'line feeds': build_text(_LENGTH).replace('\r\n', '\n'),
+    'no reason': build_text(_LENGTH, status_line='HTTP/1.1 200'),
+    'empty reason': build_text(_LENGTH, status_line='HTTP/1.1 200 '),
+    'reason of words': build_text(
+        _LENGTH, status_line='HTTP/1.1 200 It\tis \xe9'
+    ),
+    'older version': build_text(_LENGTH, status_line='HTTP/1.0 200 X'),
+    'newer version': build_text(_LENGTH, status_line='HTTP/1.2 200 X'),
+    'no length': build_text(''),
+    'no length in HTTP/1.0': build_text('', status_line='HTTP/1.0 200 X'),
+    'chunks': build_text(_CODING, CHUNKS),
+    'chunks in capitals': build_text('Transfer-Encoding: CHUNKED\r\n', CHUNKS),
+    'chunks and blanks': build_text(
+        'Transfer-Encoding:\tchunked \t\r\n', CHUNKS
+    ),
+    'trailer': build_text(
+        _CODING, f'5;x=1\r\n{BODY}\r\n0;y\r\nX-A: 1\r\nX-B:\r\n\r\n'
+    ),
+    'name of all characters': build_text(
+        f"!#$%&'*+-.^_`|~09azAZ: 1\r\n{_LENGTH}"
+    ),
+    'empty value': build_text(f'X-Other:\r\n{_LENGTH}'),
+    'value of all characters': build_text(
+        f'X-Other: \x21\x7e \t\x80\xa0\xff:\r\n{_LENGTH}'
+    ),
+    'value that begins like a mailbox': build_text(f'From: a\r\n{_LENGTH}'),
+    'interim answers': (
+        f'HTTP/1.1 100\r\n\r\nHTTP/1.1 103 X\r\nLink: a\r\n\r\n'
+        f'{build_text(_LENGTH)}'
+    ),
+}
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -314,10 +314,11 @@
 
 
 def _convert_head(response: HTTPResponse) -> Answer:
-    headers = tuple(response.headers.items())
-    length_text = response.headers.get('Content-Length', '')
-    length = int(length_text) if length_text.isdigit() else None
-    return Answer(response.status, headers, length=length)
+    return Answer(
+        response.status,
+        tuple(response.headers.items()),
+        length=response.length_remaining,
+    )
 
 
 def _check_identity(
--- a/sesameroute/forward/tests/harness.py
+++ b/sesameroute/forward/tests/harness.py
@@ -8,6 +8,9 @@
     FleetRetryBudget,
     Forwarder,
     Guards,
+    Relay,
+    RelayCodec,
+    RelayPeer,
     RetryBudgets,
     Sender,
 )
@@ -80,6 +83,18 @@
         return ()
 
 
+class OnePeer:
+    """Finds the same node for each request, once."""
+
+    def __init__(self, target):
+        """Store the address of the node."""
+        self.target = target
+
+    def choose(self, _homes, excluded):
+        """Return the node unless it was tried."""
+        return None if excluded else RelayPeer('peer', self.target)
+
+
 class ForwarderHarness:
     """A forwarder with scripted backend servers and one caller."""
 
@@ -153,6 +168,20 @@
         )
         self.caller, self.node_end = socket.socketpair()
 
+    def relay_to(self, target):
+        """Pass all requests on to a node at this address."""
+        self.forwarder.relay_ = Relay(
+            Sender(
+                ConnectionPool(TcpWire(), '127.0.0.1', self.clock),
+                RelayCodec(PlatformHeaderCodec()),
+                self.clock,
+            ),
+            OnePeer(target),
+            lambda: True,
+            self.forwarder.guards.retries,
+            lambda: 1,
+        )
+
     def forward(self, path='/p/x', body=b'', **options):
         """Forward one request; return status, headers and body."""
         answer = self.open(path, body, **options)
--- a/sesameroute/forward/tests/test_cut_answers.py
+++ b/sesameroute/forward/tests/test_cut_answers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sesameroute.forward import TryError
-from sesameroute.forward.tests.harness import ForwarderHarness
+from sesameroute.forward.tests.harness import ForwarderHarness, SlowClock
 from sesameroute.forward.tests.servers import (
     IDENTIFIER_HEADER,
     LONG_BODY_BYTES,
@@ -19,7 +19,6 @@
 _BODY_SIZES = {'short': 5, 'long': LONG_BODY_BYTES}
 _FRAMINGS = {
     'no length': '\r\n{0}',
-    'invalid length': 'Content-Length: many\r\n\r\n{0}',
     'length': 'Content-Length: 999999\r\n\r\n{0}',
     'chunks': 'Transfer-Encoding: chunked\r\n\r\n80000\r\n{0}',
 }
@@ -87,3 +86,15 @@
         with pytest.raises(TryError):
             list(answer.chunks)
     server.stop()
+
+
+@pytest.mark.parametrize('kind', list(RequestKind))
+@pytest.mark.parametrize('size', list(_BODY_SIZES))
+def test_answer_with_an_invalid_length_needs_no_stop_to_be_refused(size, kind):
+    """It passed for an answer without a length."""
+    body = 'x' * _BODY_SIZES[size]
+    server = PausingServer(f'{_HEAD}Content-Length: many\r\n\r\n{body}')
+    harness = ForwarderHarness(server, kind=kind, attempts=1, clock=SlowClock())
+    status, _headers, content = harness.forward()
+    assert (status, content) == (502, b'lost\n')
+    server.stop()
--- /dev/null
+++ b/sesameroute/forward/tests/test_malformed_answers.py
@@ -0,0 +1,66 @@
+"""Tests of answers that are not valid HTTP."""
+
+import pytest
+
+from sesameroute.adapters.tests.malformed_answers import (
+    MALFORMED_FRAMINGS,
+    UNUSUAL_ANSWERS,
+)
+from sesameroute.forward.tests.harness import ForwarderHarness
+from sesameroute.forward.tests.servers import (
+    IDENTIFIER_HEADER,
+    SEAL_HEADER,
+    ScriptedServer,
+)
+from sesameroute.placement import Outcome
+from sesameroute.routes import RequestKind
+
+MALFORMED = MALFORMED_FRAMINGS
+
+
+def script(text, end='close'):
+    """Return a script that gives such an answer with the server's seal."""
+    return text.replace('{fields}', SEAL_HEADER + IDENTIFIER_HEADER), end
+
+
+@pytest.mark.parametrize('kind', [RequestKind.SAFE, RequestKind.UNSAFE])
+@pytest.mark.parametrize('name', list(MALFORMED))
+def test_malformed_answer_never_reaches_the_caller(name, kind):
+    """The request may have run; the server's bytes are no answer."""
+    server = ScriptedServer(script(MALFORMED[name]))
+    harness = ForwarderHarness(server, kind=kind, attempts=1)
+    status, headers, content = harness.forward()
+    assert (status, content) == (502, b'lost\n')
+    assert 'Sesameroute-Server-Seal' not in headers
+    assert len(server.heads) == 1
+    assert harness.allocator.releases == [('a', Outcome.LOST)]
+
+
+@pytest.mark.parametrize('name', list(MALFORMED))
+def test_connection_with_a_malformed_answer_is_not_used_again(name):
+    """Nobody knows where the next answer begins on it."""
+    server = ScriptedServer(script(MALFORMED[name], 'keep'), 'whole')
+    harness = ForwarderHarness(server, attempts=1)
+    assert harness.forward('/p/1')[0] == 502
+    assert harness.forward('/p/2')[::2] == (200, b'whole')
+    assert server.connections == 2
+
+
+@pytest.mark.parametrize('name', list(MALFORMED))
+def test_malformed_answer_of_another_node_is_not_passed_on(name):
+    """A node in trouble is no better than a server in trouble."""
+    mark = 'Sesame-Relay: mine\r\n'
+    peer = ScriptedServer((MALFORMED[name].replace('{fields}', mark), 'close'))
+    harness = ForwarderHarness(kind=RequestKind.UNSAFE)
+    harness.relay_to(peer.target)
+    assert harness.forward()[::2] == (502, b'lost\n')
+
+
+@pytest.mark.parametrize('name', list(UNUSUAL_ANSWERS))
+def test_unusual_answer_is_passed_on(name):
+    """It is valid, whatever it looks like."""
+    server = ScriptedServer(script(UNUSUAL_ANSWERS[name]))
+    harness = ForwarderHarness(server, kind=RequestKind.UNSAFE, attempts=1)
+    status, headers, content = harness.forward()
+    assert (status, content) == (200, b'whole')
+    assert headers['Sesameroute-Server-Seal'] == 's'
--- a/sesameroute/forward/tests/test_reset_uploads.py
+++ b/sesameroute/forward/tests/test_reset_uploads.py
@@ -5,8 +5,7 @@
 import pytest
 from urllib3.exceptions import HTTPError
 
-from sesameroute.adapters import ConnectionPool, build_pool
-from sesameroute.forward import Relay, RelayCodec, RelayPeer, Sender
+from sesameroute.adapters import build_pool
 from sesameroute.forward.tests.harness import ForwarderHarness
 from sesameroute.forward.tests.servers import (
     COMPLETE_ANSWER,
@@ -15,7 +14,6 @@
     ResettingServer,
 )
 from sesameroute.placement import Outcome
-from sesameroute.platform import PlatformHeaderCodec
 from sesameroute.ports import TcpWire
 from sesameroute.routes import RequestKind
 
@@ -91,35 +89,12 @@
     """The same over a relay: the other node may be the one that ends."""
     peer = ResettingServer(f'{HEAD}Sesame-Relay: mine\r\n\r\nwhole')
     harness = ForwarderHarness(kind=RequestKind.UPLOAD, timeout_seconds=2)
-    forwarder = harness.forwarder
-    forwarder.relay_ = Relay(
-        Sender(
-            ConnectionPool(TcpWire(), '127.0.0.1', harness.clock),
-            RelayCodec(PlatformHeaderCodec()),
-            harness.clock,
-        ),
-        OnePeer(peer.target),
-        lambda: True,
-        forwarder.guards.retries,
-        lambda: 1,
-    )
+    harness.relay_to(peer.target)
     status, headers, content = upload(harness, peer)
     assert (status, content) == (502, b'lost\n')
     assert 'Sesameroute-Server-Seal' not in headers
 
 
-class OnePeer:
-    """Finds the same node for each request, once."""
-
-    def __init__(self, target):
-        """Store the address of the node."""
-        self.target = target
-
-    def choose(self, _homes, excluded):
-        """Return the node unless it was tried."""
-        return None if excluded else RelayPeer('peer', self.target)
-
-
 @pytest.mark.parametrize('form', list(CUT_ANSWERS))
 def test_store_that_resets_has_not_answered(form):
     """Whether a write took effect is not known then."""
