Take no answer with a line in its head that is no field

What callers saw: a backend server in trouble sent an answer whose head held a line that is no field: a separator in the name, a control byte in the value, a line that begins like a mailbox's "From ". The caller got a complete 200 with that line passed on. Entry VMs, homes and the store's client also took names with blanks or control bytes, lines without a colon and folded ones, and read a "Content-Length : 5" as no length.

Cause: `http.client` hands the lines to the parser of e-mails, which skips what it can't read and notes it as a defect. One reader of several asked for these defects, of the final head only, and the parser allows in names and values what HTTP doesn't.

Of blanks and control bytes in names, the way from a backend server to a node refused all but those in interim heads already.

Why this works: the reader of heads checks each line against the grammar of fields before `http.client` sees it, for all that read answers; what the sender asked for beside is gone. A folded value is refused, too, as RFC 9112 allows.

--- a/sesameroute/adapters/_http_pool.py
+++ b/sesameroute/adapters/_http_pool.py
@@ -94,13 +94,6 @@
             and last_response.length is None
         )
 
-    @property
-    def has_header_defects(self) -> bool:
-        """Whether the header block of the last response had parse errors."""
-        return self._last_response is not None and bool(
-            self._last_response.msg.defects
-        )
-
     def _build_response(
         self,
         sock: socket.socket,
--- a/sesameroute/adapters/_response_head.py
+++ b/sesameroute/adapters/_response_head.py
@@ -1,20 +1,24 @@
 """Reads the heads of responses, strictly (RFC 9112, sections 4 to 6).
 
-`http.client` reads what it can of a head: the end of the connection counts as
-the end of the head, and a body whose length or coding it can't read as one
-that ends with the connection.
+`http.client` reads what it can of a head: it skips lines that are no fields,
+takes the end of the connection for the end of the head, and a body whose
+length or coding it can't read for one that ends with the connection.
 """
 
 import re
 from http.client import BadStatusLine, HTTPException, RemoteDisconnected
 from io import BufferedReader
 
-__all__ = ['HeadReader']
+__all__ = ['HeadReader', 'parse_field']
 
 # Interim responses that may come before the final one.
 _MAX_INTERIM_RESPONSES = 64
 _BLANKS = b' \t'
 _LINE_ENDS = (b'\r\n', b'\n')
+# Of the control characters, a value may have tabs only.
+_FIELD = re.compile(
+    rb"([-!#$%&'*+.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r?\n"
+)
 _CONTENT_LENGTH = b'content-length'
 # Fields that say how a body ends.
 _FRAMING_FIELDS = frozenset((_CONTENT_LENGTH, b'transfer-encoding'))
@@ -56,8 +60,8 @@
             The connection ended after the status line and before the head
             was complete.
         HTTPException
-            The head does not tell where the body ends, or more interim
-            responses came than are read.
+            A line is no field, the head does not tell where the body ends,
+            or more interim responses came than are read.
 
         """
         line = self.reader.readline(limit)
@@ -82,12 +86,10 @@
         return line  # `http.client` finds it too long
 
     def _read_field(self, line: bytes) -> bytes:
-        line = line.removesuffix(b'\n').removesuffix(b'\r')
-        name, colon, text = line.partition(b':')
-        text = text.strip(_BLANKS)
+        name, text = parse_field(line)
         if name.lower() in _FRAMING_FIELDS:
             self._framing.append((name.lower(), text))
-        return b'%b%b%b\r\n' % (name, colon, text)
+        return b'%b: %b\r\n' % (name, text)
 
     def _end_head(self) -> None:
         self._head_count += 1
@@ -106,6 +108,28 @@
                 raise HTTPException(f'{name.decode()} is not valid')
 
 
+def parse_field(line: bytes) -> tuple[bytes, bytes]:
+    r"""Return name and value of a field in a line, with its line end.
+
+    Values may not be folded over several lines.
+
+    Raises
+    ------
+    HTTPException
+        The line is no field.
+
+    Examples
+    --------
+    >>> parse_field(b'Retry-After: 1 \r\n')
+    (b'Retry-After', b'1')
+
+    """
+    matched = _FIELD.fullmatch(line)
+    if matched is None:
+        raise HTTPException('line in a head or trailer is no field')
+    return matched.group(1), matched.group(2).strip(_BLANKS)
+
+
 def _is_framing_valid(name: bytes, text: bytes, status_line: bytes) -> bool:
     if name == _CONTENT_LENGTH:
         return _LENGTH.fullmatch(text) is not None
--- a/sesameroute/adapters/tests/malformed_answers.py
+++ b/sesameroute/adapters/tests/malformed_answers.py
@@ -50,6 +50,38 @@
     ),
 }
 
+# Characters that are not allowed in a name and in a value (RFC 9110, 5.1, 5.5).
+_NAME_CHARACTERS = (
+    ' \t\x00\x01\x0b\x0c\x1f\x7f\x80\xa0\xe9\xff"(),/;<=>?@[\x5c]{}'
+)
+_VALUE_CHARACTERS = '\x00\x01\x08\x0b\x0c\r\x0e\x1b\x1f\x7f'
+_NO_FIELDS = (
+    *('no field at all', 'X-Other', ':', ': 1', ' : 1', 'From a stranger'),
+    *('From a: 1', 'HTTP/1.1 200 X', ' X-Other: 1', '\tX-Other: 1', ' ', '\t'),
+    *('\x00', '\r', 'Content-Length : 5', 'Transfer-Encoding : chunked'),
+    *(f'X{each}Other: 1' for each in _NAME_CHARACTERS),
+    *(f'X-Other{each}: 1' for each in ' \t\x00'),
+    *(f'X-Other: a{each}b' for each in _VALUE_CHARACTERS),
+)
+MALFORMED_FIELDS = {
+    **{
+        f'first line {line!r}': build_text(f'{line}\r\n{_LENGTH}')
+        for line in _NO_FIELDS
+    },
+    **{
+        f'last line {line!r}': build_text(_LENGTH).replace(
+            '{fields}', f'{{fields}}{line}\r\n'
+        )
+        for line in _NO_FIELDS[:16]
+    },
+    **{
+        f'interim line {line!r}': (
+            f'HTTP/1.1 103 X\r\n{line}\r\n\r\n{build_text(_LENGTH)}'
+        )
+        for line in _NO_FIELDS[:16]
+    },
+}
+
 UNUSUAL_ANSWERS = {
     'no blank': build_text('Content-Length:5\r\n'),
     'blanks': build_text('Content-Length: \t 5 \t\r\n'),
--- a/sesameroute/adapters/tests/test_malformed_answers.py
+++ b/sesameroute/adapters/tests/test_malformed_answers.py
@@ -10,6 +10,7 @@
 from sesameroute.adapters._verdict_http import VERDICT_HEADER
 from sesameroute.adapters.tests.malformed_answers import (
     BODY,
+    MALFORMED_FIELDS,
     MALFORMED_FRAMINGS,
     UNUSUAL_ANSWERS,
 )
@@ -22,7 +23,7 @@
 _ADDRESS = '127.0.0.1'
 _KIND = Kind('stock-check', 'tray-catalogue', work_ms=10)
 _SECONDS = 5
-_MALFORMED = MALFORMED_FRAMINGS
+_MALFORMED = {**MALFORMED_FRAMINGS, **MALFORMED_FIELDS}
 
 
 def serve(text):
--- a/sesameroute/forward/_sender.py
+++ b/sesameroute/forward/_sender.py
@@ -229,7 +229,7 @@
         response = self._read_head(pooled_connection, outgoing)
         answer = _convert_head(response)
         answer_metadata = self.header_codec.read_answer_metadata(answer)
-        _check_identity(pooled_connection, outgoing, answer_metadata)
+        _check_identity(outgoing, answer_metadata)
         is_own = answer_metadata.is_sealed or answer_metadata.is_not_run
         if is_own and not answer_metadata.is_misdirected:
             outgoing.observe_metadata(answer_metadata)
@@ -322,18 +322,14 @@
 
 
 def _check_identity(
-    pooled_connection: PooledConnection,
-    outgoing: OutgoingRequest,
-    answer_metadata: AnswerMetadata,
+    outgoing: OutgoingRequest, answer_metadata: AnswerMetadata
 ) -> None:
-    """Raise an error if the answer is malformed or belongs elsewhere."""
+    """Raise an error if the answer belongs to another request."""
     identifier = answer_metadata.identifier
     if identifier and identifier != outgoing.identifier:
         raise _build_error(
             'answer carries another attempt identifier', Outcome.LOST
         )
-    if pooled_connection.http_connection.has_header_defects:
-        raise _build_error('answer has a malformed header', Outcome.LOST)
 
 
 def _classify_error(error: Exception) -> TryError:
--- a/sesameroute/forward/tests/test_malformed_answers.py
+++ b/sesameroute/forward/tests/test_malformed_answers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sesameroute.adapters.tests.malformed_answers import (
+    MALFORMED_FIELDS,
     MALFORMED_FRAMINGS,
     UNUSUAL_ANSWERS,
 )
@@ -15,7 +16,7 @@
 from sesameroute.placement import Outcome
 from sesameroute.routes import RequestKind
 
-MALFORMED = MALFORMED_FRAMINGS
+MALFORMED = {**MALFORMED_FRAMINGS, **MALFORMED_FIELDS}
 
 
 def script(text, end='close'):
