Take no answer whose status line is not valid

What callers saw: an answer whose status line had blanks or control bytes where none may be, or no version of HTTP/1, was passed on as a complete 200.

Cause: `http.client` splits the line at any white space, ignores its rest, and takes all that begins with "HTTP/1." or "HTTP/0.9" for a version.

Why this works: the reader of heads checks the whole line; a later minor version and a missing reason are still valid. The check of the status has moved there with it. A connection that ends within the status line now counts as broken off, like one that ends within a field.

--- a/sesameroute/adapters/_checked_response.py
+++ b/sesameroute/adapters/_checked_response.py
@@ -1,12 +1,10 @@
 """Responses that are complete, bounded in their framing and end in time."""
 
 import contextlib
-import re
 import socket
 from collections.abc import Iterator
 from http import HTTPStatus
 from http.client import (
-    BadStatusLine,
     HTTPException,
     HTTPResponse,
     IncompleteRead,
@@ -23,10 +21,6 @@
 
 __all__ = ['CheckedResponse']
 
-_INTERIM_STATUS = re.compile('1[0-9]{2}')
-_FINAL_STATUS = re.compile('[2-5][0-9]{2}')
-_SWITCHING = str(HTTPStatus.SWITCHING_PROTOCOLS.value)
-
 
 class CheckedResponse(HTTPResponse):
     """A response that detects incomplete framing and bytes after its end.
@@ -88,21 +82,11 @@
     def _read_status(self) -> tuple[str, int, str]:
         """Return version, status and reason of a head.
 
-        `http.client` takes all that Python reads as an integer for a status,
-        and of the interim responses it skips only those with status 100.
-
-        Raises
-        ------
-        BadStatusLine
-            The status is not one of HTTP, or one that was not asked for.
-
+        Of the interim responses, `http.client` skips those with status 100.
         """
         version, status, reason = super()._read_status()
-        text = self.fp.last_line.decode('latin-1').split(None, 2)[1]
-        if _INTERIM_STATUS.fullmatch(text) and text != _SWITCHING:
-            return version, HTTPStatus.CONTINUE, reason
-        if not _FINAL_STATUS.fullmatch(text):
-            raise BadStatusLine(f'status {text}')
+        if status < HTTPStatus.OK:
+            status = HTTPStatus.CONTINUE
         return version, status, reason
 
     @contextlib.contextmanager
--- a/sesameroute/adapters/_response_head.py
+++ b/sesameroute/adapters/_response_head.py
@@ -1,13 +1,15 @@
 """Reads the heads of responses, strictly (RFC 9112, sections 4 to 6).
 
-`http.client` reads what it can of a head: it skips lines that are no fields,
-takes the end of the connection for the end of the head, and a body whose
-length or coding it can't read for one that ends with the connection.
+`http.client` reads what it can of a head: it takes any number for a status,
+skips lines that are no fields, takes the end of the connection for the end of
+the head, and a body whose length or coding it can't read for one that ends
+with the connection.
 """
 
 import re
 from http.client import BadStatusLine, HTTPException, RemoteDisconnected
 from io import BufferedReader
+from typing import NamedTuple
 
 __all__ = ['HeadReader', 'parse_field']
 
@@ -15,17 +17,29 @@
 _MAX_INTERIM_RESPONSES = 64
 _BLANKS = b' \t'
 _LINE_ENDS = (b'\r\n', b'\n')
-# Of the control characters, a value may have tabs only.
+_QUOTED_BYTES = 60  # of an invalid line
+# Of the control characters, reasons and values may have tabs only.
+_STATUS_LINE = re.compile(
+    rb'HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n'
+)
 _FIELD = re.compile(
     rb"([-!#$%&'*+.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r?\n"
 )
+_SWITCHING_PROTOCOLS = b'101'  # only after a request for it
 _CONTENT_LENGTH = b'content-length'
 # Fields that say how a body ends.
 _FRAMING_FIELDS = frozenset((_CONTENT_LENGTH, b'transfer-encoding'))
 _LENGTH = re.compile(b'[0-9]{1,18}')
 # The only coding that may be sent to a client that has named none.
 _CODING = b'chunked'
-_FIRST_VERSION = b'HTTP/1.0'  # has no codings
+_FIRST_VERSION = b'0'  # the minor one; it has no codings
+
+
+class _Status(NamedTuple):
+    """Minor version and status of a status line."""
+
+    version: bytes
+    code: bytes
 
 
 class HeadReader:
@@ -36,18 +50,12 @@
     reader : BufferedReader
         Reads the response.
 
-    Attributes
-    ----------
-    last_line : bytes
-        The line that was read last.
-
     """
 
     def __init__(self, reader: BufferedReader) -> None:
         """Store the reader; no line has been read yet."""
         self.reader = reader
-        self.last_line = b''
-        self._status_line = b''
+        self._status: _Status | None = None
         self._framing: list[tuple[bytes, bytes]] = []
         self._head_count = 0
 
@@ -57,20 +65,18 @@
         Raises
         ------
         RemoteDisconnected
-            The connection ended after the status line and before the head
-            was complete.
+            The connection ended within the head.
         HTTPException
-            A line is no field, the head does not tell where the body ends,
+            A line is not valid, the head does not tell where the body ends,
             or more interim responses came than are read.
 
         """
         line = self.reader.readline(limit)
-        self.last_line = line
-        if not self._status_line:
-            self._status_line = line
-            return line
         if not line.endswith(b'\n'):
             return self._end_early(line, limit)
+        if self._status is None:
+            self._status = _parse_status_line(line)
+            return line
         if line in _LINE_ENDS:
             self._end_head()
             return line
@@ -81,9 +87,10 @@
         self.reader.close()
 
     def _end_early(self, line: bytes, limit: int) -> bytes:
-        if len(line) < limit:
+        has_begun = bool(line) or self._status is not None
+        if has_begun and len(line) < limit:
             raise RemoteDisconnected('connection closed within the head')
-        return line  # `http.client` finds it too long
+        return line  # `http.client` finds no response, or too long a line
 
     def _read_field(self, line: bytes) -> bytes:
         name, text = parse_field(line)
@@ -96,7 +103,7 @@
         if self._head_count > _MAX_INTERIM_RESPONSES:
             raise BadStatusLine('too many interim responses')
         self._check_framing()
-        self._status_line = b''
+        self._status = None
         self._framing.clear()
 
     def _check_framing(self) -> None:
@@ -104,7 +111,7 @@
         if len(self._framing) > 1:
             raise HTTPException('several lengths or transfer codings')
         for name, text in self._framing:
-            if not _is_framing_valid(name, text, self._status_line):
+            if not _is_framing_valid(name, text, self._status):
                 raise HTTPException(f'{name.decode()} is not valid')
 
 
@@ -130,9 +137,14 @@
     return matched.group(1), matched.group(2).strip(_BLANKS)
 
 
-def _is_framing_valid(name: bytes, text: bytes, status_line: bytes) -> bool:
+def _parse_status_line(line: bytes) -> _Status:
+    matched = _STATUS_LINE.fullmatch(line)
+    if matched is None or matched.group(2) == _SWITCHING_PROTOCOLS:
+        raise BadStatusLine(repr(line[:_QUOTED_BYTES]))
+    return _Status(*matched.groups())
+
+
+def _is_framing_valid(name: bytes, text: bytes, status: _Status) -> bool:
     if name == _CONTENT_LENGTH:
         return _LENGTH.fullmatch(text) is not None
-    return text.lower() == _CODING and not status_line.startswith(
-        _FIRST_VERSION
-    )
+    return text.lower() == _CODING and status.version != _FIRST_VERSION
--- a/sesameroute/adapters/tests/malformed_answers.py
+++ b/sesameroute/adapters/tests/malformed_answers.py
@@ -16,6 +16,22 @@
     return f'{status_line}\r\n{lines}{{fields}}\r\n{body}'
 
 
+_STATUS_LINES = (
+    *('', 'ICY 200 OK', ' HTTP/1.1 200 X', '\tHTTP/1.1 200 X', '200 X'),
+    *('http/1.1 200 X', 'HTTP 200 X', 'HTTP/1 200 X', 'HTTP/1. 200 X'),
+    *('HTTP/0.9 200 X', 'HTTP/1.10 200 X', 'HTTP/1.x 200 X', 'HTTP/2.0 200 X'),
+    *('HTTP/1.1  200 X', 'HTTP/1.1\t200 X', 'HTTP/1.1\x0b200 X'),
+    *('HTTP/1.1\xa0200 X', 'HTTP/1.1 200\tX', 'HTTP/1.1 200\xa0X'),
+    *('HTTP/1.1\x00 200 X', 'HTTP/1.1 200\x00', 'HTTP/1.1 200 a\x00b'),
+    *('HTTP/1.1 200 a\rb', 'HTTP/1.1 200\r', 'HTTP/1.1 200 a\x7fb'),
+    *('HTTP/1.1 000 X', 'HTTP/1.1 099 X', 'HTTP/1.1 1000 X', 'HTTP/1.1 20 X'),
+    *('HTTP/1.1 +200 X', 'HTTP/1.1 600 X', 'HTTP/1.1 101 X', 'HTTP/1.1 2_00 X'),
+)
+MALFORMED_STATUS_LINES = {
+    f'status line {line!r}': build_text(_LENGTH, status_line=line)
+    for line in _STATUS_LINES
+}
+
 _LENGTHS = (
     *('+5', '-5', '0x5', '5x', 'x5', 'five', '', ' ', '5 5', '5 0', '\r\n 5'),
     *('5,5', '5, 5', '5, 6', '5;', '5.0', '5e0', '0_5', '"5"', '\xb2', '5\r'),
--- a/sesameroute/adapters/tests/test_malformed_answers.py
+++ b/sesameroute/adapters/tests/test_malformed_answers.py
@@ -12,6 +12,7 @@
     BODY,
     MALFORMED_FIELDS,
     MALFORMED_FRAMINGS,
+    MALFORMED_STATUS_LINES,
     UNUSUAL_ANSWERS,
 )
 from sesameroute.exceptions import PeerError, RequestError
@@ -23,7 +24,11 @@
 _ADDRESS = '127.0.0.1'
 _KIND = Kind('stock-check', 'tray-catalogue', work_ms=10)
 _SECONDS = 5
-_MALFORMED = {**MALFORMED_FRAMINGS, **MALFORMED_FIELDS}
+_MALFORMED = {
+    **MALFORMED_STATUS_LINES,
+    **MALFORMED_FRAMINGS,
+    **MALFORMED_FIELDS,
+}
 
 
 def serve(text):
--- a/sesameroute/forward/tests/test_malformed_answers.py
+++ b/sesameroute/forward/tests/test_malformed_answers.py
@@ -5,6 +5,7 @@
 from sesameroute.adapters.tests.malformed_answers import (
     MALFORMED_FIELDS,
     MALFORMED_FRAMINGS,
+    MALFORMED_STATUS_LINES,
     UNUSUAL_ANSWERS,
 )
 from sesameroute.forward.tests.harness import ForwarderHarness
@@ -16,7 +17,11 @@
 from sesameroute.placement import Outcome
 from sesameroute.routes import RequestKind
 
-MALFORMED = {**MALFORMED_FRAMINGS, **MALFORMED_FIELDS}
+MALFORMED = {
+    **MALFORMED_STATUS_LINES,
+    **MALFORMED_FRAMINGS,
+    **MALFORMED_FIELDS,
+}
 
 
 def script(text, end='close'):
