Take no answer whose chunks don't end with their size

What callers saw: a backend server sent a chunk that was longer than its size, or lines behind the last chunk that are no fields. The caller got a complete 200, without the bytes that followed the size.

Cause: `http.client` skips two bytes behind a chunk, whatever they are, and the trailer section ended at any line of white space, unread.

Why this works: the line end behind a chunk is checked, lines of the trailer section are checked like those of a head, and only an empty line ends it.

--- a/sesameroute/adapters/_checked_response.py
+++ b/sesameroute/adapters/_checked_response.py
@@ -17,10 +17,16 @@
     parse_chunk_size,
 )
 from sesameroute.adapters._limited_reader import LimitedReader, ReadLimit
-from sesameroute.adapters._response_head import HeadReader
+from sesameroute.adapters._response_head import (
+    LINE_ENDS,
+    HeadReader,
+    parse_field,
+)
 
 __all__ = ['CheckedResponse']
 
+_CHUNK_END = b'\r\n'
+
 
 class CheckedResponse(HTTPResponse):
     """A response that detects incomplete framing and bytes after its end.
@@ -99,6 +105,14 @@
             if self.fp is not None:  # it is closed otherwise
                 self.fp = reader
 
+    def _get_chunk_left(self) -> int | None:
+        """Return what is left of a chunk; check the line end behind it."""
+        if self.chunk_left == 0:
+            if self._safe_read(len(_CHUNK_END)) != _CHUNK_END:
+                raise HTTPException('chunk is longer than its size')
+            self.chunk_left = None
+        return super()._get_chunk_left()
+
     def _read_next_chunk_size(self) -> int:
         """Return the next chunk size; `http.client` takes a part of one."""
         line = self._read_framing_line()
@@ -110,8 +124,10 @@
     def _read_and_discard_trailer(self) -> None:
         """Discard the trailer section; `http.client` reads it without end."""
         for _ in range(MAX_TRAILER_LINES):
-            if not self._read_framing_line().strip():
+            line = self._read_framing_line()
+            if line in LINE_ENDS:
                 return
+            parse_field(line)
         raise HTTPException('trailer section too long')
 
     def _read_framing_line(self) -> bytes:
--- a/sesameroute/adapters/_response_head.py
+++ b/sesameroute/adapters/_response_head.py
@@ -11,12 +11,13 @@
 from io import BufferedReader
 from typing import NamedTuple
 
-__all__ = ['HeadReader', 'parse_field']
+__all__ = ['LINE_ENDS', 'HeadReader', 'parse_field']
+
+LINE_ENDS = (b'\r\n', b'\n')
 
 # Interim responses that may come before the final one.
 _MAX_INTERIM_RESPONSES = 64
 _BLANKS = b' \t'
-_LINE_ENDS = (b'\r\n', b'\n')
 _QUOTED_BYTES = 60  # of an invalid line
 # Of the control characters, reasons and values may have tabs only.
 _STATUS_LINE = re.compile(
@@ -77,7 +78,7 @@
         if self._status is None:
             self._status = _parse_status_line(line)
             return line
-        if line in _LINE_ENDS:
+        if line in LINE_ENDS:
             self._end_head()
             return line
         return self._read_field(line)
--- a/sesameroute/adapters/tests/malformed_answers.py
+++ b/sesameroute/adapters/tests/malformed_answers.py
@@ -98,6 +98,27 @@
     },
 }
 
+_CHUNK_ENDS = (
+    *('', 'XX', 'X', '\n\n', '\n', '\r\r', '\n\r', '  ', '\x00\x00', ' \r'),
+    *(' \r\n', '\r\n\r\n', 'whole\r\n'),
+)
+_LAST_CHUNKS = (
+    *('0x0\r\n\r\n', '-0\r\n\r\n', '0\r\n \r\n', '0\r\n\x0b\r\n'),
+    *('0\r\n\r\r\n\r\n', '0\r\nno field\r\n\r\n', '0\r\n: 1\r\n\r\n'),
+    *('0\r\nX A: 1\r\n\r\n', '0\r\nX-A: a\x00\r\n\r\n'),
+    *('0\r\n X-A: 1\r\n\r\n',),
+)
+MALFORMED_CHUNKS = {
+    **{
+        f'chunk end {end!r}': build_text(_CODING, f'5\r\n{BODY}{end}0\r\n\r\n')
+        for end in _CHUNK_ENDS
+    },
+    **{
+        f'last chunk {last!r}': build_text(_CODING, f'5\r\n{BODY}\r\n{last}')
+        for last in _LAST_CHUNKS
+    },
+}
+
 UNUSUAL_ANSWERS = {
     'no blank': build_text('Content-Length:5\r\n'),
     'blanks': build_text('Content-Length: \t 5 \t\r\n'),
--- a/sesameroute/forward/tests/test_malformed_answers.py
+++ b/sesameroute/forward/tests/test_malformed_answers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sesameroute.adapters.tests.malformed_answers import (
+    MALFORMED_CHUNKS,
     MALFORMED_FIELDS,
     MALFORMED_FRAMINGS,
     MALFORMED_STATUS_LINES,
@@ -21,6 +22,7 @@
     **MALFORMED_STATUS_LINES,
     **MALFORMED_FRAMINGS,
     **MALFORMED_FIELDS,
+    **MALFORMED_CHUNKS,
 }
 
 
