Take no answer that tells of a body where none may follow

What callers saw: a 204 with a length or a coding, which a spoilt head may become, was passed on without its body; of one with more than 128 KiB in chunks, the bytes came behind the head of a complete 204. An interim answer with a length or a coding was skipped, its body not. A valid 304 with a coding got no answer until the time limit: 504.

Cause: `http.client` gives such a status no body, but reads chunks all the same where there is a coding, and reads nothing of an interim head.

Why this works: the reader of heads knows the status, and admits neither a coding nor a length but 0 where HTTP forbids them (RFC 9110, 8.6; RFC 9112, 6.1). A 304, which may have both, ends with its head.

--- a/sesameroute/adapters/_checked_response.py
+++ b/sesameroute/adapters/_checked_response.py
@@ -81,6 +81,8 @@
         """
         with self._checked_head():
             super().begin()
+        # `http.client` would wait for the chunks of a response without a body.
+        self.chunked = self.chunked and self.length != 0
         limit = self._limited_reader.limit
         if limit is not None and (self.length or 0) > limit.remaining_bytes:
             raise HTTPException(f'answer of {self.length} bytes is too long')
--- a/sesameroute/adapters/_response_head.py
+++ b/sesameroute/adapters/_response_head.py
@@ -27,10 +27,12 @@
     rb"([-!#$%&'*+.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r?\n"
 )
 _SWITCHING_PROTOCOLS = b'101'  # only after a request for it
+_NO_CONTENT = b'204'
 _CONTENT_LENGTH = b'content-length'
 # Fields that say how a body ends.
 _FRAMING_FIELDS = frozenset((_CONTENT_LENGTH, b'transfer-encoding'))
 _LENGTH = re.compile(b'[0-9]{1,18}')
+_ZERO = re.compile(b'0{1,18}')
 # The only coding that may be sent to a client that has named none.
 _CODING = b'chunked'
 _FIRST_VERSION = b'0'  # the minor one; it has no codings
@@ -42,6 +44,11 @@
     version: bytes
     code: bytes
 
+    @property
+    def excludes_body(self) -> bool:
+        """Whether nothing may be said of a body, since none may follow."""
+        return self.code.startswith(b'1') or self.code == _NO_CONTENT
+
 
 class HeadReader:
     """Reads the lines of the heads of a response, interim ones included.
@@ -147,5 +154,7 @@
 
 def _is_framing_valid(name: bytes, text: bytes, status: _Status) -> bool:
     if name == _CONTENT_LENGTH:
-        return _LENGTH.fullmatch(text) is not None
-    return text.lower() == _CODING and status.version != _FIRST_VERSION
+        pattern = _ZERO if status.excludes_body else _LENGTH
+        return pattern.fullmatch(text) is not None
+    has_coding = text.lower() == _CODING and status.version != _FIRST_VERSION
+    return has_coding and not status.excludes_body
--- a/sesameroute/adapters/tests/malformed_answers.py
+++ b/sesameroute/adapters/tests/malformed_answers.py
@@ -9,6 +9,7 @@
 CHUNKS = f'5\r\n{BODY}\r\n0\r\n\r\n'
 _LENGTH = 'Content-Length: 5\r\n'
 _CODING = 'Transfer-Encoding: chunked\r\n'
+_NO_CONTENT = 'HTTP/1.1 204 X'
 
 
 def build_text(lines, body=BODY, status_line='HTTP/1.1 200 X'):
@@ -61,6 +62,19 @@
     'length and coding': build_text(f'{_LENGTH}{_CODING}', CHUNKS),
     'coding and length': build_text(f'{_CODING}{_LENGTH}', CHUNKS),
     'coding in HTTP/1.0': build_text(_CODING, CHUNKS, 'HTTP/1.0 200 X'),
+    '204 with a length': build_text(_LENGTH, '', _NO_CONTENT),
+    '204 with a body': build_text(_LENGTH, BODY, _NO_CONTENT),
+    '204 with a coding': build_text(_CODING, '', _NO_CONTENT),
+    '204 with chunks': build_text(_CODING, CHUNKS, _NO_CONTENT),
+    '204 with a long chunk': build_text(
+        _CODING, f'30000\r\n{"x" * 0x30000}\r\n0\r\n\r\n', _NO_CONTENT
+    ),
+    'interim answer with a length': (
+        f'HTTP/1.1 103 X\r\n{_LENGTH}\r\n{build_text(_LENGTH)}'
+    ),
+    'interim answer with a coding': (
+        f'HTTP/1.1 103 X\r\n{_CODING}\r\n{build_text(_LENGTH)}'
+    ),
     'interim length': (
         f'HTTP/1.1 103 X\r\nContent-Length: +5\r\n\r\n{build_text(_LENGTH)}'
     ),
@@ -119,6 +133,15 @@
     },
 }
 
+# Statuses that no body follows, with what would be said of it.
+BODILESS_ANSWERS = {
+    '204': build_text('', '', _NO_CONTENT),
+    '204 with length 0': build_text('Content-Length: 0\r\n', '', _NO_CONTENT),
+    '304': build_text('', '', 'HTTP/1.1 304 X'),
+    '304 with a length': build_text(_LENGTH, '', 'HTTP/1.1 304 X'),
+    '304 with a coding': build_text(_CODING, '', 'HTTP/1.1 304 X'),
+}
+
 UNUSUAL_ANSWERS = {
     'no blank': build_text('Content-Length:5\r\n'),
     'blanks': build_text('Content-Length: \t 5 \t\r\n'),
--- a/sesameroute/forward/tests/test_malformed_answers.py
+++ b/sesameroute/forward/tests/test_malformed_answers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sesameroute.adapters.tests.malformed_answers import (
+    BODILESS_ANSWERS,
     MALFORMED_CHUNKS,
     MALFORMED_FIELDS,
     MALFORMED_FRAMINGS,
@@ -72,3 +73,13 @@
     status, headers, content = harness.forward()
     assert (status, content) == (200, b'whole')
     assert headers['Sesameroute-Server-Seal'] == 's'
+
+
+@pytest.mark.parametrize('name', list(BODILESS_ANSWERS))
+def test_answer_without_a_body_ends_with_its_head(name):
+    """Its connection can be used again at once."""
+    server = ScriptedServer(script(BODILESS_ANSWERS[name], 'keep'))
+    harness = ForwarderHarness(server, attempts=1)
+    status = int(name.partition(' ')[0])
+    assert harness.forward()[::2] == (status, b'')
+    assert harness.forward()[::2] == (status, b'')
