Take no answer whose head ends its lines in different ways

What callers saw: a stray line feed in a head, at the end of a value, ended the head where the server's next line end followed: the caller got a complete 200 whose body began with the rest of the head.

Cause: a line may end with a line feed alone, and the empty line at the end of a head too, so that one changed byte moves it.

Why this works: all lines of a head end like its status line. A server that ends all of them with a line feed is read as before.

The cases of the file share one server now: each had taken a port of its own, some hundreds a second, and test_forwarder.py once got an answer of theirs from a port that it had given up.

--- a/sesameroute/adapters/_response_head.py
+++ b/sesameroute/adapters/_response_head.py
@@ -39,10 +39,11 @@
 
 
 class _Status(NamedTuple):
-    """Minor version and status of a status line."""
+    """Minor version and status of a status line, and how its lines end."""
 
     version: bytes
     code: bytes
+    line_end: bytes
 
     @property
     def excludes_body(self) -> bool:
@@ -85,7 +86,10 @@
         if self._status is None:
             self._status = _parse_status_line(line)
             return line
-        if line in LINE_ENDS:
+        line_end = _find_line_end(line)
+        if line_end != self._status.line_end:
+            raise HTTPException('lines of a head end in different ways')
+        if line == line_end:
             self._end_head()
             return line
         return self._read_field(line)
@@ -149,7 +153,11 @@
     matched = _STATUS_LINE.fullmatch(line)
     if matched is None or matched.group(2) == _SWITCHING_PROTOCOLS:
         raise BadStatusLine(repr(line[:_QUOTED_BYTES]))
-    return _Status(*matched.groups())
+    return _Status(*matched.groups(), _find_line_end(line))
+
+
+def _find_line_end(line: bytes) -> bytes:
+    return next(each for each in LINE_ENDS if line.endswith(each))
 
 
 def _is_framing_valid(name: bytes, text: bytes, status: _Status) -> bool:
--- a/sesameroute/adapters/tests/malformed_answers.py
+++ b/sesameroute/adapters/tests/malformed_answers.py
@@ -12,6 +12,13 @@
 _NO_CONTENT = 'HTTP/1.1 204 X'
 
 
+def fill(text, fields):
+    """Return the answer with these fields, their lines ended like its own."""
+    if '\r\n' not in text:
+        fields = fields.replace('\r\n', '\n')
+    return text.replace('{fields}', fields)
+
+
 def build_text(lines, body=BODY, status_line='HTTP/1.1 200 X'):
     """Return an answer whose head has these lines ahead of the fields."""
     return f'{status_line}\r\n{lines}{{fields}}\r\n{body}'
@@ -133,6 +140,29 @@
     },
 }
 
+_LINE_FEEDS = build_text(_LENGTH).replace('\r\n', '\n')
+MALFORMED_LINE_ENDS = {
+    'line feed behind the status line': (
+        f'HTTP/1.1 200 X\n{_LENGTH}{{fields}}\r\n{BODY}'
+    ),
+    'line feed behind a length': build_text('Content-Length: 5\n'),
+    'line feed at the end of a value': build_text(f'{_LENGTH}X-Other: 1\n\r\n'),
+    'line feed behind all fields': (
+        f'HTTP/1.1 200 X\r\n{{fields}}{_LENGTH}X-Other: \n\r\n\r\n{BODY}'
+    ),
+    'line feed as a value': build_text(f'{_LENGTH}X-Other: \n\r\n'),
+    'line feed for a line': build_text(f'{_LENGTH}\n'),
+    'line feed for the last line': (
+        f'HTTP/1.1 200 X\r\n{_LENGTH}{{fields}}\n{BODY}'
+    ),
+    'return behind the status line': _LINE_FEEDS.replace('X\n', 'X\r\n'),
+    'return behind a length': _LINE_FEEDS.replace('5\n', '5\r\n'),
+    'return for the last line': _LINE_FEEDS.replace('\nwhole', '\r\nwhole'),
+    'line feed in an interim head': (
+        f'HTTP/1.1 103 X\r\nLink: a\n\r\n{build_text(_LENGTH)}'
+    ),
+}
+
 # Statuses that no body follows, with what would be said of it.
 BODILESS_ANSWERS = {
     '204': build_text('', '', _NO_CONTENT),
@@ -147,7 +177,7 @@
     'blanks': build_text('Content-Length: \t 5 \t\r\n'),
     'leading zeros': build_text('Content-Length: 005\r\n'),
     'capitals': build_text('CONTENT-LENGTH: 5\r\n'),
-    'line feeds': build_text(_LENGTH).replace('\r\n', '\n'),
+    'line feeds': _LINE_FEEDS,
     'no reason': build_text(_LENGTH, status_line='HTTP/1.1 200'),
     'empty reason': build_text(_LENGTH, status_line='HTTP/1.1 200 '),
     'reason of words': build_text(
--- a/sesameroute/adapters/tests/test_malformed_answers.py
+++ b/sesameroute/adapters/tests/test_malformed_answers.py
@@ -13,8 +13,10 @@
     MALFORMED_CHUNKS,
     MALFORMED_FIELDS,
     MALFORMED_FRAMINGS,
+    MALFORMED_LINE_ENDS,
     MALFORMED_STATUS_LINES,
     UNUSUAL_ANSWERS,
+    fill,
 )
 from sesameroute.exceptions import PeerError, RequestError
 from sesameroute.forward.tests.servers import ScriptedServer
@@ -30,13 +32,22 @@
     **MALFORMED_FRAMINGS,
     **MALFORMED_FIELDS,
     **MALFORMED_CHUNKS,
+    **MALFORMED_LINE_ENDS,
 }
 
 
-def serve(text):
-    """Return a server that gives this answer as an entry VM would."""
+@pytest.fixture(scope='module')
+def server():
+    """Yield a server whose answers are scripted by each test."""
+    running = ScriptedServer('whole')
+    yield running
+    running.stop()
+
+
+def script(text):
+    """Return a script that gives this answer as an entry VM would."""
     fields = f'{VERDICT_HEADER}: {Verdict.RAN}\r\n'
-    return ScriptedServer((text.replace('{fields}', fields), 'close'))
+    return fill(text, fields), 'close'
 
 
 def send(server, method):
@@ -65,32 +76,35 @@
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
 @pytest.mark.parametrize('name', list(_MALFORMED))
-def test_entry_vm_takes_no_malformed_answer(name, method):
+def test_entry_vm_takes_no_malformed_answer(server, name, method):
     """The request may have run."""
+    server.follow(script(_MALFORMED[name]))
     with pytest.raises(RequestError) as caught:
-        send(serve(_MALFORMED[name]), method)
+        send(server, method)
     assert caught.value.verdict is Verdict.MAY_HAVE_RUN
     assert BODY not in caught.value.message
 
 
 @pytest.mark.parametrize('name', list(_MALFORMED))
-def test_home_with_a_malformed_answer_has_not_answered(name):
+def test_home_with_a_malformed_answer_has_not_answered(server, name):
     """An entry VM that answers so counts as lost."""
+    server.follow(script(_MALFORMED[name]))
     with pytest.raises((PeerError, RequestError)) as caught:
-        send_home(serve(_MALFORMED[name]))
+        send_home(server)
     assert BODY not in caught.value.message
 
 
 @pytest.mark.parametrize('name', list(_MALFORMED))
-def test_store_with_a_malformed_answer_has_not_answered(name):
+def test_store_with_a_malformed_answer_has_not_answered(server, name):
     """The client of the store knows nothing of the outcome then."""
+    server.follow(script(_MALFORMED[name]))
     with pytest.raises(HTTPError):
-        read_whole(serve(_MALFORMED[name]))
+        read_whole(server)
 
 
 @pytest.mark.parametrize('name', list(UNUSUAL_ANSWERS))
-def test_unusual_answers_are_read(name):
+def test_unusual_answers_are_read(server, name):
     """They are valid, whatever they look like."""
-    text = UNUSUAL_ANSWERS[name]
-    read = [send(serve(text), 'GET'), send_home(serve(text))]
-    assert [*read, read_whole(serve(text))] == [BODY.encode()] * 3
+    server.follow(script(UNUSUAL_ANSWERS[name]))
+    read = [send(server, 'GET'), send_home(server), read_whole(server)]
+    assert read == [BODY.encode()] * 3
--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -94,6 +94,13 @@
         self.target = self._server.getsockname()
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def follow(self, *scripts):
+        """Begin anew with other scripts, at the same address."""
+        self.scripts = list(scripts)
+        self.heads.clear()
+        self.bodies.clear()
+        self.connections = 0
+
     def stop(self):
         """Stop listening."""
         self._server.shutdown(socket.SHUT_RDWR)
--- a/sesameroute/forward/tests/test_malformed_answers.py
+++ b/sesameroute/forward/tests/test_malformed_answers.py
@@ -7,8 +7,10 @@
     MALFORMED_CHUNKS,
     MALFORMED_FIELDS,
     MALFORMED_FRAMINGS,
+    MALFORMED_LINE_ENDS,
     MALFORMED_STATUS_LINES,
     UNUSUAL_ANSWERS,
+    fill,
 )
 from sesameroute.forward.tests.harness import ForwarderHarness
 from sesameroute.forward.tests.servers import (
@@ -24,19 +26,28 @@
     **MALFORMED_FRAMINGS,
     **MALFORMED_FIELDS,
     **MALFORMED_CHUNKS,
+    **MALFORMED_LINE_ENDS,
 }
 
 
+@pytest.fixture(scope='module')
+def server():
+    """Yield a server whose answers are scripted by each test."""
+    running = ScriptedServer('whole')
+    yield running
+    running.stop()
+
+
 def script(text, end='close'):
     """Return a script that gives such an answer with the server's seal."""
-    return text.replace('{fields}', SEAL_HEADER + IDENTIFIER_HEADER), end
+    return fill(text, SEAL_HEADER + IDENTIFIER_HEADER), end
 
 
 @pytest.mark.parametrize('kind', [RequestKind.SAFE, RequestKind.UNSAFE])
 @pytest.mark.parametrize('name', list(MALFORMED))
-def test_malformed_answer_never_reaches_the_caller(name, kind):
+def test_malformed_answer_never_reaches_the_caller(server, name, kind):
     """The request may have run; the server's bytes are no answer."""
-    server = ScriptedServer(script(MALFORMED[name]))
+    server.follow(script(MALFORMED[name]))
     harness = ForwarderHarness(server, kind=kind, attempts=1)
     status, headers, content = harness.forward()
     assert (status, content) == (502, b'lost\n')
@@ -46,9 +57,9 @@
 
 
 @pytest.mark.parametrize('name', list(MALFORMED))
-def test_connection_with_a_malformed_answer_is_not_used_again(name):
+def test_connection_with_a_malformed_answer_is_not_used_again(server, name):
     """Nobody knows where the next answer begins on it."""
-    server = ScriptedServer(script(MALFORMED[name], 'keep'), 'whole')
+    server.follow(script(MALFORMED[name], 'keep'), 'whole')
     harness = ForwarderHarness(server, attempts=1)
     assert harness.forward('/p/1')[0] == 502
     assert harness.forward('/p/2')[::2] == (200, b'whole')
@@ -56,19 +67,19 @@
 
 
 @pytest.mark.parametrize('name', list(MALFORMED))
-def test_malformed_answer_of_another_node_is_not_passed_on(name):
+def test_malformed_answer_of_another_node_is_not_passed_on(server, name):
     """A node in trouble is no better than a server in trouble."""
     mark = 'Sesame-Relay: mine\r\n'
-    peer = ScriptedServer((MALFORMED[name].replace('{fields}', mark), 'close'))
+    server.follow((fill(MALFORMED[name], mark), 'close'))
     harness = ForwarderHarness(kind=RequestKind.UNSAFE)
-    harness.relay_to(peer.target)
+    harness.relay_to(server.target)
     assert harness.forward()[::2] == (502, b'lost\n')
 
 
 @pytest.mark.parametrize('name', list(UNUSUAL_ANSWERS))
-def test_unusual_answer_is_passed_on(name):
+def test_unusual_answer_is_passed_on(server, name):
     """It is valid, whatever it looks like."""
-    server = ScriptedServer(script(UNUSUAL_ANSWERS[name]))
+    server.follow(script(UNUSUAL_ANSWERS[name]))
     harness = ForwarderHarness(server, kind=RequestKind.UNSAFE, attempts=1)
     status, headers, content = harness.forward()
     assert (status, content) == (200, b'whole')
@@ -76,10 +87,11 @@
 
 
 @pytest.mark.parametrize('name', list(BODILESS_ANSWERS))
-def test_answer_without_a_body_ends_with_its_head(name):
+def test_answer_without_a_body_ends_with_its_head(server, name):
     """Its connection can be used again at once."""
-    server = ScriptedServer(script(BODILESS_ANSWERS[name], 'keep'))
+    server.follow(script(BODILESS_ANSWERS[name], 'keep'))
     harness = ForwarderHarness(server, attempts=1)
     status = int(name.partition(' ')[0])
     assert harness.forward()[::2] == (status, b'')
     assert harness.forward()[::2] == (status, b'')
+    assert server.connections == 1
