Keep the port at which a test expects a refused connection

test_unsafe_request_is_retried_after_refused_connection got 502 once, beside the other tests: it stopped a server and gave its port up, and a test in another process took it, or the connection got the port as its own end.

The port now stays taken, and nobody listens on it; what is asked for is the same.

--- a/sesameroute/forward/tests/servers.py
+++ b/sesameroute/forward/tests/servers.py
@@ -155,6 +155,16 @@
         return head
 
 
+class RefusingServer:
+    """Refuses connections at a port that nobody else can take meanwhile."""
+
+    def __init__(self):
+        """Take a free port and don't listen on it."""
+        self._socket = socket.socket()
+        self._socket.bind(('127.0.0.1', 0))
+        self.target = self._socket.getsockname()
+
+
 class TruncatingServer(ScriptedServer):
     """Sends the first bytes of a whole answer and closes the connection.
 
--- a/sesameroute/forward/tests/test_forwarder.py
+++ b/sesameroute/forward/tests/test_forwarder.py
@@ -12,7 +12,11 @@
 )
 from sesameroute.forward._local_answers import CallerClosedError
 from sesameroute.forward.tests.harness import ForwarderHarness
-from sesameroute.forward.tests.servers import LONG_BODY_BYTES, ScriptedServer
+from sesameroute.forward.tests.servers import (
+    LONG_BODY_BYTES,
+    RefusingServer,
+    ScriptedServer,
+)
 from sesameroute.placement import Outcome
 from sesameroute.registry import Backend, BackendState
 from sesameroute.routes import (
@@ -64,9 +68,7 @@
 
 def test_unsafe_request_is_retried_after_refused_connection():
     """A refused connection means that even an unsafe request can be retried."""
-    down, healthy = ScriptedServer('whole'), ScriptedServer('whole')
-    down.stop()
-    time.sleep(0.05)
+    down, healthy = RefusingServer(), ScriptedServer('whole')
     harness = ForwarderHarness(down, healthy, kind=RequestKind.UNSAFE)
     assert harness.forward(body=b'x')[0] == 200
     assert harness.allocator.releases == [
