Test uploads in chunks that are reset; one table of malformed answers

The modules that read the malformed answers share one table, and a method of the reader of heads is named for what it does.

--- a/sesameroute/adapters/_response_head.py
+++ b/sesameroute/adapters/_response_head.py
@@ -82,7 +82,7 @@
         """
         line = self.reader.readline(limit)
         if not line.endswith(b'\n'):
-            return self._end_early(line, limit)
+            return self._check_cut(line, limit)
         if self._status is None:
             self._status = _parse_status_line(line)
             return line
@@ -98,11 +98,12 @@
         """Close the reader."""
         self.reader.close()
 
-    def _end_early(self, line: bytes, limit: int) -> bytes:
+    def _check_cut(self, line: bytes, limit: int) -> bytes:
+        """Return a line without its end if `http.client` rejects it."""
         has_begun = bool(line) or self._status is not None
         if has_begun and len(line) < limit:
             raise RemoteDisconnected('connection closed within the head')
-        return line  # `http.client` finds no response, or too long a line
+        return line  # there is no response, or the line is too long
 
     def _read_field(self, line: bytes) -> bytes:
         name, text = parse_field(line)
--- a/sesameroute/adapters/tests/malformed_answers.py
+++ b/sesameroute/adapters/tests/malformed_answers.py
@@ -35,7 +35,7 @@
     *('HTTP/1.1 000 X', 'HTTP/1.1 099 X', 'HTTP/1.1 1000 X', 'HTTP/1.1 20 X'),
     *('HTTP/1.1 +200 X', 'HTTP/1.1 600 X', 'HTTP/1.1 101 X', 'HTTP/1.1 2_00 X'),
 )
-MALFORMED_STATUS_LINES = {
+_MALFORMED_STATUS_LINES = {
     f'status line {line!r}': build_text(_LENGTH, status_line=line)
     for line in _STATUS_LINES
 }
@@ -53,7 +53,7 @@
     *('chunked\x00', '\x00chunked', '\x0bchunked', 'chunked\x0c', 'chunked\r'),
     *('chunked\xa0', '\x85chunked'),
 )
-MALFORMED_FRAMINGS = {
+_MALFORMED_FRAMINGS = {
     **{
         f'length {text[:12]!r}': build_text(f'Content-Length: {text}\r\n')
         for text in _LENGTHS
@@ -100,7 +100,7 @@
     *(f'X-Other{each}: 1' for each in ' \t\x00'),
     *(f'X-Other: a{each}b' for each in _VALUE_CHARACTERS),
 )
-MALFORMED_FIELDS = {
+_MALFORMED_FIELDS = {
     **{
         f'first line {line!r}': build_text(f'{line}\r\n{_LENGTH}')
         for line in _NO_FIELDS
@@ -129,7 +129,7 @@
     *('0\r\nX A: 1\r\n\r\n', '0\r\nX-A: a\x00\r\n\r\n'),
     *('0\r\n X-A: 1\r\n\r\n',),
 )
-MALFORMED_CHUNKS = {
+_MALFORMED_CHUNKS = {
     **{
         f'chunk end {end!r}': build_text(_CODING, f'5\r\n{BODY}{end}0\r\n\r\n')
         for end in _CHUNK_ENDS
@@ -141,7 +141,7 @@
 }
 
 _LINE_FEEDS = build_text(_LENGTH).replace('\r\n', '\n')
-MALFORMED_LINE_ENDS = {
+_MALFORMED_LINE_ENDS = {
     'line feed behind the status line': (
         f'HTTP/1.1 200 X\n{_LENGTH}{{fields}}\r\n{BODY}'
     ),
@@ -163,6 +163,14 @@
     ),
 }
 
+MALFORMED_ANSWERS = {
+    **_MALFORMED_STATUS_LINES,
+    **_MALFORMED_FRAMINGS,
+    **_MALFORMED_FIELDS,
+    **_MALFORMED_CHUNKS,
+    **_MALFORMED_LINE_ENDS,
+}
+
 # Statuses that no body follows, with what would be said of it.
 BODILESS_ANSWERS = {
     '204': build_text('', '', _NO_CONTENT),
--- a/sesameroute/adapters/tests/test_malformed_answers.py
+++ b/sesameroute/adapters/tests/test_malformed_answers.py
@@ -10,11 +10,7 @@
 from sesameroute.adapters._verdict_http import VERDICT_HEADER
 from sesameroute.adapters.tests.malformed_answers import (
     BODY,
-    MALFORMED_CHUNKS,
-    MALFORMED_FIELDS,
-    MALFORMED_FRAMINGS,
-    MALFORMED_LINE_ENDS,
-    MALFORMED_STATUS_LINES,
+    MALFORMED_ANSWERS,
     UNUSUAL_ANSWERS,
     fill,
 )
@@ -27,13 +23,6 @@
 _ADDRESS = '127.0.0.1'
 _KIND = Kind('stock-check', 'tray-catalogue', work_ms=10)
 _SECONDS = 5
-_MALFORMED = {
-    **MALFORMED_STATUS_LINES,
-    **MALFORMED_FRAMINGS,
-    **MALFORMED_FIELDS,
-    **MALFORMED_CHUNKS,
-    **MALFORMED_LINE_ENDS,
-}
 
 
 @pytest.fixture(scope='module')
@@ -75,29 +64,29 @@
 
 
 @pytest.mark.parametrize('method', ['GET', 'POST'])
-@pytest.mark.parametrize('name', list(_MALFORMED))
+@pytest.mark.parametrize('name', list(MALFORMED_ANSWERS))
 def test_entry_vm_takes_no_malformed_answer(server, name, method):
     """The request may have run."""
-    server.follow(script(_MALFORMED[name]))
+    server.follow(script(MALFORMED_ANSWERS[name]))
     with pytest.raises(RequestError) as caught:
         send(server, method)
     assert caught.value.verdict is Verdict.MAY_HAVE_RUN
     assert BODY not in caught.value.message
 
 
-@pytest.mark.parametrize('name', list(_MALFORMED))
+@pytest.mark.parametrize('name', list(MALFORMED_ANSWERS))
 def test_home_with_a_malformed_answer_has_not_answered(server, name):
     """An entry VM that answers so counts as lost."""
-    server.follow(script(_MALFORMED[name]))
+    server.follow(script(MALFORMED_ANSWERS[name]))
     with pytest.raises((PeerError, RequestError)) as caught:
         send_home(server)
     assert BODY not in caught.value.message
 
 
-@pytest.mark.parametrize('name', list(_MALFORMED))
+@pytest.mark.parametrize('name', list(MALFORMED_ANSWERS))
 def test_store_with_a_malformed_answer_has_not_answered(server, name):
     """The client of the store knows nothing of the outcome then."""
-    server.follow(script(_MALFORMED[name]))
+    server.follow(script(MALFORMED_ANSWERS[name]))
     with pytest.raises(HTTPError):
         read_whole(server)
 
--- a/sesameroute/forward/tests/test_malformed_answers.py
+++ b/sesameroute/forward/tests/test_malformed_answers.py
@@ -4,11 +4,7 @@
 
 from sesameroute.adapters.tests.malformed_answers import (
     BODILESS_ANSWERS,
-    MALFORMED_CHUNKS,
-    MALFORMED_FIELDS,
-    MALFORMED_FRAMINGS,
-    MALFORMED_LINE_ENDS,
-    MALFORMED_STATUS_LINES,
+    MALFORMED_ANSWERS,
     UNUSUAL_ANSWERS,
     fill,
 )
@@ -21,14 +17,6 @@
 from sesameroute.placement import Outcome
 from sesameroute.routes import RequestKind
 
-MALFORMED = {
-    **MALFORMED_STATUS_LINES,
-    **MALFORMED_FRAMINGS,
-    **MALFORMED_FIELDS,
-    **MALFORMED_CHUNKS,
-    **MALFORMED_LINE_ENDS,
-}
-
 
 @pytest.fixture(scope='module')
 def server():
@@ -44,10 +32,10 @@
 
 
 @pytest.mark.parametrize('kind', [RequestKind.SAFE, RequestKind.UNSAFE])
-@pytest.mark.parametrize('name', list(MALFORMED))
+@pytest.mark.parametrize('name', list(MALFORMED_ANSWERS))
 def test_malformed_answer_never_reaches_the_caller(server, name, kind):
     """The request may have run; the server's bytes are no answer."""
-    server.follow(script(MALFORMED[name]))
+    server.follow(script(MALFORMED_ANSWERS[name]))
     harness = ForwarderHarness(server, kind=kind, attempts=1)
     status, headers, content = harness.forward()
     assert (status, content) == (502, b'lost\n')
@@ -56,21 +44,21 @@
     assert harness.allocator.releases == [('a', Outcome.LOST)]
 
 
-@pytest.mark.parametrize('name', list(MALFORMED))
+@pytest.mark.parametrize('name', list(MALFORMED_ANSWERS))
 def test_connection_with_a_malformed_answer_is_not_used_again(server, name):
     """Nobody knows where the next answer begins on it."""
-    server.follow(script(MALFORMED[name], 'keep'), 'whole')
+    server.follow(script(MALFORMED_ANSWERS[name], 'keep'), 'whole')
     harness = ForwarderHarness(server, attempts=1)
     assert harness.forward('/p/1')[0] == 502
     assert harness.forward('/p/2')[::2] == (200, b'whole')
     assert server.connections == 2
 
 
-@pytest.mark.parametrize('name', list(MALFORMED))
+@pytest.mark.parametrize('name', list(MALFORMED_ANSWERS))
 def test_malformed_answer_of_another_node_is_not_passed_on(server, name):
     """A node in trouble is no better than a server in trouble."""
     mark = 'Sesame-Relay: mine\r\n'
-    server.follow((fill(MALFORMED[name], mark), 'close'))
+    server.follow((fill(MALFORMED_ANSWERS[name], mark), 'close'))
     harness = ForwarderHarness(kind=RequestKind.UNSAFE)
     harness.relay_to(server.target)
     assert harness.forward()[::2] == (502, b'lost\n')
--- a/sesameroute/forward/tests/test_reset_uploads.py
+++ b/sesameroute/forward/tests/test_reset_uploads.py
@@ -53,22 +53,31 @@
 
 
 def upload(harness, server, length=WHOLE_BYTES):
-    """Forward a long body; return status, headers and body of the answer."""
+    """Forward a long body, in chunks if it has no length.
+
+    Returns status, headers and body of the answer.
+    """
     return harness.forward(body=PART, read=build_reader(server), length=length)
 
 
 @pytest.mark.parametrize('kind', list(RequestKind))
 @pytest.mark.parametrize(
-    ('read_bytes', 'pause_seconds'), [(0, 0), (0, 0.2), (65_536, 0)]
+    ('read_bytes', 'pause_seconds', 'length'),
+    [
+        (0, 0, WHOLE_BYTES),
+        (0, 0.2, WHOLE_BYTES),
+        (65_536, 0, WHOLE_BYTES),
+        (0, 0, None),
+    ],
 )
 @pytest.mark.parametrize('form', list(CUT_ANSWERS))
 def test_answer_cut_by_a_reset_is_no_success(
-    form, read_bytes, pause_seconds, kind
+    form, read_bytes, pause_seconds, length, kind
 ):
     """The write that failed hid the reset from the reader of the answer."""
     server = ResettingServer(CUT_ANSWERS[form], read_bytes, pause_seconds)
     harness = ForwarderHarness(server, kind=kind, attempts=1, timeout_seconds=2)
-    status, headers, content = upload(harness, server)
+    status, headers, content = upload(harness, server, length)
     assert (status, content) == (502, b'lost\n')
     assert 'Sesameroute-Server-Seal' not in headers
     assert harness.allocator.releases == [('a', Outcome.LOST)]
--- a/sesameroute/node/tests/test_broken_answers.py
+++ b/sesameroute/node/tests/test_broken_answers.py
@@ -2,11 +2,7 @@
 
 import pytest
 
-from sesameroute.adapters.tests.malformed_answers import (
-    MALFORMED_FIELDS,
-    MALFORMED_FRAMINGS,
-    MALFORMED_STATUS_LINES,
-)
+from sesameroute.adapters.tests.malformed_answers import MALFORMED_ANSWERS
 from sesameroute.forward.tests.servers import ResettingServer, ScriptedServer
 from sesameroute.forward.tests.test_malformed_answers import script
 from sesameroute.forward.tests.test_reset_uploads import (
@@ -19,11 +15,6 @@
 from sesameroute.node.tests.test_relay import cut_off
 
 _HEADERS = {'Host': 'h', 'Sesameroute-Attempt-Id': 'mine'}
-_ANSWERS = {
-    **MALFORMED_STATUS_LINES,
-    **MALFORMED_FRAMINGS,
-    **MALFORMED_FIELDS,
-}
 _MALFORMED = (
     "status line 'HTTP/1.1 000 X'",
     "length 'five'",
@@ -67,7 +58,7 @@
 @pytest.mark.parametrize('name', _MALFORMED)
 def test_caller_gets_no_malformed_answer(cluster, name, is_relayed):
     """Its request may have run."""
-    server = ScriptedServer(script(_ANSWERS[name]))
+    server = ScriptedServer(script(MALFORMED_ANSWERS[name]))
     start(cluster, server, 'unsafe', is_relayed=is_relayed)
     status, headers, content = call(1, FRONT_PORT, '/a/odd', _HEADERS, 'POST')
     assert (status, content) == (502, b'lost\n')
