--- a/review/third/tests/case_relay.py
+++ b/review/third/tests/case_relay.py
@@ -113,7 +113,7 @@
     for server in servers:
         server.work_seconds = 0.48
     await lab.start(*servers)
-    load = Load(lab, per_second=40, limit_ms=2500)
+    load = Load(lab, per_second=70, limit_ms=2500)
     await load.run(_CALM_SECONDS)
     if TROUBLE:
         cut_off(lab)
